--- /dev/null
+++ b/cmake/gooseberryConfig.cmake
@@ -0,0 +1,1 @@
+include("${CMAKE_CURRENT_LIST_DIR}/gooseberryTargets.cmake")
--- /dev/null
+++ b/src/libgooseberryio/clock.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "libgooseberry/core/time.h"
+
+namespace gooseberry::io {
+
+/**
+ * Reads the host's boot-time clock, which goes on counting while the process
+ * is stopped or the host suspended.
+ */
+core::instant
+Now();
+
+} // namespace gooseberry::io
