--- a/src/libgooseberryio/protocol/gooseberry.thrift
+++ b/src/libgooseberryio/protocol/gooseberry.thrift
@@ -30,11 +30,11 @@
   4: i64 agentStamp; 5: i64 generation; 6: bool backlog;
   7: list<TaskStart> starts
 }
-struct StartReply { 1: AgentState state; 2: list<byte> verdicts }
+struct StartReply { 1: AgentState state; 2: list<i8> verdicts }
 
 struct TaskResult {
-  1: string job; 2: i32 index; 3: i32 attempt; 4: i32 placement; 5: byte end;
-  6: byte why; 7: string target; 8: string kind; 9: i64 runTime;
+  1: string job; 2: i32 index; 3: i32 attempt; 4: i32 placement; 5: i8 ending;
+  6: i8 why; 7: string target; 8: string kind; 9: i64 runTime;
   10: binary payload
 }
 struct FinishBatch { 1: AgentState state; 2: list<TaskResult> results }
@@ -48,7 +48,7 @@
 struct FenceRequest {
   1: PeerRef entry; 2: string entryAddress; 3: string job; 4: Ballot ballot
 }
-struct StartedTask { 1: byte state; 2: TaskResult result }
+struct StartedTask { 1: i8 state; 2: TaskResult result }
 struct FenceReply {
   1: PeerRef agent; 2: string job; 3: Ballot ballot; 4: string holder;
   5: list<StartedTask> started
@@ -61,7 +61,7 @@
   5: Ballot ballot
 }
 struct LocateReply {
-  1: PeerRef entry; 2: string job; 3: byte verdict; 4: Ballot ballot;
+  1: PeerRef entry; 2: string job; 3: i8 verdict; 4: Ballot ballot;
   5: string holder
 }
 
@@ -73,7 +73,7 @@
   7: map<string, i64> agents
 }
 struct JobAnswer {
-  1: string job; 2: byte outcome; 3: list<binary> results; 4: string reason;
+  1: string job; 2: i8 outcome; 3: list<binary> results; 4: string reason;
   5: string step; 6: string peer; 7: optional i64 retryAfter; 8: i32 status
 }
 struct DeliverRequest { 1: PeerRef entry; 2: list<JobAnswer> answers }
