--- /dev/null
+++ b/src/libgooseberry/target/service_view.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "libgooseberry/configuration/desired_state.h"
+#include "libgooseberry/target/health.h"
+#include "libgooseberry/target/name_map.h"
+#include "libgooseberry/target/position_set.h"
+#include "libgooseberry/target/run_time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace gooseberry::target {
+
+/** What was learned of one kind of task. */
+struct kind_view
+{
+  run_time_mean mRunTime;
+  kind_outcomes mOutcomes;
+};
+
+/** One service: its rule, the targets that may take it, what was learned. */
+struct service_view
+{
+  std::string mName;
+  configuration::service mRule;
+  bool mDeclared = false; ///< The configuration has it.
+  /** Known targets that the rule allows, in the entry's order of preference. */
+  std::vector<target_index> mMembers;
+  position_set mStartable;    ///< Members that may get a start.
+  position_set mFree;         ///< Of these, with a free slot.
+  position_set mRoomy;        ///< Of these, with two free slots or more.
+  position_set mRoom;         ///< Of the startable, with room for a prefetch.
+  std::uint32_t mIn = 0;      ///< Members in use, but for ejection.
+  std::uint32_t mEjected = 0; ///< Of these, ejected.
+  run_time_mean mRunTime;
+  name_map<kind_view> mKinds;
+};
+
+} // namespace gooseberry::target
--- a/src/libgooseberry/target/target_table.h
+++ b/src/libgooseberry/target/target_table.h
@@ -3,97 +3,28 @@
 #include "libgooseberry/configuration/desired_state.h"
 #include "libgooseberry/core/message.h"
 #include "libgooseberry/core/time.h"
+#include "libgooseberry/target/health.h"
+#include "libgooseberry/target/name_map.h"
+#include "libgooseberry/target/placement.h"
+#include "libgooseberry/target/run_time.h"
+#include "libgooseberry/target/service_view.h"
+#include "libgooseberry/target/settings.h"
 
 #include <cstdint>
 #include <optional>
-#include <random>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace gooseberry::target {
 
-using random_source = std::mt19937_64;
-
-/** Index of a target in a `target_table`; stays the target's own for good. */
-using target_index = std::uint32_t;
-
-/** How a target is chosen. */
-enum class placement_policy : std::uint8_t
-{
-  ExpectedFinish,
-  Random, ///< Baseline: any target that may serve, load not looked at.
-};
-inline constexpr core::enum_names<placement_policy, 2> kPlacementPolicyNames{
-  { "expected_finish", "random" }
-};
-
-/** Why a target was chosen. */
-enum class placement_reason : std::uint8_t
-{
-  FreeSlot,
-  Prefetch, ///< Waits at the target; nothing was free anywhere.
-  Probe,    ///< Tries an ejected target again.
-  Random,
-};
-inline constexpr core::enum_names<placement_reason, 4> kPlacementReasonNames{
-  { "free_slot", "prefetch", "probe", "random" }
-};
-
-/** Why no target was chosen. */
-enum class placement_refusal : std::uint8_t
-{
-  NoService,       ///< The configuration has no such service.
-  NoTarget,        ///< No known target may take it: it can never run now.
-  NothingFree,     ///< All that may take it are full.
-  NothingEligible, ///< Those that may take it are out, silent or ejected.
-};
-inline constexpr core::enum_names<placement_refusal, 4> kPlacementRefusalNames{
-  { "no_service", "no_target", "nothing_free", "nothing_eligible" }
-};
-
-struct placement_settings
-{
-  placement_policy mPolicy = placement_policy::ExpectedFinish;
-  /** Tasks of this entry that may wait at one target beyond its slots. */
-  std::uint32_t mPrefetch = 1;
-  /** A target whose agent was not heard for longer gets no start. */
-  core::duration mAgentFreshness = std::chrono::milliseconds(1500);
-  /** Failures in a row after which a target is ejected. */
-  std::uint32_t mEjectAfterFailures = 3;
-  /** Greatest share of a service's targets that may be ejected at once. */
-  double mMaxEjectedShare = 0.34;
-  core::duration mFirstProbeAfter = std::chrono::seconds(1);
-  core::duration mMaxProbeAfter = std::chrono::seconds(30);
-  /** Time over which a returning target's slots come back, in steps. */
-  core::duration mRampTime = std::chrono::seconds(2);
-  std::uint32_t mRampSteps = 4;
-  /** Spreads preferences of entries over targets; any number per entry. */
-  std::uint64_t mAffinitySeed = 0;
-};
-
-struct placement_request
-{
-  std::string_view mService;
-  std::string_view mKind;
-  /** Caller's own estimate; used until run times were learned. */
-  core::duration mDeclared{};
-  bool mIdempotent = false;
-  /** Targets where earlier tries of the task have failed. */
-  const std::vector<target_index>* mAvoid = nullptr;
-};
-
-struct placement_choice
+/** Where a target stands in the list of one service. */
+struct membership
 {
-  target_index mTarget = 0;
-  placement_reason mReason = placement_reason::FreeSlot;
-  core::duration mExpectedFinish{}; ///< From now.
-  std::uint32_t mConsidered = 0;    ///< Targets weighed.
+  std::uint32_t mService = 0; ///< Index in `target_table::mServices`.
+  std::uint32_t mPosition = 0;
 };
 
-using placement = std::variant<placement_choice, placement_refusal>;
-
 /** What is known of one target. */
 struct target_view
 {
@@ -108,6 +39,127 @@
   /** Of these, sent after the agent made its last report. */
   std::uint32_t mSentSinceReport = 0;
   bool mAgentOpen = false;
+
+  bool mKnown = false;         ///< Its agent reports it.
+  bool mDomainIn = false;      ///< The configuration allows starts there.
+  bool mStartable = false;     ///< May get a start.
+  std::uint32_t mFree = 0;     ///< Slots that this entry takes to be free.
+  std::uint64_t mAffinity = 0; ///< Smaller is preferred by this entry.
+  std::optional<core::instant> mRampStart; ///< While slots are coming back.
+  speed_factor mSpeed;
+  run_time_mean mRunTime; ///< Of the tasks that this target was given.
+  target_health mHealth;
+  std::vector<membership> mMemberships;
+};
+
+/** One agent as last heard. */
+struct agent_view
+{
+  std::uint64_t mIncarnation = 0;
+  core::instant mStamp{}; ///< The agent's own clock at its last report.
+  std::vector<target_index> mTargets;
+  /** Ended runs, newest last; late messages of these are dropped. */
+  std::vector<std::uint64_t> mEnded;
 };
 
+/** The targets as one entry sees them, and all that it learned of them. */
+struct target_table
+{
+  placement_settings mSettings; ///< Set before the first call.
+  std::vector<target_view> mTargets;
+  name_map<target_index> mTargetByName;
+  std::vector<service_view> mServices;
+  name_map<std::uint32_t> mServiceByName;
+  name_map<agent_view> mAgents;
+  configuration::desired_state mConfiguration;
+  bool mConfigured = false;
+  /** When domains that were out came back in. */
+  name_map<core::instant> mDomainReturns;
+  std::vector<target_index> mEjected;
+  std::vector<target_index> mRamping;
+  core::instant mNextStepAt = core::instant::max(); ///< Of those ramping.
+  core::instant mNow{}; ///< The latest time that any call was given.
+};
+
+/**
+ * Recomputes who may serve what. A domain that goes out gets no more starts at
+ * once; the slots of one that comes back return in steps.
+ */
+void
+SetConfiguration(target_table& aTable,
+                 const configuration::desired_state& aState,
+                 core::instant aNow);
+
+/**
+ * Takes an agent's report. A new incarnation replaces the old one; targets that
+ * are no longer reported are gone; reports that are older than one already
+ * taken, or come from an ended incarnation, change nothing. Returns the targets
+ * whose capacity for this entry may have grown.
+ */
+std::vector<target_index>
+Observe(target_table& aTable,
+        const core::agent_state& aState,
+        core::instant aNow);
+
+/** The agent's run has ended: its targets are gone. */
+void
+ForgetAgent(target_table& aTable,
+            std::string_view aAgentName,
+            core::instant aNow);
+
+/** Counts a task that is being sent to the target. */
+void
+Reserve(target_table& aTable, target_index aTarget);
+
+/** Counts out a task that was refused, returned or has ended. */
+void
+Release(target_table& aTable, target_index aTarget);
+
+/**
+ * Learns from how a task ended: run times from successes, health from
+ * successes and failures. Does not release.
+ */
+void
+RecordEnd(target_table& aTable,
+          target_index aTarget,
+          std::string_view aService,
+          std::string_view aKind,
+          core::task_end aEnd,
+          core::duration aRunTime,
+          core::instant aNow);
+
+/** Run time to expect at the mean of all targets; see `Expected`. */
+core::duration
+ExpectedRunTime(const target_table& aTable,
+                std::string_view aService,
+                std::string_view aKind,
+                core::duration aDeclared);
+
+std::optional<target_index>
+Find(const target_table& aTable, std::string_view aName);
+
+/** Slots of the targets that may get a start of the service. */
+std::uint32_t
+TotalSlots(const target_table& aTable, std::string_view aService);
+
+/** Of these, the ones that this entry takes to be free. */
+std::uint32_t
+FreeSlots(const target_table& aTable,
+          std::string_view aService,
+          core::instant aNow);
+
+/**
+ * Whether the configuration has the service and any known target, though out,
+ * silent or ejected now, may take it.
+ */
+bool
+CanEverRun(const target_table& aTable, std::string_view aService);
+
+/**
+ * When capacity may next grow without a report: the next step of a returning
+ * target, or the next probe of an ejected one. Nothing when neither is due.
+ */
+std::optional<core::instant>
+NextChange(const target_table& aTable);
+
 } // namespace gooseberry::target
