--- /dev/null
+++ b/src/libgooseberryio/metrics.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "libgooseberry/core/identity.h"
+#include "libgooseberry/core/time.h"
+
+#include <cstddef>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace gooseberry::io {
+
+/** The metrics of one process; may be used from any thread. */
+class metrics
+{
+public:
+  /** `aProcess` is the process's name, a label of all families. */
+  explicit metrics(const std::string& aProcess);
+  ~metrics();
+  metrics(const metrics&) = delete;
+  metrics& operator=(const metrics&) = delete;
+
+  /** One answered job: its response time, and that over the ideal. */
+  void ObserveResponse(core::duration aResponseTime, double aOverIdeal);
+  void ObserveResponseTime(core::duration aResponseTime);
+  void CountJob(std::string_view aOutcome);
+  void CountStarts(std::size_t aCount = 1);
+  void CountRefusal(std::string_view aReason);
+  void CountRetry();
+  /** Messages beyond one start and one finish for each task. */
+  void CountWastedMessages(std::size_t aCount = 1);
+  void SetQueueLength(std::size_t aTasks);
+  /** Generation of the configuration in force. */
+  void SetGeneration(core::generation aGeneration);
+
+  /** All families in the text format of Prometheus. */
+  std::string Text() const;
+
+private:
+  struct families;
+  std::unique_ptr<families> mFamilies;
+};
+
+} // namespace gooseberry::io
