Placement: targets as an entry sees them, and the choice among them

Cause: an entry needs to know, without asking, which target has a free slot. Each service keeps its members in the entry's order of preference and four sets of positions as bits, so that a choice looks at 16 targets at most.

A target's use is what its agent reported plus what this entry has sent since, and never less than what this entry has there. Ejection goes by the entry's own evidence, told apart by kind of task, and by reports that last 250 ms.

--- /dev/null
+++ b/src/libgooseberry/target/capacity.cpp
@@ -0,0 +1,129 @@
+#include "libgooseberry/target/capacity.h"
+
+#include <algorithm>
+
+namespace gooseberry::target {
+
+namespace {
+
+/** Time from one step of a ramp to the next; 0 where there is no ramp. */
+core::duration
+StepTime(const placement_settings& aSettings)
+{
+  if (aSettings.mRampSteps < 2) {
+    return core::duration::zero();
+  }
+  return aSettings.mRampTime / std::int64_t(aSettings.mRampSteps - 1);
+}
+
+/** Steps that a ramp has made, from 1 up to `mRampSteps`. */
+std::uint32_t
+StepsMade(const target_table& aTable, core::instant aStart)
+{
+  const core::duration step = StepTime(aTable.mSettings);
+  if (step <= core::duration::zero()) {
+    return aTable.mSettings.mRampSteps;
+  }
+  const std::int64_t made = 1 + (aTable.mNow - aStart) / step;
+  return static_cast<std::uint32_t>(
+    std::min<std::int64_t>(made, aTable.mSettings.mRampSteps));
+}
+
+} // namespace
+
+bool
+IsFresh(const target_table& aTable,
+        const target_view& aTarget,
+        core::instant aNow)
+{
+  return aNow - aTarget.mReportedAt <= aTable.mSettings.mAgentFreshness;
+}
+
+bool
+IsInUse(const target_view& aTarget)
+{
+  return aTarget.mKnown && aTarget.mDomainIn && aTarget.mAgentOpen &&
+         !aTarget.mLoad.mLeaving;
+}
+
+std::uint32_t
+UsedSlots(const target_view& aTarget)
+{
+  const std::uint32_t reported = aTarget.mLoad.mRunning + aTarget.mLoad.mQueued;
+  return std::max(reported + aTarget.mSentSinceReport, aTarget.mOwnOutstanding);
+}
+
+std::uint32_t
+AllowedSlots(const target_table& aTable, const target_view& aTarget)
+{
+  const std::uint32_t slots = aTarget.mLoad.mSlots;
+  if (!aTarget.mRampStart) {
+    return slots;
+  }
+  const std::uint64_t steps = aTable.mSettings.mRampSteps;
+  const std::uint64_t made = StepsMade(aTable, *aTarget.mRampStart);
+  return static_cast<std::uint32_t>((slots * made + steps - 1) / steps);
+}
+
+void
+Refresh(target_table& aTable, target_index aTarget)
+{
+  target_view& target = aTable.mTargets[aTarget];
+  target.mStartable = IsInUse(target) && !target.mHealth.mEjected &&
+                      IsFresh(aTable, target, aTable.mNow);
+  const std::uint32_t used = UsedSlots(target);
+  const std::uint32_t allowed =
+    target.mStartable ? AllowedSlots(aTable, target) : 0;
+  target.mFree = allowed > used ? allowed - used : 0;
+  target.mRoom = target.mStartable && !target.mRampStart &&
+                 used < target.mLoad.mSlots + aTable.mSettings.mPrefetch;
+  for (const auto& [service, position] : target.mMemberships) {
+    service_view& view = aTable.mServices[service];
+    Assign(view.mStartable, position, target.mStartable);
+    Assign(view.mFree, position, target.mFree > 0);
+    Assign(view.mRoomy, position, target.mFree > 1);
+    Assign(view.mRoom, position, target.mRoom);
+  }
+}
+
+void
+StartRamp(target_table& aTable, target_index aTarget, core::instant aStart)
+{
+  const core::duration step = StepTime(aTable.mSettings);
+  if (step <= core::duration::zero()) {
+    return;
+  }
+  target_view& target = aTable.mTargets[aTarget];
+  if (!target.mRampStart) {
+    aTable.mRamping.push_back(aTarget);
+  }
+  target.mRampStart = aStart;
+  aTable.mNextStepAt = std::min(aTable.mNextStepAt, aStart + step);
+}
+
+void
+AdvanceTo(target_table& aTable, core::instant aNow)
+{
+  aTable.mNow = std::max(aTable.mNow, aNow);
+  if (aTable.mNow < aTable.mNextStepAt) {
+    return;
+  }
+  aTable.mNextStepAt = core::instant::max();
+  const core::duration step = StepTime(aTable.mSettings);
+  std::vector<target_index> ramping;
+  for (const target_index index : aTable.mRamping) {
+    target_view& target = aTable.mTargets[index];
+    const std::uint32_t made = StepsMade(aTable, *target.mRampStart);
+    if (made < aTable.mSettings.mRampSteps) {
+      ramping.push_back(index);
+      aTable.mNextStepAt =
+        std::min(aTable.mNextStepAt, *target.mRampStart + step * made);
+    } else {
+      target.mRampStart.reset();
+    }
+    Refresh(aTable, index);
+  }
+  aTable.mRamping = std::move(ramping);
+}
+
+} // namespace gooseberry::target
--- a/src/libgooseberry/target/health.h
+++ b/src/libgooseberry/target/health.h
@@ -6,9 +6,19 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 
 namespace gooseberry::target {
 
+/**
+ * Reports name no kinds, so they have to hold for this long before they count:
+ * by then the peers' reports show whether these fail too.
+ */
+inline constexpr core::duration kSuspectTime = std::chrono::milliseconds(250);
+
+/** Ends older than this say nothing about a kind. */
+inline constexpr core::duration kOutcomeMemory = std::chrono::seconds(10);
+
 /** How one target's last task of a kind ended. */
 struct kind_outcome
 {
@@ -33,6 +43,12 @@
 {
   /** Failures in a row, seen by this entry, that peers did not share. */
   std::uint32_t mOwnFailures = 0;
+  /** The kind of all of these; 0 where they are of several. */
+  std::uint64_t mKind = 0;
+  /** What its agent reported when the record was last cleared. */
+  std::uint32_t mForgiven = 0;
+  /** Since when its agent reports failures enough for an ejection. */
+  std::optional<core::instant> mSuspectSince;
   bool mEjected = false;
   core::instant mProbeAt{};     ///< While ejected: not tried before.
   core::duration mProbeAfter{}; ///< While ejected: the last wait.
@@ -64,9 +80,26 @@
       const placement_settings& aSettings,
       core::instant aNow);
 
-/** Puts a target back into use with a clean record. */
+/**
+ * Clears a target's record and puts it back into use; the failures that its
+ * agent has reported so far, `aReported`, count no more.
+ */
+void
+Reinstate(target_health& aHealth, std::uint32_t aReported);
+
+/** Counts a failure that peers did not share. */
 void
-Reinstate(target_health& aHealth);
+CountFailure(target_health& aHealth, std::uint64_t aKind);
+
+/**
+ * Takes the failures in a row that the agent reports. True once there have been
+ * enough of them for `kSuspectTime`.
+ */
+bool
+IsSuspect(target_health& aHealth,
+          std::uint32_t aReported,
+          const placement_settings& aSettings,
+          core::instant aNow);
 
 /** Whole targets of `aTargets` that may be ejected at once. */
 std::size_t
--- /dev/null
+++ b/src/libgooseberry/target/placement.cpp
@@ -0,0 +1,303 @@
+#include "libgooseberry/target/placement.h"
+
+#include "libgooseberry/target/capacity.h"
+#include "libgooseberry/target/ejection.h"
+#include "libgooseberry/target/members.h"
+#include "libgooseberry/target/target_table.h"
+
+#include <algorithm>
+#include <array>
+#include <optional>
+
+namespace gooseberry::target {
+
+namespace {
+
+/** Targets weighed for one task; bounds its cost, however many there are. */
+constexpr std::size_t kMaxWeighed = 16;
+/** Targets this much slower than the fastest weighed count as its equals. */
+constexpr double kSpeedTolerance = 1.25;
+/** Equals, first by preference, of which the emptiest is taken. */
+constexpr std::size_t kSpread = 4;
+
+/** One decision under way. */
+struct search
+{
+  target_table& mTable;
+  service_view& mService;
+  const placement_request& mRequest;
+  core::instant mNow;
+  core::duration mRunTime; ///< At the mean of all targets.
+  bool mAvoids = false;    ///< Targets where earlier tries failed are left out.
+};
+
+struct candidate
+{
+  target_index mTarget = 0;
+  double mFactor = 1.0;
+};
+
+struct candidate_list
+{
+  std::array<candidate, kMaxWeighed> mCandidates;
+  std::size_t mCount = 0;
+};
+
+core::duration
+Scale(core::duration aDuration, double aFactor)
+{
+  return core::duration(static_cast<core::duration::rep>(
+    static_cast<double>(aDuration.count()) * aFactor));
+}
+
+bool
+IsAvoided(const placement_request& aRequest, target_index aTarget)
+{
+  const auto* const avoid = aRequest.mAvoid;
+  return avoid != nullptr &&
+         std::find(avoid->begin(), avoid->end(), aTarget) != avoid->end();
+}
+
+/** Whether a target is left to go to when the avoided ones are not. */
+bool
+CanAvoid(const target_table& aTable,
+         const service_view& aService,
+         const placement_request& aRequest)
+{
+  if (aRequest.mAvoid == nullptr || aRequest.mAvoid->empty()) {
+    return false;
+  }
+  return std::any_of(aService.mMembers.begin(),
+                     aService.mMembers.end(),
+                     [&](target_index aTarget) {
+                       return aTable.mTargets[aTarget].mStartable &&
+                              !IsAvoided(aRequest, aTarget);
+                     });
+}
+
+/** Whether it may be taken now; drops it from the sets if its agent is silent.
+ */
+bool
+IsUsable(search& aSearch, target_index aTarget)
+{
+  if (!IsFresh(
+        aSearch.mTable, aSearch.mTable.mTargets[aTarget], aSearch.mNow)) {
+    Refresh(aSearch.mTable, aTarget);
+    return false;
+  }
+  return !aSearch.mAvoids || !IsAvoided(aSearch.mRequest, aTarget);
+}
+
+/** The first usable targets of a set, in order, from a position on. */
+candidate_list
+Gather(search& aSearch, const position_set& aSet, std::size_t aStart)
+{
+  candidate_list list;
+  const auto gather = [&](std::size_t aFrom, std::size_t aEnd) {
+    std::size_t position = NextFrom(aSet, aFrom);
+    while (position < aEnd && list.mCount < kMaxWeighed) {
+      const target_index index = aSearch.mService.mMembers[position];
+      if (IsUsable(aSearch, index)) {
+        const auto& speed = aSearch.mTable.mTargets[index].mSpeed;
+        list.mCandidates[list.mCount++] = { index,
+                                            FactorAt(speed, aSearch.mNow) };
+      }
+      position = NextFrom(aSet, position + 1);
+    }
+  };
+  gather(aStart, kNoPosition);
+  gather(0, aStart);
+  return list;
+}
+
+/** Where a search starts: by preference, or anywhere for who has none. */
+std::size_t
+StartOf(const search& aSearch, random_source& aRandom)
+{
+  return aSearch.mTable.mSettings.mAffinitySeed == 0
+           ? aRandom() % aSearch.mService.mMembers.size()
+           : 0;
+}
+
+std::optional<placement_choice>
+ChooseFree(search& aSearch, const position_set& aSet, std::size_t aStart)
+{
+  const candidate_list list = Gather(aSearch, aSet, aStart);
+  if (list.mCount == 0) {
+    return std::nullopt;
+  }
+  const auto* const begin = list.mCandidates.data();
+  const auto* const end = begin + list.mCount;
+  const auto* const fastest = std::min_element(
+    begin, end, [](const candidate& aLeft, const candidate& aRight) {
+      return aLeft.mFactor < aRight.mFactor;
+    });
+  const double limit = fastest->mFactor * kSpeedTolerance;
+  const candidate* best = nullptr;
+  std::size_t equals = 0;
+  for (const auto* one = begin; one != end && equals < kSpread; ++one) {
+    if (one->mFactor > limit) {
+      continue;
+    }
+    ++equals;
+    if (best == nullptr || aSearch.mTable.mTargets[one->mTarget].mFree >
+                             aSearch.mTable.mTargets[best->mTarget].mFree) {
+      best = one;
+    }
+  }
+  return placement_choice{ best->mTarget,
+                           placement_reason::FreeSlot,
+                           Scale(aSearch.mRunTime, best->mFactor),
+                           static_cast<std::uint32_t>(list.mCount) };
+}
+
+/** Time until a full target has a slot for one more task. */
+core::duration
+ExpectedWait(const search& aSearch, const target_view& aTarget)
+{
+  const std::uint32_t used = UsedSlots(aTarget);
+  const std::uint32_t slots = std::max(aTarget.mLoad.mSlots, 1U);
+  if (used < slots) {
+    return core::duration::zero();
+  }
+  const core::duration mean =
+    Expected(aTarget.mRunTime, aSearch.mService.mRunTime, aSearch.mRunTime);
+  return mean * std::int64_t(used - slots + 1) / std::int64_t(slots);
+}
+
+std::optional<placement_choice>
+ChoosePrefetch(search& aSearch, std::size_t aStart)
+{
+  const candidate_list list = Gather(aSearch, aSearch.mService.mRoom, aStart);
+  std::optional<placement_choice> best;
+  for (std::size_t i = 0; i < list.mCount; ++i) {
+    const auto& [index, factor] = list.mCandidates[i];
+    const core::duration finish =
+      ExpectedWait(aSearch, aSearch.mTable.mTargets[index]) +
+      Scale(aSearch.mRunTime, factor);
+    if (!best || finish < best->mExpectedFinish) {
+      best = placement_choice{ index,
+                               placement_reason::Prefetch,
+                               finish,
+                               static_cast<std::uint32_t>(list.mCount) };
+    }
+  }
+  return best;
+}
+
+std::optional<placement_choice>
+ChooseProbe(search& aSearch)
+{
+  if (!aSearch.mRequest.mIdempotent) {
+    return std::nullopt;
+  }
+  for (const target_index index : aSearch.mTable.mEjected) {
+    const target_view& target = aSearch.mTable.mTargets[index];
+    if (!IsProbeDue(aSearch.mTable, target, aSearch.mNow) ||
+        IsAvoided(aSearch.mRequest, index)) {
+      continue;
+    }
+    const auto& members = aSearch.mService.mMembers;
+    if (std::find(members.begin(), members.end(), index) != members.end()) {
+      const double factor = FactorAt(target.mSpeed, aSearch.mNow);
+      return placement_choice{
+        index, placement_reason::Probe, Scale(aSearch.mRunTime, factor), 1
+      };
+    }
+  }
+  return std::nullopt;
+}
+
+/** Whether this entry may send more to a target, its load not looked at. */
+bool
+HasWindow(const search& aSearch, const target_view& aTarget)
+{
+  return aTarget.mOwnOutstanding <
+         aTarget.mLoad.mSlots + aSearch.mTable.mSettings.mPrefetch;
+}
+
+std::optional<placement_choice>
+ChooseRandom(search& aSearch, random_source& aRandom)
+{
+  const position_set& set = aSearch.mService.mStartable;
+  for (std::uint32_t draw = 1; draw <= kMaxWeighed && set.mCount > 0; ++draw) {
+    const std::size_t position = AtRank(set, aRandom() % set.mCount);
+    const target_index index = aSearch.mService.mMembers[position];
+    if (IsUsable(aSearch, index) &&
+        HasWindow(aSearch, aSearch.mTable.mTargets[index])) {
+      return placement_choice{
+        index, placement_reason::Random, aSearch.mRunTime, draw
+      };
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<placement_choice>
+ChooseExpectedFinish(search& aSearch, random_source& aRandom)
+{
+  const std::size_t start = StartOf(aSearch, aRandom);
+  if (auto choice = ChooseFree(aSearch, aSearch.mService.mRoomy, start)) {
+    return choice;
+  }
+  if (auto choice = ChooseFree(aSearch, aSearch.mService.mFree, start)) {
+    return choice;
+  }
+  return ChoosePrefetch(aSearch, start);
+}
+
+/** Whether any target that may get a start has been heard of lately. */
+bool
+AnyStartable(search& aSearch)
+{
+  const position_set& set = aSearch.mService.mStartable;
+  for (std::size_t position = NextFrom(set, 0); position != kNoPosition;
+       position = NextFrom(set, position + 1)) {
+    const target_index index = aSearch.mService.mMembers[position];
+    if (IsFresh(aSearch.mTable, aSearch.mTable.mTargets[index], aSearch.mNow)) {
+      return true;
+    }
+    Refresh(aSearch.mTable, index);
+  }
+  return false;
+}
+
+} // namespace
+
+placement
+Place(target_table& aTable,
+      const placement_request& aRequest,
+      random_source& aRandom,
+      core::instant aNow)
+{
+  AdvanceTo(aTable, aNow);
+  service_view* const service = FindService(aTable, aRequest.mService);
+  if (service == nullptr || !service->mDeclared) {
+    return placement_refusal::NoService;
+  }
+  if (service->mMembers.empty()) {
+    return placement_refusal::NoTarget;
+  }
+  search search{ aTable,
+                 *service,
+                 aRequest,
+                 aNow,
+                 ExpectedRunTime(aTable,
+                                 aRequest.mService,
+                                 aRequest.mKind,
+                                 aRequest.mDeclared),
+                 CanAvoid(aTable, *service, aRequest) };
+  std::optional<placement_choice> choice = ChooseProbe(search);
+  if (!choice) {
+    choice = aTable.mSettings.mPolicy == placement_policy::Random
+               ? ChooseRandom(search, aRandom)
+               : ChooseExpectedFinish(search, aRandom);
+  }
+  if (choice) {
+    return *choice;
+  }
+  return AnyStartable(search) ? placement_refusal::NothingFree
+                              : placement_refusal::NothingEligible;
+}
+
+} // namespace gooseberry::target
--- /dev/null
+++ b/src/libgooseberry/target/report.cpp
@@ -0,0 +1,197 @@
+#include "libgooseberry/target/report.h"
+
+#include "libgooseberry/target/capacity.h"
+#include "libgooseberry/target/ejection.h"
+#include "libgooseberry/target/members.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gooseberry::target {
+
+namespace {
+
+/** Ended runs of an agent whose late messages are told by their number. */
+constexpr std::size_t kEndedRuns = 8;
+/** No report counts for more, so that sums of them cannot overflow. */
+constexpr std::uint32_t kGreatestCount = 1U << 20;
+
+using service_list = std::vector<std::uint32_t>;
+
+void
+AddServices(target_table& aTable,
+            const target_view& aTarget,
+            service_list& aServices)
+{
+  for (const std::string& name : aTarget.mLoad.mServices) {
+    if (FindService(aTable, name) == nullptr) {
+      continue; // No rule names it, so nothing is kept of it.
+    }
+    const std::uint32_t index = ServiceIndex(aTable, name);
+    if (std::find(aServices.begin(), aServices.end(), index) ==
+        aServices.end()) {
+      aServices.push_back(index);
+    }
+  }
+}
+
+target_index
+FindOrAdd(target_table& aTable, const std::string& aName)
+{
+  const auto next = static_cast<target_index>(aTable.mTargets.size());
+  const auto [found, isNew] = aTable.mTargetByName.try_emplace(aName, next);
+  if (isNew) {
+    target_view& target = aTable.mTargets.emplace_back();
+    target.mName = aName;
+    target.mAffinity = aTable.mSettings.mAffinitySeed == 0
+                         ? next
+                         : AffinityOf(aTable.mSettings.mAffinitySeed, aName);
+  }
+  return found->second;
+}
+
+/** Whether another agent holds the target: two claim it, the first keeps it. */
+bool
+IsHeldByOther(const target_table& aTable,
+              const target_view& aTarget,
+              const core::agent_state& aState)
+{
+  return aTarget.mKnown && aTarget.mAgent != aState.mAgent.mName &&
+         IsFresh(aTable, aTarget, aTable.mNow);
+}
+
+/** Whether who may use the target is another question than before. */
+bool
+ChangesUse(const target_view& aTarget,
+           const core::agent_state& aState,
+           const core::target_load& aLoad)
+{
+  return !aTarget.mKnown || aTarget.mFailureDomain != aState.mFailureDomain ||
+         aTarget.mLoad.mServices != aLoad.mServices;
+}
+
+void
+CopyReport(target_table& aTable,
+           target_view& aTarget,
+           const core::agent_state& aState,
+           const core::target_load& aLoad)
+{
+  aTarget.mAgent = aState.mAgent.mName;
+  aTarget.mAgentIncarnation = aState.mAgent.mIncarnation;
+  aTarget.mFailureDomain = aState.mFailureDomain;
+  aTarget.mRack = aState.mRack;
+  aTarget.mLoad = aLoad;
+  aTarget.mLoad.mSlots = std::min(aLoad.mSlots, kGreatestCount);
+  aTarget.mLoad.mRunning = std::min(aLoad.mRunning, kGreatestCount);
+  aTarget.mLoad.mQueued = std::min(aLoad.mQueued, kGreatestCount);
+  aTarget.mReportedAt = aTable.mNow;
+  aTarget.mSentSinceReport = 0;
+  aTarget.mAgentOpen = aState.mOpen && !aState.mLeaving;
+  aTarget.mDomainIn =
+    configuration::IsDomainIn(aTable.mConfiguration, aState.mFailureDomain);
+  aTarget.mKnown = true;
+}
+
+/** A target that was not there may come up in a domain that is coming back. */
+void
+JoinRamp(target_table& aTable, target_index aTarget)
+{
+  const auto& domain = aTable.mTargets[aTarget].mFailureDomain;
+  const auto found = aTable.mDomainReturns.find(domain);
+  if (found != aTable.mDomainReturns.end() &&
+      aTable.mNow - found->second < aTable.mSettings.mRampTime) {
+    StartRamp(aTable, aTarget, found->second);
+  }
+}
+
+void
+Drop(target_table& aTable, target_index aTarget, service_list& aServices)
+{
+  target_view& target = aTable.mTargets[aTarget];
+  AddServices(aTable, target, aServices);
+  target.mKnown = false;
+  // Whatever took it away may have mended it.
+  target.mHealth.mProbeAt = std::min(target.mHealth.mProbeAt, aTable.mNow);
+  Refresh(aTable, aTarget);
+}
+
+} // namespace
+
+bool
+AcceptReport(target_table& aTable, const core::agent_state& aState)
+{
+  agent_view& agent = aTable.mAgents[aState.mAgent.mName];
+  const std::uint64_t incarnation = aState.mAgent.mIncarnation;
+  if (std::find(agent.mEnded.begin(), agent.mEnded.end(), incarnation) !=
+      agent.mEnded.end()) {
+    return false;
+  }
+  if (agent.mIncarnation == incarnation) {
+    if (aState.mStamp < agent.mStamp) {
+      return false;
+    }
+  } else if (agent.mIncarnation != 0) {
+    agent.mEnded.push_back(agent.mIncarnation);
+    if (agent.mEnded.size() > kEndedRuns) {
+      agent.mEnded.erase(agent.mEnded.begin());
+    }
+  }
+  agent.mIncarnation = incarnation;
+  agent.mStamp = aState.mStamp;
+  return true;
+}
+
+service_list
+ApplyReport(target_table& aTable, const core::agent_state& aState)
+{
+  service_list services;
+  std::vector<target_index> reported;
+  for (const core::target_load& load : aState.mTargets) {
+    const target_index index = FindOrAdd(aTable, load.mName);
+    target_view& target = aTable.mTargets[index];
+    if (IsHeldByOther(aTable, target, aState)) {
+      continue;
+    }
+    reported.push_back(index);
+    const bool changesUse = ChangesUse(target, aState, load);
+    if (changesUse) {
+      AddServices(aTable, target, services);
+    }
+    const std::uint32_t failures = target.mLoad.mConsecutiveFailures;
+    CopyReport(aTable, target, aState, load);
+    if (changesUse) {
+      AddServices(aTable, target, services);
+      JoinRamp(aTable, index);
+    }
+    TakeReport(aTable, index, failures);
+  }
+  agent_view& agent = aTable.mAgents[aState.mAgent.mName];
+  const auto before = std::exchange(agent.mTargets, std::move(reported));
+  for (const target_index index : before) {
+    const bool isStillThere =
+      std::find(agent.mTargets.begin(), agent.mTargets.end(), index) !=
+      agent.mTargets.end();
+    if (!isStillThere && aTable.mTargets[index].mAgent == aState.mAgent.mName) {
+      Drop(aTable, index, services);
+    }
+  }
+  return services;
+}
+
+service_list
+DropTargets(target_table& aTable, std::string_view aAgent)
+{
+  service_list services;
+  const auto agent = aTable.mAgents.find(aAgent);
+  if (agent == aTable.mAgents.end()) {
+    return services;
+  }
+  for (const target_index index : std::exchange(agent->second.mTargets, {})) {
+    if (aTable.mTargets[index].mAgent == aAgent) {
+      Drop(aTable, index, services);
+    }
+  }
+  return services;
+}
+
+} // namespace gooseberry::target
--- /dev/null
+++ b/src/libgooseberry/target/run_time.cpp
@@ -0,0 +1,83 @@
+#include "libgooseberry/target/run_time.h"
+
+#include <algorithm>
+
+namespace gooseberry::target {
+
+namespace {
+
+/** Samples after which each new one weighs 1/kMeanMemory. */
+constexpr std::uint32_t kMeanMemory = 16;
+/** The same for speed, which is noisier: kinds vary within themselves. */
+constexpr std::uint32_t kSpeedMemory = 32;
+constexpr double kLeastFactor = 0.25;
+constexpr double kGreatestFactor = 8.0;
+/** After this long without an end, a target counts as average. */
+constexpr core::duration kSpeedFade = std::chrono::seconds(30);
+/** A declared time may differ from the service's mean by this factor. */
+constexpr std::int64_t kDeclaredBound = 8;
+
+} // namespace
+
+void
+Learn(run_time_mean& aMean, core::duration aRunTime)
+{
+  const core::duration runTime = std::max(aRunTime, core::duration(1));
+  aMean.mSamples = std::min(aMean.mSamples + 1, kMeanMemory);
+  aMean.mMean += (runTime - aMean.mMean) / std::int64_t(aMean.mSamples);
+}
+
+void
+Learn(speed_factor& aSpeed,
+      core::duration aRunTime,
+      core::duration aExpected,
+      core::instant aNow)
+{
+  if (aExpected <= core::duration::zero()) {
+    return;
+  }
+  const double sample = std::clamp(static_cast<double>(aRunTime.count()) /
+                                     static_cast<double>(aExpected.count()),
+                                   kLeastFactor,
+                                   kGreatestFactor);
+  aSpeed.mFactor = FactorAt(aSpeed, aNow);
+  aSpeed.mSamples = std::min(aSpeed.mSamples + 1, kSpeedMemory);
+  // The first samples are weighed as if average ones had come before them.
+  const double weight = 1.0 / std::max(aSpeed.mSamples + 1, kSpeedMemory / 4);
+  aSpeed.mFactor += (sample - aSpeed.mFactor) * weight;
+  aSpeed.mLearnedAt = aNow;
+}
+
+double
+FactorAt(const speed_factor& aSpeed, core::instant aNow)
+{
+  const core::duration age = aNow - aSpeed.mLearnedAt;
+  if (aSpeed.mSamples == 0 || age >= kSpeedFade) {
+    return 1.0;
+  }
+  const double left = 1.0 - static_cast<double>(age.count()) /
+                              static_cast<double>(kSpeedFade.count());
+  return 1.0 + (aSpeed.mFactor - 1.0) * std::min(left, 1.0);
+}
+
+core::duration
+Expected(const run_time_mean& aKind,
+         const run_time_mean& aService,
+         core::duration aDeclared)
+{
+  if (aKind.mSamples > 0) {
+    return aKind.mMean;
+  }
+  const bool known = aService.mSamples > 0;
+  if (aDeclared <= core::duration::zero()) {
+    return known ? aService.mMean : kDefaultRunTime;
+  }
+  if (!known) {
+    return aDeclared;
+  }
+  return std::clamp(aDeclared,
+                    aService.mMean / kDeclaredBound,
+                    aService.mMean * kDeclaredBound);
+}
+
+} // namespace gooseberry::target
--- a/src/libgooseberry/target/target_table.h
+++ b/src/libgooseberry/target/target_table.h
@@ -43,6 +43,7 @@
   bool mKnown = false;         ///< Its agent reports it.
   bool mDomainIn = false;      ///< The configuration allows starts there.
   bool mStartable = false;     ///< May get a start.
+  bool mRoom = false;          ///< Startable, with room for a prefetch.
   std::uint32_t mFree = 0;     ///< Slots that this entry takes to be free.
   std::uint64_t mAffinity = 0; ///< Smaller is preferred by this entry.
   std::optional<core::instant> mRampStart; ///< While slots are coming back.
--- /dev/null
+++ b/tests/libgooseberry/test_target_table.cpp
@@ -0,0 +1,170 @@
+#include "target_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace gooseberry;
+using namespace gooseberry::target;
+using namespace gooseberry::target::test;
+
+BOOST_AUTO_TEST_SUITE(target_table_suite)
+
+BOOST_AUTO_TEST_CASE(counts_slots_of_a_service)
+{
+  target_table table = MakeTable(MakeEstate(10, 8));
+  BOOST_TEST(TotalSlots(table, kService) == 80);
+  BOOST_TEST(FreeSlots(table, kService, kStart) == 80);
+  Reserve(table, 0);
+  BOOST_TEST(FreeSlots(table, kService, kStart) == 79);
+  Release(table, 0);
+  BOOST_TEST(FreeSlots(table, kService, kStart) == 80);
+  BOOST_TEST(TotalSlots(table, "other") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(own_sends_count_until_a_report_covers_them)
+{
+  const estate estate = MakeEstate(1, 8);
+  target_table table = MakeTable(estate);
+  auto report = estate.mAgents[0];
+  report.mTargets[0].mRunning = 3; // Of other entries.
+  Observe(table, report, kStart);
+  Reserve(table, 0);
+  Reserve(table, 0);
+  BOOST_TEST(FreeSlots(table, kService, kStart) == 3);
+  report.mTargets[0].mRunning = 5;
+  Observe(table, report, kStart);
+  BOOST_TEST(FreeSlots(table, kService, kStart) == 3);
+  report.mTargets[0].mRunning = 0; // Has not seen the own two yet.
+  Observe(table, report, kStart);
+  BOOST_TEST(FreeSlots(table, kService, kStart) == 6);
+}
+
+BOOST_AUTO_TEST_CASE(report_names_targets_that_have_grown)
+{
+  const estate estate = MakeEstate(1, 1);
+  target_table table = MakeTable(estate);
+  auto report = estate.mAgents[0];
+  report.mTargets[0].mRunning = 1;
+  BOOST_TEST(Observe(table, report, kStart).empty());
+  report.mTargets[0].mRunning = 0;
+  BOOST_TEST(Observe(table, report, kStart).size() == 1);
+  BOOST_TEST(Observe(table, report, kStart).empty());
+}
+
+BOOST_AUTO_TEST_CASE(older_reports_change_nothing)
+{
+  const estate estate = MakeEstate(1, 8);
+  target_table table = MakeTable(estate);
+  auto newer = estate.mAgents[0];
+  newer.mStamp = core::instant{} + 2s;
+  newer.mTargets[0].mRunning = 8;
+  Observe(table, newer, kStart);
+  auto older = estate.mAgents[0];
+  older.mStamp = core::instant{} + 1s;
+  BOOST_TEST(Observe(table, older, kStart + 1s).empty());
+  BOOST_TEST(FreeSlots(table, kService, kStart) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(new_incarnation_replaces_the_old_for_good)
+{
+  const estate estate = MakeEstate(1, 8);
+  target_table table = MakeTable(estate);
+  auto restarted = estate.mAgents[0];
+  restarted.mAgent.mIncarnation = 77;
+  restarted.mTargets[0].mName = "fresh";
+  Observe(table, restarted, kStart);
+  BOOST_TEST(!table.mTargets[*Find(table, "w0")].mKnown);
+  Observe(table, estate.mAgents[0], kStart); // Late, of the ended run.
+  BOOST_TEST(!table.mTargets[*Find(table, "w0")].mKnown);
+  BOOST_TEST(TotalSlots(table, kService) == 8);
+}
+
+BOOST_AUTO_TEST_CASE(targets_no_longer_reported_are_gone)
+{
+  const estate estate = MakeEstate(2, 8);
+  target_table table = MakeTable(estate);
+  auto report = estate.mAgents[0];
+  report.mTargets.clear();
+  Observe(table, report, kStart);
+  BOOST_TEST(TotalSlots(table, kService) == 8);
+  ForgetAgent(table, "w1", kStart);
+  BOOST_TEST(TotalSlots(table, kService) == 0);
+  BOOST_TEST(!CanEverRun(table, kService));
+  Observe(table, estate.mAgents[1], kStart);
+  BOOST_TEST(CanEverRun(table, kService));
+}
+
+BOOST_AUTO_TEST_CASE(target_claimed_by_two_agents_stays_with_the_first)
+{
+  const estate estate = MakeEstate(2, 8);
+  target_table table = MakeTable(estate);
+  auto rival = estate.mAgents[1];
+  rival.mTargets[0].mName = "w0";
+  Observe(table, rival, kStart);
+  BOOST_TEST(ViewOf(table, "w0").mAgent == "w0");
+  Observe(table, rival, kStart + 2s); // The first has gone silent.
+  BOOST_TEST(ViewOf(table, "w0").mAgent == "w1");
+}
+
+BOOST_AUTO_TEST_CASE(what_can_never_run_is_told_from_what_cannot_run_now)
+{
+  estate estate = MakeEstate(3, 8);
+  target_table table = MakeTable(estate);
+  BOOST_TEST(!CanEverRun(table, "other"));
+  SetDomain(estate, "cluj", false);
+  SetDomain(estate, "brasov", false);
+  SetDomain(estate, "iasi", false);
+  SetConfiguration(table, estate.mConfiguration, kStart);
+  BOOST_TEST(CanEverRun(table, kService));
+  BOOST_TEST(TotalSlots(table, kService) == 0);
+  estate.mConfiguration.mServices[kService].mTargets = { "none" };
+  SetConfiguration(table, estate.mConfiguration, kStart);
+  BOOST_TEST(!CanEverRun(table, kService));
+  estate.mConfiguration.mServices.clear();
+  SetConfiguration(table, estate.mConfiguration, kStart);
+  BOOST_TEST(!CanEverRun(table, kService));
+}
+
+BOOST_AUTO_TEST_CASE(returning_domain_ramps_up_in_steps)
+{
+  estate estate = MakeEstate(3, 8);
+  target_table table = MakeTable(estate);
+  BOOST_TEST(!NextChange(table).has_value());
+  SetDomain(estate, "brasov", false);
+  SetConfiguration(table, estate.mConfiguration, kStart);
+  BOOST_TEST(FreeSlots(table, kService, kStart) == 16);
+  SetDomain(estate, "brasov", true);
+  SetConfiguration(table, estate.mConfiguration, kStart);
+  std::vector<std::uint32_t> slots;
+  core::instant now = kStart;
+  for (;;) {
+    ObserveAll(table, estate, now);
+    slots.push_back(FreeSlots(table, kService, now) - 16);
+    if (!NextChange(table)) {
+      break;
+    }
+    now = *NextChange(table);
+  }
+  BOOST_TEST(slots == (std::vector<std::uint32_t>{ 2, 4, 6, 8 }));
+  BOOST_TEST((now - kStart <= table.mSettings.mRampTime));
+  BOOST_TEST((now - kStart >= table.mSettings.mRampTime - 1ms));
+}
+
+BOOST_AUTO_TEST_CASE(learned_run_time_goes_before_the_declared)
+{
+  target_table table = MakeTable(MakeEstate(2, 8));
+  const auto expected = [&](std::string_view aKind, core::duration aDeclared) {
+    return ExpectedRunTime(table, kService, aKind, aDeclared);
+  };
+  BOOST_TEST((expected("cut", 0ms) == kDefaultRunTime));
+  BOOST_TEST((expected("cut", 70ms) == 70ms));
+  const auto end = core::task_end::Succeeded;
+  RecordEnd(table, 0, kService, "cut", end, 100ms, kStart);
+  BOOST_TEST((expected("cut", 5s) == 100ms));
+  BOOST_TEST((expected("label", 0ms) == 100ms));
+  BOOST_TEST((expected("label", 300ms) == 300ms));
+  BOOST_TEST((expected("label", 1h) == 800ms)); // Held near the mean.
+  RecordEnd(table, 0, kService, "cut", core::task_end::Failed, 1ms, kStart);
+  BOOST_TEST((expected("cut", 5s) == 100ms));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
