--- /dev/null
+++ b/src/libgooseberryio/http_connections.cpp
@@ -0,0 +1,103 @@
+#include "libgooseberryio/http_connections.h"
+
+#include "libgooseberryio/clock.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+
+namespace gooseberry::io {
+namespace {
+
+constexpr core::duration kLongestCheckInterval = std::chrono::seconds(1);
+constexpr int kChecksPerTimeout = 4;
+
+} // namespace
+
+http_connections::http_connections(core::duration aTimeout)
+  : mTimeout(aTimeout)
+  , mThread([this] { CloseLate(); })
+{
+}
+
+http_connections::~http_connections()
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mStopping = true;
+  }
+  mChanged.notify_all();
+  mThread.join();
+}
+
+void
+http_connections::Opened(const std::string& aClient, int aSocket)
+{
+  const std::lock_guard lock(mMutex);
+  mConnections[aClient] = { .mSocket = aSocket,
+                            .mSince = Now(),
+                            .mBusy = false };
+}
+
+void
+http_connections::Closed(const std::string& aClient)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    mConnections.erase(aClient);
+  }
+  mChanged.notify_all();
+}
+
+void
+http_connections::RequestBegun(const std::string& aClient)
+{
+  const std::lock_guard lock(mMutex);
+  if (const auto found = mConnections.find(aClient);
+      found != mConnections.end()) {
+    found->second.mBusy = true;
+  }
+}
+
+void
+http_connections::RequestEnded(const std::string& aClient)
+{
+  {
+    const std::lock_guard lock(mMutex);
+    if (const auto found = mConnections.find(aClient);
+        found != mConnections.end()) {
+      found->second.mBusy = false;
+      found->second.mSince = Now();
+    }
+  }
+  mChanged.notify_all();
+}
+
+void
+http_connections::WaitIdle()
+{
+  std::unique_lock lock(mMutex);
+  mChanged.wait(lock, [this] {
+    return std::ranges::none_of(
+      mConnections, [](const auto& aItem) { return aItem.second.mBusy; });
+  });
+}
+
+void
+http_connections::CloseLate()
+{
+  const auto interval =
+    std::min(kLongestCheckInterval, mTimeout / kChecksPerTimeout);
+  std::unique_lock lock(mMutex);
+  while (!mStopping) {
+    mChanged.wait_for(lock, interval, [this] { return mStopping; });
+    const auto now = Now();
+    for (const auto& [client, connection] : mConnections) {
+      if (!connection.mBusy && now - connection.mSince > mTimeout) {
+        shutdown(connection.mSocket, SHUT_RDWR);
+      }
+    }
+  }
+}
+
+} // namespace gooseberry::io
--- /dev/null
+++ b/src/libgooseberryio/http_connections.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "libgooseberry/core/time.h"
+
+#include <condition_variable>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace gooseberry::io {
+
+/**
+ * The open connections of a server, known by the client's address. Shuts those
+ * down on which no whole request arrives in time: the HTTP library's own bound
+ * is on silence only, which a caller that sends a byte now and then evades.
+ */
+class http_connections
+{
+public:
+  /** `aTimeout` bounds the time to the next whole request. */
+  explicit http_connections(core::duration aTimeout);
+  ~http_connections();
+  http_connections(const http_connections&) = delete;
+  http_connections& operator=(const http_connections&) = delete;
+
+  void Opened(const std::string& aClient, int aSocket);
+  /** To be called before the socket is closed. */
+  void Closed(const std::string& aClient);
+  /** A whole request has arrived. */
+  void RequestBegun(const std::string& aClient);
+  /** The response has been sent. */
+  void RequestEnded(const std::string& aClient);
+
+  /** Waits until no request is in progress. */
+  void WaitIdle();
+
+private:
+  struct connection
+  {
+    int mSocket = -1;
+    core::instant mSince{}; ///< When it began to wait for a request.
+    bool mBusy = false;
+  };
+
+  void CloseLate();
+
+  const core::duration mTimeout;
+  std::mutex mMutex;
+  std::condition_variable mChanged;
+  std::map<std::string, connection> mConnections;
+  bool mStopping = false;
+  std::thread mThread;
+};
+
+} // namespace gooseberry::io
--- a/src/libgooseberryio/http_server.h
+++ b/src/libgooseberryio/http_server.h
@@ -76,8 +76,10 @@
   /** The port that it listens on, once started. */
   std::uint16_t Port() const;
 
-private:
+  /** Of the implementation. */
   struct state;
+
+private:
   std::unique_ptr<state> mState;
 };
 
--- a/src/libgooseberryio/peer_pool.h
+++ b/src/libgooseberryio/peer_pool.h
@@ -86,7 +86,9 @@
     std::array<lane_state, 2> mLanes;
   };
 
-  void Serve(const std::string& aAddress, lane aLane, lane_state& aState);
+  /** False where the lane has no thread and none can be had. */
+  bool StartThread(const std::string& aAddress, lane_state& aState);
+  void Serve(const std::string& aAddress, lane_state& aState);
   std::size_t ConnectionLimit(lane aLane) const;
   void JoinEnded(std::unique_lock<std::mutex>& aLock);
   void ForgetIfIdle(const std::string& aAddress);
--- a/src/libgooseberryio/peer_server.h
+++ b/src/libgooseberryio/peer_server.h
@@ -14,8 +14,8 @@
 
 /**
  * What an agent does with each call. Handlers run on the threads of the
- * connections, several at once; all must be set. An exception closes the
- * caller's connection and harms no other.
+ * connections, several at once; all must be set. An exception becomes an error
+ * at the caller, which then closes its connection, and harms no other.
  */
 struct agent_handlers
 {
