--- /dev/null
+++ b/src/entry/control_loop.cpp
@@ -0,0 +1,81 @@
+#include "control_loop.h"
+
+#include "libgooseberryio/clock.h"
+
+namespace gooseberry::entry_program {
+
+namespace {
+
+constexpr std::size_t kQueueLimit = 65536;
+constexpr core::duration kTickPeriod = std::chrono::milliseconds(5);
+
+} // namespace
+
+control_loop::control_loop(entry::entry_control aControl,
+                           effect_runner aRunner)
+  : mControl(std::move(aControl))
+  , mRunner(std::move(aRunner))
+  , mQueue(kQueueLimit)
+{
+}
+
+control_loop::~control_loop()
+{
+  Stop();
+}
+
+void
+control_loop::Start(const entry::effects& aFirstEffects)
+{
+  mRunner(aFirstEffects);
+  mThread = std::thread([this] { Run(); });
+}
+
+void
+control_loop::Stop()
+{
+  mStopping = true;
+  mQueue.Close();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+bool
+control_loop::Post(input aInput)
+{
+  return mQueue.Push(std::move(aInput));
+}
+
+void
+control_loop::RunInput(const input& aInput)
+{
+  entry::effects effects;
+  aInput(mControl, io::Now(), effects);
+  mRunner(effects);
+}
+
+void
+control_loop::Run()
+{
+  core::instant nextTick = io::Now();
+  while (!mStopping) {
+    for (const input& event : mQueue.PopAll(kTickPeriod)) {
+      RunInput(event);
+    }
+    if (const core::instant now = io::Now(); now >= nextTick) {
+      nextTick = now + kTickPeriod;
+      RunInput([](entry::entry_control& aControl,
+                  core::instant aNow,
+                  entry::effects& aEffects) {
+        entry::Tick(aControl, aNow, aEffects);
+      });
+    }
+  }
+  // Whoever still waits for an answer must get one.
+  for (const input& event : mQueue.PopAll(core::duration::zero())) {
+    RunInput(event);
+  }
+}
+
+} // namespace gooseberry::entry_program
--- /dev/null
+++ b/src/entry/entry_process.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "caller_api.h"
+#include "control_loop.h"
+#include "effect_runner.h"
+#include "entry_metrics.h"
+#include "libgooseberryio/http_server.h"
+#include "libgooseberryio/metrics.h"
+#include "libgooseberryio/peer_server.h"
+#include "libgooseberryio/platform_client.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace gooseberry::entry_program {
+
+/** Everything that one entry process is set up with. */
+struct process_options
+{
+  entry::entry_options mEntry;
+  caller_limits mCallers;
+  io::http_server_settings mHttp;
+  io::platform_settings mPlatform;
+  core::duration mPeerDeadline = std::chrono::milliseconds(300);
+};
+
+/** One running entry: servers, clients and the control thread. */
+class entry_process
+{
+public:
+  explicit entry_process(const process_options& aOptions);
+  ~entry_process();
+  entry_process(const entry_process&) = delete;
+  entry_process& operator=(const entry_process&) = delete;
+
+  std::optional<core::error> Start();
+  /** Takes nothing new from now on. */
+  void Leave();
+  /** All that was taken has been answered. */
+  bool IsDrained() const;
+  void Stop();
+
+private:
+  io::entry_handlers MakeHandlers();
+  void AddHealthRoutes();
+
+  process_options mOptions;
+  io::metrics mMetrics;
+  metrics_publisher mPublisher;
+  caller_waiters mCallers;
+  operator_waiters mOperators;
+  runner mRunner;
+  entry::effects mFirstEffects;
+  control_loop mLoop;
+  io::entry_server mPeers;
+  io::http_server mHttp;
+};
+
+} // namespace gooseberry::entry_program
--- /dev/null
+++ b/src/entry/main.cpp
@@ -0,0 +1,7 @@
+#include "entry_process.h"
+
+int
+main()
+{
+  return 0;
+}
--- /dev/null
+++ b/src/libgooseberry/entry/configure.cpp
@@ -0,0 +1,260 @@
+#include "libgooseberry/entry/entry_control.h"
+#include "libgooseberry/entry/internal.h"
+
+#include <algorithm>
+
+namespace gooseberry::entry {
+
+namespace {
+
+/** Gives the present configuration to all other processes at once. */
+void
+Flood(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  SendHeartbeats(aControl, aNow, aEffects);
+  for (const auto& [name, view] : aControl.mMembers.mAgents) {
+    if (view.mState.mGeneration <
+        aControl.mRow.mConfiguration.mGeneration) {
+      aEffects.emplace_back(push_configuration{
+        name, view.mState.mAddress, aControl.mRow.mConfiguration });
+    }
+  }
+}
+
+/** Writes the change at the head of the queue, if none is under way. */
+void
+StartWrite(entry_control& aControl, effects& aEffects)
+{
+  for (pending_apply& apply : aControl.mApplies) {
+    if (apply.mWritten) {
+      continue;
+    }
+    if (!apply.mWriting) {
+      apply.mWriting = true;
+      configuration_row row;
+      row.mConfiguration = { aControl.mRow.mConfiguration.mGeneration + 1,
+                             apply.mText };
+      row.mRequest = apply.mRequest;
+      row.mBy = aControl.mSelf.mName;
+      row.mRowVersion = aControl.mRow.mRowVersion;
+      aEffects.emplace_back(write_configuration{ std::move(row) });
+    }
+    return;
+  }
+}
+
+/** Takes over what is stored, if it is not older than what is in force. */
+void
+TakeRow(entry_control& aControl,
+        const configuration_row& aRow,
+        core::instant aNow,
+        effects& aEffects)
+{
+  const core::generation present =
+    aControl.mRow.mConfiguration.mGeneration;
+  if (aRow.mConfiguration.mGeneration < present) {
+    return;
+  }
+  AdoptConfiguration(aControl, aRow.mConfiguration, aNow, aEffects);
+  if (aRow.mConfiguration.mGeneration ==
+      aControl.mRow.mConfiguration.mGeneration) {
+    aControl.mRow.mRequest = aRow.mRequest;
+    aControl.mRow.mBy = aRow.mBy;
+    aControl.mRow.mRowVersion = aRow.mRowVersion;
+  }
+}
+
+std::vector<std::string>
+WaitingFor(const entry_control& aControl,
+           core::generation aGeneration,
+           core::instant aNow)
+{
+  std::vector<std::string> waiting;
+  for (const membership::member_row& row : aControl.mMembers.mRows) {
+    const std::string& name = row.mPeer.mName;
+    if (row.mPeer == aControl.mSelf ||
+        membership::HasEnded(aControl.mMembers, row) ||
+        std::find(waiting.begin(), waiting.end(), name) != waiting.end()) {
+      continue;
+    }
+    core::generation known = 0;
+    if (row.mRole == membership::role::Entry) {
+      const auto view = aControl.mMembers.mEntries.find(name);
+      known = view == aControl.mMembers.mEntries.end()
+                ? 0
+                : view->second.mGeneration;
+    } else {
+      const auto view = aControl.mMembers.mAgents.find(name);
+      known = view == aControl.mMembers.mAgents.end()
+                ? 0
+                : view->second.mState.mGeneration;
+    }
+    if (known < aGeneration) {
+      waiting.push_back(name);
+    }
+  }
+  static_cast<void>(aNow);
+  return waiting;
+}
+
+} // namespace
+
+bool
+AdoptConfiguration(entry_control& aControl,
+                   const core::versioned_configuration& aNewer,
+                   core::instant aNow,
+                   effects& aEffects)
+{
+  if (aNewer.mGeneration <= aControl.mRow.mConfiguration.mGeneration) {
+    return false;
+  }
+  const auto parsed = configuration::Parse(aNewer.mText, "configuration");
+  if (const auto* error = std::get_if<core::error>(&parsed)) {
+    Log(aEffects,
+        "configuration_unreadable",
+        { { "generation", std::to_string(aNewer.mGeneration) },
+          { "reason", ToString(*error) } });
+    return false;
+  }
+  aControl.mRow.mConfiguration = aNewer;
+  aControl.mDesired = std::get<configuration::desired_state>(parsed);
+  target::SetConfiguration(aControl.mTargets, aControl.mDesired, aNow);
+  Log(aEffects,
+      "configuration_in_force",
+      { { "generation", std::to_string(aNewer.mGeneration) } });
+  Flood(aControl, aNow, aEffects);
+  Dispatch(aControl, aNow, aEffects);
+  return true;
+}
+
+void
+OnConfigurationRead(entry_control& aControl,
+                    const configuration_row& aRow,
+                    core::instant aSentAt,
+                    core::instant aNow,
+                    effects& aEffects)
+{
+  aControl.mStoreRead = true;
+  aControl.mEvidence =
+    std::max(aControl.mEvidence.value_or(aSentAt), aSentAt);
+  TakeRow(aControl, aRow, aNow, aEffects);
+}
+
+void
+OnApply(entry_control& aControl,
+        std::uint64_t aToken,
+        std::string aText,
+        std::string aRequest,
+        std::optional<core::generation> aExpected,
+        core::instant aNow,
+        effects& aEffects)
+{
+  apply_result result;
+  result.mGeneration = aControl.mRow.mConfiguration.mGeneration;
+  const auto parsed = configuration::Parse(aText, "configuration");
+  if (const auto* error = std::get_if<core::error>(&parsed)) {
+    result.mStatus = apply_status::Invalid;
+    result.mError = *error;
+  } else if (!aControl.mStoreRead) {
+    result.mStatus = apply_status::Unsettled;
+    result.mError = { "apply configuration",
+                      "table service",
+                      "the stored configuration was not read yet" };
+  } else if (aExpected && *aExpected != result.mGeneration) {
+    result.mStatus = apply_status::Conflict;
+    result.mBy = aControl.mRow.mBy;
+    result.mError = { "apply configuration",
+                      aControl.mRow.mBy,
+                      "another change came first" };
+  } else {
+    pending_apply apply;
+    apply.mToken = aToken;
+    apply.mText = std::move(aText);
+    apply.mRequest = std::move(aRequest);
+    apply.mExpected = aExpected;
+    apply.mSince = aNow;
+    aControl.mApplies.push_back(std::move(apply));
+    StartWrite(aControl, aEffects);
+    return;
+  }
+  aEffects.emplace_back(answer_operator{ aToken, result });
+}
+
+void
+OnConfigurationWritten(entry_control& aControl,
+                       const std::string& aRequest,
+                       const write_result& aResult,
+                       core::instant aNow,
+                       effects& aEffects)
+{
+  const auto found =
+    std::find_if(aControl.mApplies.begin(),
+                 aControl.mApplies.end(),
+                 [&aRequest](const pending_apply& aApply) {
+                   return aApply.mRequest == aRequest && aApply.mWriting &&
+                          !aApply.mWritten;
+                 });
+  if (found == aControl.mApplies.end()) {
+    return;
+  }
+  if (aResult.mStatus == apply_status::Applied) {
+    found->mWritten = true;
+    found->mGeneration = aResult.mRow.mConfiguration.mGeneration;
+    found->mSince = aNow;
+  } else if (aResult.mStatus == apply_status::Conflict &&
+             aResult.mRow.mConfiguration.mGeneration <=
+               aControl.mRow.mConfiguration.mGeneration) {
+    // Only the version of the row was not known here: nobody else's change.
+    found->mWriting = false;
+  } else {
+    apply_result result;
+    result.mStatus = aResult.mStatus;
+    result.mBy = aResult.mRow.mBy;
+    result.mError = aResult.mError;
+    result.mGeneration = aResult.mRow.mConfiguration.mGeneration;
+    aEffects.emplace_back(answer_operator{ found->mToken, result });
+    aControl.mApplies.erase(found);
+  }
+  if (aResult.mStatus != apply_status::Unsettled) {
+    TakeRow(aControl, aResult.mRow, aNow, aEffects);
+  }
+  TickApplies(aControl, aNow, aEffects);
+  StartWrite(aControl, aEffects);
+}
+
+void
+OnAgentGeneration(entry_control& aControl,
+                  const std::string& aAgent,
+                  core::generation aGeneration,
+                  core::instant aNow,
+                  effects& aEffects)
+{
+  if (const auto view = aControl.mMembers.mAgents.find(aAgent);
+      view != aControl.mMembers.mAgents.end()) {
+    view->second.mState.mGeneration =
+      std::max(view->second.mState.mGeneration, aGeneration);
+  }
+  TickApplies(aControl, aNow, aEffects);
+}
+
+void
+TickApplies(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  std::erase_if(aControl.mApplies, [&](const pending_apply& aApply) {
+    if (!aApply.mWritten) {
+      return false;
+    }
+    apply_result result;
+    result.mGeneration = aApply.mGeneration;
+    result.mBy = aControl.mSelf.mName;
+    result.mWaiting = WaitingFor(aControl, aApply.mGeneration, aNow);
+    if (!result.mWaiting.empty() &&
+        aNow - aApply.mSince < aControl.mOptions.mApplyTimeout) {
+      return false;
+    }
+    aEffects.emplace_back(answer_operator{ aApply.mToken, result });
+    return true;
+  });
+}
+
+} // namespace gooseberry::entry
--- /dev/null
+++ b/src/libgooseberry/entry/dispatch.cpp
@@ -0,0 +1,306 @@
+#include "libgooseberry/entry/entry_control.h"
+#include "libgooseberry/entry/internal.h"
+
+#include <algorithm>
+
+namespace gooseberry::entry {
+
+namespace {
+
+/** The starts of one pass, by name of the agent. */
+using batches = std::map<std::string, core::start_batch>;
+
+core::start_batch
+MakeBatch(const entry_control& aControl, const membership::agent_view& aAgent)
+{
+  core::start_batch batch;
+  batch.mEntry = aControl.mSelf;
+  batch.mEntryAddress = aControl.mOptions.mAddress;
+  batch.mAgentIncarnation = aAgent.mState.mAgent.mIncarnation;
+  batch.mAgentStamp = aAgent.mState.mStamp;
+  batch.mGeneration = aControl.mRow.mConfiguration.mGeneration;
+  return batch;
+}
+
+core::task_start
+MakeStart(const job::job& aJob,
+          std::uint32_t aIndex,
+          const std::string& aTargetName)
+{
+  const job::task& task = aJob.mTasks[aIndex];
+  const job::task_description& described = aJob.mSubmission.mTasks[aIndex];
+  core::task_start start;
+  start.mTask = { aJob.mSubmission.mKey, aIndex };
+  start.mTry = task.mTry;
+  start.mBallot = aJob.mBallot;
+  start.mPlacement = task.mPlacement;
+  start.mService = aJob.mSubmission.mService;
+  start.mKind = described.mKind;
+  start.mTarget = aTargetName;
+  start.mPayload = described.mPayload;
+  start.mPriority = aJob.mPriority;
+  return start;
+}
+
+void
+LogPlacement(const entry_control& aControl,
+             const job::job& aJob,
+             std::uint32_t aIndex,
+             const target::placement_choice& aChoice,
+             effects& aEffects)
+{
+  if (!aControl.mOptions.mLogDecisions) {
+    return;
+  }
+  const target::target_view& view =
+    aControl.mTargets.mTargets[aChoice.mTarget];
+  Log(
+    aEffects,
+    "placement",
+    { { "job", aJob.mSubmission.mKey },
+      { "task", std::to_string(aIndex) },
+      { "try", std::to_string(aJob.mTasks[aIndex].mTry) },
+      { "target", view.mName },
+      { "domain", view.mFailureDomain },
+      { "reason",
+        std::string(target::kPlacementReasonNames.NameOf(aChoice.mReason)) },
+      { "considered", std::to_string(aChoice.mConsidered) },
+      { "expected_ms",
+        std::to_string(core::ToMilliseconds(aChoice.mExpectedFinish)) } });
+}
+
+/** Puts one task of the job on the chosen target. */
+void
+PlaceTask(entry_control& aControl,
+          job::job& aJob,
+          std::uint32_t aIndex,
+          const target::placement_choice& aChoice,
+          batches& aBatches,
+          effects& aEffects)
+{
+  const target::target_view& view =
+    aControl.mTargets.mTargets[aChoice.mTarget];
+  const membership::agent_view& agent =
+    aControl.mMembers.mAgents.at(view.mAgent);
+  job::task& task = aJob.mTasks[aIndex];
+  task.mState = job::task_state::Sent;
+  task.mTarget = aChoice.mTarget;
+  task.mAgent = agent.mState.mAgent;
+  task.mPlacement = aControl.mNextPlacement++;
+  task.mMaybeDelivered = false;
+  aControl.mQueuedWork -= task.mExpected;
+  target::Reserve(aControl.mTargets, aChoice.mTarget);
+  aControl.mAgentTasks[view.mAgent].insert({ aJob.mSubmission.mKey, aIndex });
+  ++aControl.mTeams[aJob.mSubmission.mTeam].mRunning;
+  ++aControl.mCounters.mStarts;
+  const auto [batch, added] = aBatches.try_emplace(view.mAgent);
+  if (added) {
+    batch->second = MakeBatch(aControl, agent);
+  }
+  batch->second.mStarts.push_back(MakeStart(aJob, aIndex, view.mName));
+  LogPlacement(aControl, aJob, aIndex, aChoice, aEffects);
+}
+
+bool
+IsTeamFull(const entry_control& aControl, const std::string& aTeam)
+{
+  const auto share = aControl.mTeamShares.find(aTeam);
+  if (share == aControl.mTeamShares.end()) {
+    return false;
+  }
+  const auto use = aControl.mTeams.find(aTeam);
+  return use != aControl.mTeams.end() &&
+         use->second.mRunning >= share->second;
+}
+
+/** Places what it can of one job; false once nothing more is free. */
+bool
+PlaceJob(entry_control& aControl,
+         job::job& aJob,
+         batches& aBatches,
+         core::instant aNow,
+         effects& aEffects)
+{
+  while (!aJob.mWaiting.empty() &&
+         !IsTeamFull(aControl, aJob.mSubmission.mTeam)) {
+    const std::uint32_t index = aJob.mWaiting.back();
+    const job::task& task = aJob.mTasks[index];
+    target::placement_request request;
+    request.mService = aJob.mSubmission.mService;
+    request.mKind = aJob.mSubmission.mTasks[index].mKind;
+    request.mDeclared = aJob.mSubmission.mTasks[index].mDeclared;
+    request.mIdempotent = aJob.mSubmission.mIdempotent;
+    request.mAvoid = task.mAvoid.empty() ? nullptr : &task.mAvoid;
+    const target::placement placement = target::Place(
+      aControl.mTargets, request, aControl.mRandom, aNow);
+    const auto* choice = std::get_if<target::placement_choice>(&placement);
+    if (choice == nullptr) {
+      return false;
+    }
+    aJob.mWaiting.pop_back();
+    --aControl.mTeams[aJob.mSubmission.mTeam].mWaiting;
+    PlaceTask(aControl, aJob, index, *choice, aBatches, aEffects);
+  }
+  return true;
+}
+
+/** Gives one service's free slots to its jobs in order. */
+bool
+DispatchService(entry_control& aControl,
+                const std::set<job::ready_key>& aJobs,
+                std::vector<std::string>& aEmptied,
+                batches& aBatches,
+                core::instant aNow,
+                effects& aEffects)
+{
+  for (const job::ready_key& key : aJobs) {
+    job::job& ready = *job::Find(aControl.mLedger, key.mJob);
+    const bool more = PlaceJob(aControl, ready, aBatches, aNow, aEffects);
+    if (ready.mWaiting.empty()) {
+      aEmptied.push_back(key.mJob);
+    }
+    if (!more) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+SendBatches(entry_control& aControl,
+            batches& aBatches,
+            bool aBacklog,
+            effects& aEffects)
+{
+  for (auto& [name, batch] : aBatches) {
+    batch.mBacklog = aBacklog;
+    const membership::agent_view& agent = aControl.mMembers.mAgents.at(name);
+    start_call call;
+    call.mAgent = agent.mState.mAgent;
+    call.mAddress = agent.mState.mAddress;
+    call.mBatch = std::move(batch);
+    const std::uint64_t id = aControl.mNextCall++;
+    aEffects.emplace_back(
+      send_start{ id, call.mAgent, call.mAddress, call.mBatch });
+    aControl.mCalls.emplace(id, std::move(call));
+  }
+}
+
+} // namespace
+
+void
+Dispatch(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  if (!IsFresh(aControl, aNow) || aControl.mReady.mServices.empty()) {
+    return;
+  }
+  batches batches;
+  std::vector<std::string> emptied;
+  bool backlog = false;
+  for (const auto& [service, jobs] : aControl.mReady.mServices) {
+    backlog |=
+      DispatchService(aControl, jobs, emptied, batches, aNow, aEffects);
+  }
+  for (const std::string& key : emptied) {
+    job::Unqueue(aControl.mReady, *job::Find(aControl.mLedger, key));
+  }
+  SendBatches(aControl, batches, backlog, aEffects);
+}
+
+void
+UpdateOrder(entry_control& aControl, job::job& aJob)
+{
+  job::Requeue(aControl.mReady, aControl.mOptions.mOrder, aJob);
+}
+
+void
+BecomeHome(entry_control& aControl,
+           job::job& aJob,
+           core::instant aNow,
+           effects& aEffects)
+{
+  aJob.mPhase = job::phase::Running;
+  aJob.mInquiry = {};
+  aControl.mInquiring.erase(aJob.mSubmission.mKey);
+  for (std::size_t i = 0; i < aJob.mTasks.size(); ++i) {
+    const job::task_description& described = aJob.mSubmission.mTasks[i];
+    aJob.mTasks[i].mExpected =
+      target::ExpectedRunTime(aControl.mTargets,
+                              aJob.mSubmission.mService,
+                              described.mKind,
+                              described.mDeclared);
+    if (aJob.mTasks[i].mState == job::task_state::Waiting) {
+      aControl.mQueuedWork += aJob.mTasks[i].mExpected;
+    }
+  }
+  aJob.mIdeal = job::IdealResponse(
+    aJob, target::TotalSlots(aControl.mTargets, aJob.mSubmission.mService));
+  aJob.mRemainingWork = job::RemainingWork(aJob);
+  job::QueueWaitingTasks(aJob);
+  aControl.mTeams[aJob.mSubmission.mTeam].mWaiting +=
+    static_cast<std::uint32_t>(aJob.mWaiting.size());
+  UpdateOrder(aControl, aJob);
+  Log(aEffects,
+      "job_accepted",
+      { { "job", aJob.mSubmission.mKey },
+        { "service", aJob.mSubmission.mService },
+        { "tasks", std::to_string(aJob.mTasks.size()) },
+        { "round", std::to_string(aJob.mBallot.mRound) },
+        { "waited_ms",
+          std::to_string(core::ToMilliseconds(aNow - aJob.mArrived)) } });
+}
+
+void
+ReleaseTask(entry_control& aControl, job::job& aJob, std::uint32_t aIndex)
+{
+  job::task& task = aJob.mTasks[aIndex];
+  if (task.mState != job::task_state::Sent &&
+      task.mState != job::task_state::Running) {
+    return;
+  }
+  if (task.mTarget) {
+    target::Release(aControl.mTargets, *task.mTarget);
+  }
+  if (const auto open = aControl.mAgentTasks.find(task.mAgent.mName);
+      open != aControl.mAgentTasks.end()) {
+    open->second.erase({ aJob.mSubmission.mKey, aIndex });
+  }
+  --aControl.mTeams[aJob.mSubmission.mTeam].mRunning;
+}
+
+void
+ReturnTask(entry_control& aControl, job::job& aJob, std::uint32_t aIndex)
+{
+  ReleaseTask(aControl, aJob, aIndex);
+  job::task& task = aJob.mTasks[aIndex];
+  task.mState = job::task_state::Waiting;
+  task.mTarget.reset();
+  aControl.mQueuedWork += task.mExpected;
+  ++aControl.mTeams[aJob.mSubmission.mTeam].mWaiting;
+  aJob.mWaiting.push_back(aIndex);
+  UpdateOrder(aControl, aJob);
+}
+
+std::set<std::string>
+ReleaseJob(entry_control& aControl, job::job& aJob)
+{
+  std::set<std::string> agents;
+  if (aJob.mPhase != job::phase::Running) {
+    return agents;
+  }
+  job::Unqueue(aControl.mReady, aJob);
+  for (std::uint32_t i = 0; i < aJob.mTasks.size(); ++i) {
+    const job::task& task = aJob.mTasks[i];
+    if (task.mState == job::task_state::Waiting) {
+      aControl.mQueuedWork -= task.mExpected;
+      --aControl.mTeams[aJob.mSubmission.mTeam].mWaiting;
+    } else if (task.mState != job::task_state::Ended) {
+      agents.insert(task.mAgent.mName);
+      ReleaseTask(aControl, aJob, i);
+    }
+  }
+  aJob.mWaiting.clear();
+  return agents;
+}
+
+} // namespace gooseberry::entry
--- /dev/null
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -0,0 +1,150 @@
+#include "libgooseberry/entry/entry_control.h"
+
+#include "libgooseberry/entry/internal.h"
+
+namespace gooseberry::entry {
+
+void
+Log(effects& aEffects, std::string aEvent, std::vector<log_field> aFields)
+{
+  aEffects.emplace_back(log_line{ std::move(aEvent), std::move(aFields) });
+}
+
+entry_control
+MakeEntry(entry_options aOptions,
+          std::uint64_t aIncarnation,
+          std::uint64_t aSeed,
+          core::instant aNow,
+          effects& aEffects)
+{
+  entry_control control;
+  control.mSelf = { aOptions.mName, aIncarnation };
+  control.mRandom.seed(aSeed);
+  control.mMembers.mSelf = control.mSelf;
+  control.mLedger.mWindow = aOptions.mWindow;
+  control.mTargets.mSettings = aOptions.mPlacement;
+  control.mRetryBudget.mSettings = aOptions.mRetry;
+  control.mOptions = std::move(aOptions);
+  control.mJoining.mSince = aNow;
+  Tick(control, aNow, aEffects);
+  return control;
+}
+
+bool
+IsFresh(const entry_control& aControl, core::instant aNow)
+{
+  return aControl.mEvidence.has_value() &&
+         aNow - *aControl.mEvidence <= aControl.mOptions.mFreshnessBound;
+}
+
+namespace {
+
+/** Ends the jobs whose deadline has passed. */
+void
+TickDeadlines(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  while (!aControl.mDeadlines.empty() &&
+         aControl.mDeadlines.begin()->first <= aNow) {
+    const std::string key = aControl.mDeadlines.begin()->second;
+    aControl.mDeadlines.erase(aControl.mDeadlines.begin());
+    job::job* late = job::Find(aControl.mLedger, key);
+    if (late == nullptr || late->mPhase == job::phase::Ended ||
+        late->mDeadline > aNow) {
+      continue;
+    }
+    if (late->mPhase != job::phase::Running) {
+      GiveUp(aControl,
+             *late,
+             { "locate job", late->mHome.mName, "undecided at the deadline" },
+             aEffects);
+    } else if (job::MayHaveStarted(*late)) {
+      FailJob(aControl,
+              *late,
+              { "run job", "", "deadline exceeded" },
+              kStatusDeadline,
+              aNow,
+              aEffects);
+    } else {
+      RefuseJob(aControl,
+                *late,
+                { "place job", "", "deadline passed before any start" },
+                kStatusUnavailable,
+                aNow,
+                aEffects);
+    }
+  }
+}
+
+/** Ends what ran on agents that nobody has heard for too long. */
+void
+TickLostAgents(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  for (const auto& [name, view] : aControl.mMembers.mAgents) {
+    const auto tasks = aControl.mAgentTasks.find(name);
+    if (tasks != aControl.mAgentTasks.end() && !tasks->second.empty() &&
+        aNow - view.mHeardAt > aControl.mOptions.mAgentLost) {
+      OnAgentEnded(aControl, name, view.mState.mAgent, aNow, aEffects);
+    }
+  }
+}
+
+void
+TickMembers(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  if (aNow < aControl.mNextMembers) {
+    return;
+  }
+  aControl.mNextMembers = aNow + aControl.mOptions.mMembersPeriod;
+  ReadMembers(aControl, aEffects);
+  for (const membership::member_row& row :
+       membership::ObsoleteRows(aControl.mMembers,
+                                aNow,
+                                aControl.mOptions.mAgentLost,
+                                aControl.mOptions.mWindow)) {
+    aEffects.emplace_back(delete_member{ row });
+  }
+}
+
+void
+TickHeartbeats(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  if (aNow >= aControl.mNextConfiguration) {
+    aControl.mNextConfiguration = aNow + aControl.mOptions.mHeartbeat;
+    aEffects.emplace_back(read_configuration{});
+  }
+  if (aNow < aControl.mNextHeartbeat) {
+    return;
+  }
+  aControl.mNextHeartbeat = aNow + aControl.mOptions.mHeartbeat;
+  SendHeartbeats(aControl, aNow, aEffects);
+}
+
+} // namespace
+
+void
+Tick(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  TickJoining(aControl, aNow, aEffects);
+  TickMembers(aControl, aNow, aEffects);
+  TickHeartbeats(aControl, aNow, aEffects);
+  TickCalls(aControl, aNow, aEffects);
+  TickLostAgents(aControl, aNow, aEffects);
+  TickInquiries(aControl, aNow, aEffects);
+  TickDeadlines(aControl, aNow, aEffects);
+  TickApplies(aControl, aNow, aEffects);
+  job::Expire(aControl.mLedger, aNow);
+  Dispatch(aControl, aNow, aEffects);
+  FlushOutboxes(aControl, aEffects);
+  if (aControl.mLeaving && aControl.mOpenJobs == 0) {
+    aEffects.emplace_back(drained{});
+  }
+}
+
+void
+Leave(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  aControl.mLeaving = true;
+  SendHeartbeats(aControl, aNow, aEffects);
+}
+
+} // namespace gooseberry::entry
--- /dev/null
+++ b/src/libgooseberry/entry/entry_control.h
@@ -0,0 +1,345 @@
+#pragma once
+
+#include "libgooseberry/configuration/desired_state.h"
+#include "libgooseberry/core/message.h"
+#include "libgooseberry/entry/effects.h"
+#include "libgooseberry/job/ledger.h"
+#include "libgooseberry/job/ready_queue.h"
+#include "libgooseberry/membership/members.h"
+#include "libgooseberry/quota/admission.h"
+#include "libgooseberry/quota/retry_budget.h"
+#include "libgooseberry/target/target_table.h"
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace gooseberry::entry {
+
+/** What is set for one entry; validated before it gets here. */
+struct entry_options
+{
+  std::string mName;
+  std::string mAddress; ///< `ip:port` of its Thrift server.
+  std::string mFailureDomain;
+  bool mTrustFirstAttempt = true;
+  core::duration mWindow = std::chrono::seconds(120);
+  core::duration mFreshnessBound = std::chrono::seconds(2);
+  core::duration mHeartbeat = std::chrono::milliseconds(500);
+  /** A peer that was not heard for longer is asked no more. */
+  core::duration mPeerSuspect = std::chrono::milliseconds(1500);
+  /** Longest wait for the answers to a locate before agents are asked. */
+  core::duration mLocateTimeout = std::chrono::seconds(1);
+  /** Longest wait for all fences of a recovery. */
+  core::duration mRecoverTimeout = std::chrono::seconds(5);
+  /** An agent not heard for longer has lost what it ran. */
+  core::duration mAgentLost = std::chrono::seconds(10);
+  /** Time in which peers are to confirm a configuration. */
+  core::duration mApplyTimeout = std::chrono::seconds(3);
+  core::duration mMembersPeriod = std::chrono::seconds(1);
+  job::order_settings mOrder;
+  target::placement_settings mPlacement;
+  quota::admission_settings mAdmission;
+  quota::retry_settings mRetry;
+  bool mLogDecisions = true;
+};
+
+/** A start call that has not been settled. */
+struct start_call
+{
+  core::peer_ref mAgent;
+  std::string mAddress;
+  core::start_batch mBatch;
+  std::uint32_t mSends = 1;
+  bool mMaybeDelivered = false;
+  std::optional<core::instant> mRepeatAt; ///< Set between sends.
+};
+
+/** A configuration that operators wait for. */
+struct pending_apply
+{
+  std::uint64_t mToken = 0;
+  std::string mText;
+  std::string mRequest;
+  std::optional<core::generation> mExpected;
+  bool mWriting = false;
+  bool mWritten = false;
+  core::generation mGeneration = 0; ///< Once written.
+  core::instant mSince{};
+};
+
+/** Stage of joining; see docs/PROTOCOL.md, R6. */
+enum class join_stage : std::uint8_t
+{
+  Registering, ///< The row is not known to stand.
+  ReadingRows, ///< It stands; the others' rows are read after it.
+  Copying,     ///< Notes of an open entry are asked for.
+  Open,
+};
+inline constexpr core::enum_names<join_stage, 4> kJoinStageNames{
+  { "registering", "reading_rows", "copying", "open" }
+};
+
+struct joining
+{
+  join_stage mStage = join_stage::Registering;
+  core::instant mSince{};
+  core::instant mRowWrittenAt{};
+  std::set<std::string> mAsked;    ///< Names that were asked in this round.
+  std::set<std::string> mCopied;   ///< Names of joining entries that answered.
+  core::instant mNextRound{};
+  /** No open entry had notes to copy: every attempt takes the careful path
+   * until then. */
+  std::optional<core::instant> mBlindUntil;
+};
+
+/** Counts since the start, for metrics. */
+struct entry_counters
+{
+  std::uint64_t mStarts = 0;        ///< Tasks sent, first copy each.
+  std::uint64_t mRepeatedStarts = 0; ///< Tasks sent again unanswered.
+  std::uint64_t mFinishes = 0;      ///< Results taken in.
+  std::uint64_t mRepeatedFinishes = 0;
+  std::uint64_t mRetries = 0;
+  std::uint64_t mLocates = 0;
+  std::uint64_t mFences = 0;
+  std::uint64_t mCancels = 0;
+  std::uint64_t mDelivers = 0;
+  std::array<std::uint64_t, 10> mRefusals{}; ///< By start_verdict.
+  std::array<std::uint64_t, 3> mOutcomes{};  ///< By job_outcome.
+};
+
+/** One ended job, for the histograms. */
+struct ended_sample
+{
+  core::duration mResponse{};
+  core::duration mIdeal{};
+  core::job_outcome mOutcome = core::job_outcome::Complete;
+};
+
+/** All that one entry decides on. One thread owns it. */
+struct entry_control
+{
+  entry_options mOptions;
+  core::peer_ref mSelf;
+  target::random_source mRandom;
+
+  membership::members mMembers;
+  joining mJoining;
+  /** Send time of the last call that proves touch with the store or a peer. */
+  std::optional<core::instant> mEvidence;
+  bool mLeaving = false;
+
+  configuration_row mRow;
+  configuration::desired_state mDesired;
+  std::vector<pending_apply> mApplies;
+
+  target::target_table mTargets;
+  job::ledger mLedger;
+  job::ready_queue mReady;
+  std::multimap<core::instant, std::string> mDeadlines;
+  std::map<std::string, core::team_use> mTeams;
+  std::map<std::string, std::uint32_t> mTeamShares;
+  quota::retry_budget mRetryBudget;
+  core::duration mQueuedWork{}; ///< Expected, of all waiting tasks.
+
+  std::unordered_map<std::uint64_t, start_call> mCalls;
+  std::uint64_t mNextCall = 1;
+  std::uint32_t mNextPlacement = 1;
+  /** Open tasks by agent, to fail them when its run has ended. */
+  std::unordered_map<std::string, std::set<core::task_ref>> mAgentTasks;
+  std::set<std::string> mInquiring; ///< Jobs that locate or recover.
+  std::set<std::string> mAttached;  ///< Jobs that wait for another home.
+  std::size_t mOpenJobs = 0;        ///< In the ledger and not ended.
+  /** Gathered between ticks, by address, so that a wave costs few calls. */
+  std::map<std::string, std::vector<std::string>> mCancelOutbox;
+  std::map<core::peer_ref, std::vector<core::fence_request>> mFenceOutbox;
+  std::map<core::peer_ref, std::vector<core::locate_request>> mLocateOutbox;
+  std::map<std::string, std::vector<core::job_answer>> mDeliverOutbox;
+  std::set<core::peer_ref> mEndedRuns; ///< Agents' runs known to be over.
+  bool mMembersReading = false;
+  bool mMembersWanted = false; ///< Again, as soon as the present read ends.
+  bool mStoreRead = false;     ///< The configuration row was read once.
+  core::instant mNextMembers{};
+  core::instant mNextHeartbeat{};
+  core::instant mNextConfiguration{};
+
+  entry_counters mCounters;
+  std::vector<ended_sample> mSamples; ///< Taken and cleared by the process.
+};
+
+/** A new entry; `aIncarnation` must never have been used before. */
+entry_control MakeEntry(entry_options aOptions,
+                        std::uint64_t aIncarnation,
+                        std::uint64_t aSeed,
+                        core::instant aNow,
+                        effects& aEffects);
+
+/** Whether the evidence of the newest configuration is within the bound. */
+bool IsFresh(const entry_control& aControl, core::instant aNow);
+
+// Callers -------------------------------------------------------------------
+
+/** A caller submits; `aToken` names the caller in the answer. */
+void OnSubmit(entry_control& aControl,
+              std::uint64_t aToken,
+              job::submission aSubmission,
+              core::instant aNow,
+              effects& aEffects);
+
+/** A caller cancels a job; false if this entry is not its home. */
+bool OnCancel(entry_control& aControl,
+              const std::string& aKey,
+              core::instant aNow,
+              effects& aEffects);
+
+// Agents --------------------------------------------------------------------
+
+core::entry_reply OnAnnounce(entry_control& aControl,
+                             const core::agent_state& aState,
+                             core::instant aNow,
+                             effects& aEffects);
+
+core::entry_reply OnFinish(entry_control& aControl,
+                           const core::finish_batch& aBatch,
+                           core::instant aNow,
+                           effects& aEffects);
+
+void OnStartReply(entry_control& aControl,
+                  std::uint64_t aCall,
+                  const core::start_reply& aReply,
+                  core::instant aNow,
+                  effects& aEffects);
+
+/** `aDelivered` is false only if nothing can have reached the agent. */
+void OnStartFailed(entry_control& aControl,
+                   std::uint64_t aCall,
+                   bool aDelivered,
+                   core::instant aNow,
+                   effects& aEffects);
+
+void OnFenceReplies(entry_control& aControl,
+                    const core::peer_ref& aAsked,
+                    const std::vector<core::fence_reply>& aReplies,
+                    core::instant aNow,
+                    effects& aEffects);
+
+void OnFenceFailed(entry_control& aControl,
+                   const core::peer_ref& aAsked,
+                   const std::vector<core::fence_request>& aRequests,
+                   core::instant aNow,
+                   effects& aEffects);
+
+/** An agent answered a pushed configuration with its generation. */
+void OnAgentGeneration(entry_control& aControl,
+                       const std::string& aAgent,
+                       core::generation aGeneration,
+                       core::instant aNow,
+                       effects& aEffects);
+
+// Entries -------------------------------------------------------------------
+
+std::vector<core::locate_reply> OnLocate(
+  entry_control& aControl,
+  const std::vector<core::locate_request>& aRequests,
+  core::instant aNow,
+  effects& aEffects);
+
+void OnLocateReplies(entry_control& aControl,
+                     const core::peer_ref& aAsked,
+                     const std::vector<core::locate_reply>& aReplies,
+                     core::instant aNow,
+                     effects& aEffects);
+
+void OnLocateFailed(entry_control& aControl,
+                    const core::peer_ref& aAsked,
+                    const std::vector<core::locate_request>& aRequests,
+                    core::instant aNow,
+                    effects& aEffects);
+
+void OnDeliver(entry_control& aControl,
+               const core::deliver_request& aRequest,
+               core::instant aNow,
+               effects& aEffects);
+
+core::heartbeat OnHeartbeat(entry_control& aControl,
+                            const core::heartbeat& aBeat,
+                            core::instant aNow,
+                            effects& aEffects);
+
+/** `aSentAt`: when the call that this answers was sent. */
+void OnHeartbeatReply(entry_control& aControl,
+                      const core::heartbeat& aReply,
+                      core::instant aSentAt,
+                      core::instant aNow,
+                      effects& aEffects);
+
+core::copy_notes_reply OnCopyNotes(const entry_control& aControl,
+                                   const core::peer_ref& aJoiner);
+
+void OnNotesCopied(entry_control& aControl,
+                   const core::copy_notes_reply& aReply,
+                   core::instant aNow,
+                   effects& aEffects);
+
+// Platform ------------------------------------------------------------------
+
+void OnMemberWritten(entry_control& aControl,
+                     bool aStands,
+                     core::instant aNow,
+                     effects& aEffects);
+
+void OnMembers(entry_control& aControl,
+               std::vector<membership::member_row> aRows,
+               core::instant aSentAt,
+               core::instant aNow,
+               effects& aEffects);
+
+void OnMembersFailed(entry_control& aControl,
+                     core::instant aNow,
+                     effects& aEffects);
+
+void OnConfigurationRead(entry_control& aControl,
+                         const configuration_row& aRow,
+                         core::instant aSentAt,
+                         core::instant aNow,
+                         effects& aEffects);
+
+/** How the write of a configuration row ended. */
+struct write_result
+{
+  apply_status mStatus = apply_status::Applied;
+  configuration_row mRow; ///< Applied: as stored; conflict: the winner's.
+  core::error mError;
+};
+
+void OnConfigurationWritten(entry_control& aControl,
+                            const std::string& aRequest,
+                            const write_result& aResult,
+                            core::instant aNow,
+                            effects& aEffects);
+
+// Operators -----------------------------------------------------------------
+
+void OnApply(entry_control& aControl,
+             std::uint64_t aToken,
+             std::string aText,
+             std::string aRequest,
+             std::optional<core::generation> aExpected,
+             core::instant aNow,
+             effects& aEffects);
+
+// Time ----------------------------------------------------------------------
+
+/** Everything that is due; call it every few milliseconds. */
+void Tick(entry_control& aControl, core::instant aNow, effects& aEffects);
+
+/** Takes nothing new from now on; `drained` follows when all is answered. */
+void Leave(entry_control& aControl, core::instant aNow, effects& aEffects);
+
+} // namespace gooseberry::entry
--- /dev/null
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -0,0 +1,228 @@
+#include "libgooseberry/entry/entry_control.h"
+#include "libgooseberry/entry/internal.h"
+#include "libgooseberry/quota/team_share.h"
+
+#include <algorithm>
+
+namespace gooseberry::entry {
+
+namespace {
+
+/** Recomputes what part of each team's quota falls to this entry. */
+void
+UpdateTeamShares(entry_control& aControl, core::instant aNow)
+{
+  aControl.mTeamShares.clear();
+  for (const auto& [name, team] : aControl.mDesired.mTeams) {
+    if (team.mQuotaSlots == 0) {
+      continue;
+    }
+    std::vector<core::team_use> others;
+    for (const auto& [entry, view] : aControl.mMembers.mEntries) {
+      if (aNow - view.mHeardAt > aControl.mOptions.mAgentLost) {
+        continue;
+      }
+      const auto use = view.mTeams.find(name);
+      others.push_back(use == view.mTeams.end() ? core::team_use{}
+                                                : use->second);
+    }
+    const auto own = aControl.mTeams.find(name);
+    aControl.mTeamShares[name] = quota::TeamShare(
+      team.mQuotaSlots,
+      own == aControl.mTeams.end() ? core::team_use{} : own->second,
+      others);
+  }
+}
+
+/** The newest configuration, if the other side's is older. */
+std::optional<core::versioned_configuration>
+NewerThan(const entry_control& aControl, core::generation aGeneration)
+{
+  if (aControl.mRow.mConfiguration.mGeneration <= aGeneration) {
+    return std::nullopt;
+  }
+  return aControl.mRow.mConfiguration;
+}
+
+} // namespace
+
+core::heartbeat
+MakeHeartbeat(const entry_control& aControl, core::instant aNow)
+{
+  core::heartbeat beat;
+  beat.mEntry = aControl.mSelf;
+  beat.mAddress = aControl.mOptions.mAddress;
+  beat.mGeneration = aControl.mRow.mConfiguration.mGeneration;
+  for (const auto& [name, use] : aControl.mTeams) {
+    if (use.mRunning > 0 || use.mWaiting > 0) {
+      beat.mTeams.emplace(name, use);
+    }
+  }
+  beat.mLeaving = aControl.mLeaving;
+  for (const auto& [name, view] : aControl.mMembers.mAgents) {
+    if (aNow - view.mHeardAt <= aControl.mOptions.mAgentLost) {
+      beat.mAgents.emplace(name, view.mState.mGeneration);
+    }
+  }
+  return beat;
+}
+
+void
+SendHeartbeats(entry_control& aControl,
+               core::instant aNow,
+               effects& aEffects)
+{
+  UpdateTeamShares(aControl, aNow);
+  const core::heartbeat beat = MakeHeartbeat(aControl, aNow);
+  std::set<std::string> asked;
+  for (const membership::member_row& row : membership::OtherRows(
+         aControl.mMembers, membership::role::Entry)) {
+    if (row.mPeer.mName != aControl.mSelf.mName &&
+        asked.insert(row.mAddress).second) {
+      aEffects.emplace_back(send_heartbeat{ row.mAddress, beat });
+    }
+  }
+}
+
+core::heartbeat
+OnHeartbeat(entry_control& aControl,
+            const core::heartbeat& aBeat,
+            core::instant aNow,
+            effects& aEffects)
+{
+  membership::HearEntry(aControl.mMembers, aBeat, aNow);
+  if (aBeat.mGeneration > aControl.mRow.mConfiguration.mGeneration) {
+    // Its reply to the next heartbeat brings the newer configuration.
+    aEffects.emplace_back(
+      send_heartbeat{ aBeat.mAddress, MakeHeartbeat(aControl, aNow) });
+  }
+  core::heartbeat reply = MakeHeartbeat(aControl, aNow);
+  reply.mConfiguration = NewerThan(aControl, aBeat.mGeneration);
+  return reply;
+}
+
+void
+OnHeartbeatReply(entry_control& aControl,
+                 const core::heartbeat& aReply,
+                 core::instant aSentAt,
+                 core::instant aNow,
+                 effects& aEffects)
+{
+  membership::HearEntry(aControl.mMembers, aReply, aNow);
+  aControl.mEvidence =
+    std::max(aControl.mEvidence.value_or(aSentAt), aSentAt);
+  if (aReply.mConfiguration) {
+    AdoptConfiguration(aControl, *aReply.mConfiguration, aNow, aEffects);
+  }
+}
+
+core::entry_reply
+MakeReply(const entry_control& aControl,
+          core::generation aGeneration,
+          core::instant aNow)
+{
+  core::entry_reply reply;
+  reply.mEntry = aControl.mSelf;
+  reply.mGeneration = aControl.mRow.mConfiguration.mGeneration;
+  if (IsFresh(aControl, aNow)) {
+    reply.mEvidenceAge = aNow - *aControl.mEvidence;
+  }
+  reply.mConfiguration = NewerThan(aControl, aGeneration);
+  reply.mEntries[aControl.mSelf.mName] = aControl.mOptions.mAddress;
+  for (const auto& [name, view] : aControl.mMembers.mEntries) {
+    reply.mEntries[name] = view.mAddress;
+  }
+  return reply;
+}
+
+void
+HearAgent(entry_control& aControl,
+          const core::agent_state& aState,
+          core::instant aNow,
+          effects& aEffects)
+{
+  if (aControl.mEndedRuns.contains(aState.mAgent)) {
+    return;
+  }
+  membership::agent_view& view =
+    aControl.mMembers.mAgents[aState.mAgent.mName];
+  const bool known = view.mState.mAgent.mIncarnation != 0;
+  if (known && view.mState.mAgent != aState.mAgent) {
+    const core::peer_ref ended = view.mState.mAgent;
+    aControl.mEndedRuns.insert(ended);
+    Log(aEffects,
+        "agent_replaced",
+        { { "ended", ToString(ended) },
+          { "agent", ToString(aState.mAgent) } });
+    OnAgentEnded(aControl, ended.mName, ended, aNow, aEffects);
+  } else if (known && aState.mStamp < view.mState.mStamp) {
+    return; // Overtaken by a later message.
+  }
+  view.mState = aState;
+  view.mHeardAt = aNow;
+  target::Observe(aControl.mTargets, aState, aNow);
+}
+
+core::entry_reply
+OnAnnounce(entry_control& aControl,
+           const core::agent_state& aState,
+           core::instant aNow,
+           effects& aEffects)
+{
+  HearAgent(aControl, aState, aNow, aEffects);
+  Dispatch(aControl, aNow, aEffects);
+  return MakeReply(aControl, aState.mGeneration, aNow);
+}
+
+namespace {
+
+std::string
+AddressOf(const entry_control& aControl,
+          membership::role aRole,
+          const core::peer_ref& aPeer)
+{
+  for (const membership::member_row& row : aControl.mMembers.mRows) {
+    if (row.mRole == aRole && row.mPeer == aPeer) {
+      return row.mAddress;
+    }
+  }
+  return aRole == membership::role::Entry
+           ? membership::EntryAddress(aControl.mMembers, aPeer.mName)
+           : std::string();
+}
+
+} // namespace
+
+void
+FlushOutboxes(entry_control& aControl, effects& aEffects)
+{
+  for (auto& [entry, requests] : aControl.mLocateOutbox) {
+    aControl.mCounters.mLocates += requests.size();
+    aEffects.emplace_back(send_locate{
+      entry,
+      AddressOf(aControl, membership::role::Entry, entry),
+      std::move(requests) });
+  }
+  aControl.mLocateOutbox.clear();
+  for (auto& [agent, requests] : aControl.mFenceOutbox) {
+    aControl.mCounters.mFences += requests.size();
+    aEffects.emplace_back(send_fence{
+      agent,
+      AddressOf(aControl, membership::role::Agent, agent),
+      std::move(requests) });
+  }
+  aControl.mFenceOutbox.clear();
+  for (auto& [address, jobs] : aControl.mCancelOutbox) {
+    aControl.mCounters.mCancels += jobs.size();
+    aEffects.emplace_back(
+      send_cancel{ address, { aControl.mSelf, std::move(jobs) } });
+  }
+  aControl.mCancelOutbox.clear();
+  for (auto& [address, answers] : aControl.mDeliverOutbox) {
+    aEffects.emplace_back(
+      send_deliver{ address, { aControl.mSelf, std::move(answers) } });
+  }
+  aControl.mDeliverOutbox.clear();
+}
+
+} // namespace gooseberry::entry
--- /dev/null
+++ b/src/libgooseberry/entry/joining.cpp
@@ -0,0 +1,197 @@
+#include "libgooseberry/entry/entry_control.h"
+#include "libgooseberry/entry/internal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gooseberry::entry {
+
+namespace {
+
+constexpr core::duration kWriteAgainAfter = std::chrono::seconds(1);
+constexpr core::duration kCopyAgainAfter = std::chrono::milliseconds(300);
+/** After this, an entry opens without notes and trusts no first attempt. */
+constexpr core::duration kCopyTimeout = std::chrono::seconds(3);
+
+membership::member_row
+OwnRow(const entry_control& aControl)
+{
+  return { membership::role::Entry,
+           aControl.mSelf,
+           aControl.mOptions.mAddress,
+           aControl.mOptions.mFailureDomain };
+}
+
+void
+Open(entry_control& aControl,
+     bool aBlind,
+     core::instant aNow,
+     effects& aEffects)
+{
+  aControl.mJoining.mStage = join_stage::Open;
+  if (aBlind) {
+    aControl.mJoining.mBlindUntil = aNow + aControl.mOptions.mWindow;
+  }
+  Log(aEffects,
+      "entry_open",
+      { { "entry", ToString(aControl.mSelf) },
+        { "notes", std::to_string(aControl.mLedger.mNotes.size()) },
+        { "blind", aBlind ? "yes" : "no" } });
+}
+
+/** Asks all other entries for their notes; opens if there are none. */
+void
+AskForNotes(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  joining& state = aControl.mJoining;
+  state.mNextRound = aNow + kCopyAgainAfter;
+  bool anyRow = false;
+  bool allCopied = true;
+  bool anyEnded = false;
+  for (const membership::member_row& row : membership::OtherRows(
+         aControl.mMembers, membership::role::Entry)) {
+    anyRow = true;
+    if (membership::HasEnded(aControl.mMembers, row)) {
+      anyEnded = true;
+      continue;
+    }
+    allCopied = allCopied && state.mCopied.contains(row.mPeer.mName);
+    aEffects.emplace_back(copy_notes{ row.mPeer.mName, row.mAddress });
+  }
+  if (!anyRow || allCopied) {
+    Open(aControl, anyEnded, aNow, aEffects);
+  } else if (aNow - state.mRowWrittenAt > kCopyTimeout) {
+    Open(aControl, true, aNow, aEffects);
+  }
+}
+
+/** Whether the entry's own row was there when the rows were read. */
+bool
+IsRegistered(const entry_control& aControl)
+{
+  const auto& rows = aControl.mMembers.mRows;
+  return std::any_of(
+    rows.begin(), rows.end(), [&](const membership::member_row& aRow) {
+      return aRow.mPeer == aControl.mSelf;
+    });
+}
+
+} // namespace
+
+void
+ReadMembers(entry_control& aControl, effects& aEffects)
+{
+  if (aControl.mMembersReading) {
+    aControl.mMembersWanted = true;
+    return;
+  }
+  aControl.mMembersReading = true;
+  aEffects.emplace_back(read_members{});
+}
+
+void
+TickJoining(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  joining& state = aControl.mJoining;
+  if (state.mStage == join_stage::Registering && aNow >= state.mNextRound) {
+    state.mNextRound = aNow + kWriteAgainAfter;
+    aEffects.emplace_back(write_member{ OwnRow(aControl) });
+  } else if (state.mStage == join_stage::Copying &&
+             aNow >= state.mNextRound) {
+    AskForNotes(aControl, aNow, aEffects);
+  }
+}
+
+void
+OnMemberWritten(entry_control& aControl,
+                bool aStands,
+                core::instant aNow,
+                effects& aEffects)
+{
+  if (!aStands || aControl.mJoining.mStage != join_stage::Registering) {
+    return;
+  }
+  aControl.mJoining.mStage = join_stage::ReadingRows;
+  aControl.mJoining.mRowWrittenAt = aNow;
+  ReadMembers(aControl, aEffects);
+}
+
+void
+OnMembers(entry_control& aControl,
+          std::vector<membership::member_row> aRows,
+          core::instant aSentAt,
+          core::instant aNow,
+          effects& aEffects)
+{
+  aControl.mMembersReading = false;
+  aControl.mMembers.mRows = std::move(aRows);
+  aControl.mMembers.mRowsReadAt = aSentAt;
+  joining& state = aControl.mJoining;
+  if (state.mStage == join_stage::ReadingRows &&
+      aSentAt >= state.mRowWrittenAt) {
+    state.mStage = join_stage::Copying;
+    state.mNextRound = aNow;
+    TickJoining(aControl, aNow, aEffects);
+    SendHeartbeats(aControl, aNow, aEffects);
+  } else if (state.mStage == join_stage::Open && !IsRegistered(aControl)) {
+    // Others have taken this entry for dead; its jobs have ended since.
+    state = {};
+    state.mSince = aNow;
+  }
+  SettleInquiries(aControl, aSentAt, aNow, aEffects);
+  if (std::exchange(aControl.mMembersWanted, false)) {
+    ReadMembers(aControl, aEffects);
+  }
+  Dispatch(aControl, aNow, aEffects);
+}
+
+void
+OnMembersFailed(entry_control& aControl,
+                core::instant aNow,
+                effects& aEffects)
+{
+  static_cast<void>(aEffects);
+  aControl.mMembersReading = false;
+  aControl.mMembersWanted = false;
+  aControl.mNextMembers = std::max(aControl.mNextMembers, aNow);
+}
+
+core::copy_notes_reply
+OnCopyNotes(const entry_control& aControl, const core::peer_ref& aJoiner)
+{
+  static_cast<void>(aJoiner);
+  core::copy_notes_reply reply;
+  reply.mEntry = aControl.mSelf;
+  const auto& blind = aControl.mJoining.mBlindUntil;
+  reply.mOpen =
+    aControl.mJoining.mStage == join_stage::Open && !blind.has_value();
+  for (const auto& [key, note] : aControl.mLedger.mNotes) {
+    reply.mNotes.push_back({ key, note.mBallot, note.mHolder });
+  }
+  for (const auto& [key, known] : aControl.mLedger.mJobs) {
+    reply.mNotes.push_back({ key, known->mBallot, aControl.mSelf.mName });
+  }
+  return reply;
+}
+
+void
+OnNotesCopied(entry_control& aControl,
+              const core::copy_notes_reply& aReply,
+              core::instant aNow,
+              effects& aEffects)
+{
+  joining& state = aControl.mJoining;
+  if (state.mStage != join_stage::Copying) {
+    return;
+  }
+  for (const core::fence_note& note : aReply.mNotes) {
+    job::TakeNote(
+      aControl.mLedger, note.mJob, note.mBallot, note.mHolder, aNow);
+  }
+  state.mCopied.insert(aReply.mEntry.mName);
+  if (aReply.mOpen) {
+    Open(aControl, false, aNow, aEffects);
+  }
+}
+
+} // namespace gooseberry::entry
--- /dev/null
+++ b/src/libgooseberry/entry/locate.cpp
@@ -0,0 +1,462 @@
+#include "libgooseberry/entry/entry_control.h"
+#include "libgooseberry/entry/internal.h"
+
+#include <algorithm>
+
+namespace gooseberry::entry {
+
+namespace {
+
+constexpr std::uint32_t kFirstCarefulRound = 2;
+
+core::locate_request
+MakeRequest(const entry_control& aControl, const job::job& aJob)
+{
+  return { aControl.mSelf,
+           aControl.mOptions.mAddress,
+           aJob.mSubmission.mKey,
+           aJob.mSubmission.mContentHash,
+           aJob.mBallot };
+}
+
+/** Whether the entry of that name was heard lately. */
+bool
+IsEntryHeard(const entry_control& aControl,
+             const std::string& aName,
+             core::instant aNow)
+{
+  const auto found = aControl.mMembers.mEntries.find(aName);
+  return found != aControl.mMembers.mEntries.end() &&
+         aNow - found->second.mHeardAt <= aControl.mOptions.mPeerSuspect;
+}
+
+/** Answer to a locate request about a job that is in the ledger. */
+core::locate_reply
+AnswerKnown(entry_control& aControl,
+            job::job& aJob,
+            const core::locate_request& aRequest,
+            core::instant aNow,
+            effects& aEffects)
+{
+  core::locate_reply reply{ aControl.mSelf,
+                            aRequest.mJob,
+                            core::locate_verdict::Home,
+                            aJob.mBallot,
+                            aControl.mSelf.mName };
+  if (aJob.mSubmission.mContentHash != aRequest.mContentHash) {
+    reply.mVerdict = core::locate_verdict::Different;
+    return reply;
+  }
+  if (aJob.mPhase == job::phase::Ended) {
+    Deliver(aControl, aRequest.mEntry.mName, aJob.mAnswer, aEffects);
+    return reply;
+  }
+  if (aJob.mPhase == job::phase::Running ||
+      aJob.mPhase == job::phase::Recovering) {
+    aJob.mAttachedEntries.insert(aRequest.mEntry.mName);
+    return reply;
+  }
+  const bool homeHeard = aJob.mPhase == job::phase::Attached &&
+                         aJob.mHome.mName != aRequest.mEntry.mName &&
+                         IsEntryHeard(aControl, aJob.mHome.mName, aNow);
+  if (homeHeard) {
+    reply.mVerdict = core::locate_verdict::Noted;
+    reply.mHolder = aJob.mHome.mName;
+    return reply;
+  }
+  if (aRequest.mBallot < aJob.mBallot) {
+    reply.mVerdict = core::locate_verdict::Noted;
+    aJob.mAttachedEntries.insert(aRequest.mEntry.mName);
+    return reply;
+  }
+  // Two entries look for the same job: the lower ballot yields.
+  reply.mVerdict = core::locate_verdict::Unknown;
+  aJob.mBallot = aRequest.mBallot;
+  job::TakeNote(aControl.mLedger,
+                aRequest.mJob,
+                aRequest.mBallot,
+                aRequest.mEntry.mName,
+                aNow);
+  if (aJob.mHome.mName != aRequest.mEntry.mName ||
+      aJob.mPhase != job::phase::Attached) {
+    AttachTo(aControl, aJob, aRequest.mEntry.mName, aNow, aEffects);
+  }
+  return reply;
+}
+
+/** Answer to a locate request about a job that is not in the ledger. */
+core::locate_reply
+AnswerUnknown(entry_control& aControl,
+              const core::locate_request& aRequest,
+              core::instant aNow)
+{
+  core::locate_reply reply{ aControl.mSelf,
+                            aRequest.mJob,
+                            core::locate_verdict::Unknown,
+                            aRequest.mBallot,
+                            {} };
+  if (const job::note* known =
+        job::FindNote(aControl.mLedger, aRequest.mJob);
+      known != nullptr && aRequest.mBallot < known->mBallot) {
+    reply.mVerdict = core::locate_verdict::Noted;
+    reply.mBallot = known->mBallot;
+    reply.mHolder = known->mHolder;
+    return reply;
+  }
+  job::TakeNote(aControl.mLedger,
+                aRequest.mJob,
+                aRequest.mBallot,
+                aRequest.mEntry.mName,
+                aNow);
+  return reply;
+}
+
+/** Asks every registered entry that has not answered. */
+void
+AskEntries(entry_control& aControl, job::job& aJob)
+{
+  for (const membership::member_row& row : membership::OtherRows(
+         aControl.mMembers, membership::role::Entry)) {
+    if (aJob.mInquiry.mAnswered.contains(row.mPeer) ||
+        aJob.mInquiry.mMissing.contains(row.mPeer)) {
+      continue;
+    }
+    if (membership::HasEnded(aControl.mMembers, row)) {
+      aJob.mInquiry.mMissing.insert(row.mPeer);
+      continue;
+    }
+    aJob.mInquiry.mPending.insert(row.mPeer);
+    aControl.mLocateOutbox[row.mPeer].push_back(MakeRequest(aControl, aJob));
+  }
+}
+
+void
+NoteAllAnswered(entry_control& aControl,
+                job::job& aJob,
+                core::instant aNow,
+                effects& aEffects)
+{
+  if (!aJob.mInquiry.mPending.empty() || aJob.mInquiry.mAnsweredAt) {
+    return;
+  }
+  aJob.mInquiry.mAnsweredAt = aNow;
+  ReadMembers(aControl, aEffects);
+}
+
+/** One entry's answer to a job that is being located. */
+void
+TakeLocateReply(entry_control& aControl,
+                job::job& aJob,
+                const core::peer_ref& aAsked,
+                const core::locate_reply& aReply,
+                core::instant aNow,
+                effects& aEffects)
+{
+  switch (aReply.mVerdict) {
+    case core::locate_verdict::Unknown:
+      if (aJob.mInquiry.mPending.erase(aAsked) > 0) {
+        aJob.mInquiry.mAnswered.insert(aAsked);
+        NoteAllAnswered(aControl, aJob, aNow, aEffects);
+      }
+      break;
+    case core::locate_verdict::Home:
+      AttachTo(aControl, aJob, aAsked.mName, aNow, aEffects);
+      break;
+    case core::locate_verdict::Noted:
+      if (aReply.mHolder == aControl.mSelf.mName || aReply.mHolder.empty()) {
+        StartLocating(aControl, aJob, aReply.mBallot, aNow, aEffects);
+      } else {
+        AttachTo(aControl, aJob, aReply.mHolder, aNow, aEffects);
+      }
+      break;
+    case core::locate_verdict::Different:
+      FailJob(aControl,
+              aJob,
+              { "submit job",
+                aAsked.mName,
+                "a job of this name has other content" },
+              kStatusConflict,
+              aNow,
+              aEffects);
+      break;
+  }
+}
+
+/** The supposed home answered an attached entry. */
+void
+TakeHomeReply(entry_control& aControl,
+              job::job& aJob,
+              const core::locate_reply& aReply,
+              core::instant aNow,
+              effects& aEffects)
+{
+  if (aReply.mVerdict == core::locate_verdict::Home) {
+    return;
+  }
+  if (aReply.mVerdict == core::locate_verdict::Noted &&
+      aReply.mHolder != aControl.mSelf.mName &&
+      aReply.mHolder != aJob.mHome.mName) {
+    AttachTo(aControl, aJob, aReply.mHolder, aNow, aEffects);
+    return;
+  }
+  if (aReply.mVerdict == core::locate_verdict::Noted &&
+      aReply.mHolder == aJob.mHome.mName) {
+    return; // It is looking for the job itself, under a higher ballot.
+  }
+  StartLocating(aControl, aJob, aReply.mBallot, aNow, aEffects);
+}
+
+} // namespace
+
+void
+StartLocating(entry_control& aControl,
+              job::job& aJob,
+              core::ballot aAbove,
+              core::instant aNow,
+              effects& aEffects)
+{
+  aControl.mAttached.erase(aJob.mSubmission.mKey);
+  aControl.mInquiring.insert(aJob.mSubmission.mKey);
+  std::uint32_t above = std::max(aAbove.mRound, aJob.mBallot.mRound);
+  if (const job::note* known =
+        job::FindNote(aControl.mLedger, aJob.mSubmission.mKey)) {
+    above = std::max(above, known->mBallot.mRound);
+  }
+  const std::uint32_t round = std::max(
+    { kFirstCarefulRound, aJob.mSubmission.mAttempt, above + 1 });
+  aJob.mPhase = job::phase::Locating;
+  aJob.mHome = {};
+  aJob.mBallot = { round, aControl.mSelf.mIncarnation };
+  aJob.mInquiry = {};
+  aJob.mInquiry.mSince = aNow;
+  Log(aEffects,
+      "job_locating",
+      { { "job", aJob.mSubmission.mKey },
+        { "round", std::to_string(round) } });
+  AskEntries(aControl, aJob);
+  NoteAllAnswered(aControl, aJob, aNow, aEffects);
+}
+
+void
+AttachTo(entry_control& aControl,
+         job::job& aJob,
+         const std::string& aEntryName,
+         core::instant aNow,
+         effects& aEffects)
+{
+  aControl.mInquiring.erase(aJob.mSubmission.mKey);
+  aControl.mAttached.insert(aJob.mSubmission.mKey);
+  aJob.mPhase = job::phase::Attached;
+  aJob.mInquiry = {};
+  aJob.mHome = { aEntryName, 0 };
+  if (const auto found = aControl.mMembers.mEntries.find(aEntryName);
+      found != aControl.mMembers.mEntries.end()) {
+    aJob.mHome = found->second.mPeer;
+  }
+  aJob.mAskedHome = aNow;
+  Log(aEffects,
+      "job_attached",
+      { { "job", aJob.mSubmission.mKey }, { "home", aEntryName } });
+}
+
+std::vector<core::locate_reply>
+OnLocate(entry_control& aControl,
+         const std::vector<core::locate_request>& aRequests,
+         core::instant aNow,
+         effects& aEffects)
+{
+  std::vector<core::locate_reply> replies;
+  replies.reserve(aRequests.size());
+  for (const core::locate_request& request : aRequests) {
+    job::job* known = job::Find(aControl.mLedger, request.mJob);
+    replies.push_back(
+      known == nullptr
+        ? AnswerUnknown(aControl, request, aNow)
+        : AnswerKnown(aControl, *known, request, aNow, aEffects));
+  }
+  return replies;
+}
+
+void
+OnLocateReplies(entry_control& aControl,
+                const core::peer_ref& aAsked,
+                const std::vector<core::locate_reply>& aReplies,
+                core::instant aNow,
+                effects& aEffects)
+{
+  for (const core::locate_reply& reply : aReplies) {
+    job::job* found = job::Find(aControl.mLedger, reply.mJob);
+    if (found == nullptr || reply.mEntry != aAsked) {
+      continue; // Another run answered: its row will show.
+    }
+    if (found->mPhase == job::phase::Locating) {
+      TakeLocateReply(aControl, *found, aAsked, reply, aNow, aEffects);
+    } else if (found->mPhase == job::phase::Attached &&
+               found->mHome.mName == aAsked.mName) {
+      TakeHomeReply(aControl, *found, reply, aNow, aEffects);
+    }
+  }
+}
+
+void
+OnLocateFailed(entry_control& aControl,
+               const core::peer_ref& aAsked,
+               const std::vector<core::locate_request>& aRequests,
+               core::instant aNow,
+               effects& aEffects)
+{
+  // TickInquiries asks again, and takes the peer for missing after a while.
+  static_cast<void>(aControl);
+  static_cast<void>(aNow);
+  Log(aEffects,
+      "locate_unanswered",
+      { { "entry", ToString(aAsked) },
+        { "jobs", std::to_string(aRequests.size()) } });
+}
+
+void
+Deliver(entry_control& aControl,
+        const std::string& aEntryName,
+        const core::job_answer& aAnswer,
+        effects& aEffects)
+{
+  static_cast<void>(aEffects);
+  if (const std::string address =
+        membership::EntryAddress(aControl.mMembers, aEntryName);
+      !address.empty()) {
+    ++aControl.mCounters.mDelivers;
+    aControl.mDeliverOutbox[address].push_back(aAnswer);
+  }
+}
+
+void
+OnDeliver(entry_control& aControl,
+          const core::deliver_request& aRequest,
+          core::instant aNow,
+          effects& aEffects)
+{
+  for (const core::job_answer& answer : aRequest.mAnswers) {
+    job::job* found = job::Find(aControl.mLedger, answer.mJob);
+    if (found == nullptr || (found->mPhase != job::phase::Attached &&
+                             found->mPhase != job::phase::Locating)) {
+      continue;
+    }
+    if (answer.mOutcome == core::job_outcome::NotRun) {
+      RefuseJob(aControl,
+                *found,
+                { answer.mStep, answer.mPeer, answer.mReason },
+                answer.mStatus,
+                aNow,
+                aEffects);
+    } else {
+      EndJob(aControl, *found, answer, aNow, aEffects);
+    }
+  }
+}
+
+namespace {
+
+constexpr core::duration kAskAgainAfter = std::chrono::milliseconds(250);
+
+/** Asks those again that have not answered, or gives them up. */
+void
+TickLocating(entry_control& aControl,
+             job::job& aJob,
+             core::instant aNow,
+             effects& aEffects)
+{
+  job::inquiry& inquiry = aJob.mInquiry;
+  const core::duration waited = aNow - inquiry.mSince;
+  if (!inquiry.mPending.empty()) {
+    if (waited > aControl.mOptions.mLocateTimeout) {
+      inquiry.mMissing.merge(inquiry.mPending);
+      inquiry.mPending.clear();
+    } else if (waited > kAskAgainAfter * (inquiry.mRounds + 1)) {
+      ++inquiry.mRounds;
+      AskEntries(aControl, aJob);
+    }
+  }
+  if (inquiry.mPending.empty() && !inquiry.mMissing.empty()) {
+    StartRecovering(aControl, aJob, aNow, aEffects);
+    return;
+  }
+  NoteAllAnswered(aControl, aJob, aNow, aEffects);
+}
+
+/** Asks the home of an attached job whether it still has it. */
+void
+TickAttached(entry_control& aControl,
+             job::job& aJob,
+             core::instant aNow,
+             effects& aEffects)
+{
+  if (aNow - aJob.mAskedHome < aControl.mOptions.mPeerSuspect) {
+    return;
+  }
+  const std::string& name = aJob.mHome.mName;
+  const auto found = aControl.mMembers.mEntries.find(name);
+  const bool sameRun = found != aControl.mMembers.mEntries.end() &&
+                       (aJob.mHome.mIncarnation == 0 ||
+                        found->second.mPeer == aJob.mHome);
+  if (!sameRun || !IsEntryHeard(aControl, name, aNow)) {
+    StartLocating(aControl, aJob, {}, aNow, aEffects);
+    return;
+  }
+  aJob.mAskedHome = aNow;
+  aControl.mLocateOutbox[found->second.mPeer].push_back(
+    MakeRequest(aControl, aJob));
+}
+
+} // namespace
+
+void
+TickInquiries(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  const std::set<std::string> inquiring = aControl.mInquiring;
+  for (const std::string& key : inquiring) {
+    job::job* found = job::Find(aControl.mLedger, key);
+    if (found != nullptr && found->mPhase == job::phase::Locating) {
+      TickLocating(aControl, *found, aNow, aEffects);
+    } else if (found != nullptr && found->mPhase == job::phase::Recovering) {
+      TickRecovering(aControl, *found, aNow, aEffects);
+    }
+  }
+  const std::set<std::string> attached = aControl.mAttached;
+  for (const std::string& key : attached) {
+    if (job::job* found = job::Find(aControl.mLedger, key)) {
+      TickAttached(aControl, *found, aNow, aEffects);
+    }
+  }
+}
+
+void
+SettleInquiries(entry_control& aControl,
+                core::instant aReadAt,
+                core::instant aNow,
+                effects& aEffects)
+{
+  const std::set<std::string> inquiring = aControl.mInquiring;
+  for (const std::string& key : inquiring) {
+    job::job* found = job::Find(aControl.mLedger, key);
+    if (found == nullptr || !found->mInquiry.mAnsweredAt ||
+        *found->mInquiry.mAnsweredAt > aReadAt) {
+      continue;
+    }
+    if (found->mPhase == job::phase::Recovering) {
+      SettleRecovering(aControl, *found, aNow, aEffects);
+      continue;
+    }
+    found->mInquiry.mAnsweredAt.reset();
+    AskEntries(aControl, *found);
+    if (!found->mInquiry.mPending.empty()) {
+      continue; // A new entry has registered meanwhile.
+    }
+    if (!found->mInquiry.mMissing.empty() || job::MayHaveStarted(*found)) {
+      StartRecovering(aControl, *found, aNow, aEffects);
+    } else {
+      BecomeHomeIfAdmitted(aControl, *found, aNow, aEffects);
+    }
+  }
+}
+
+} // namespace gooseberry::entry
--- /dev/null
+++ b/src/libgooseberry/entry/recover.cpp
@@ -0,0 +1,299 @@
+#include "libgooseberry/entry/entry_control.h"
+#include "libgooseberry/entry/internal.h"
+
+#include <algorithm>
+
+namespace gooseberry::entry {
+
+namespace {
+
+/** Fences the job at every registered agent that has not answered. */
+void
+FenceAgents(entry_control& aControl, job::job& aJob)
+{
+  job::inquiry& inquiry = aJob.mInquiry;
+  for (const membership::member_row& row : membership::OtherRows(
+         aControl.mMembers, membership::role::Agent)) {
+    if (inquiry.mAnswered.contains(row.mPeer) ||
+        inquiry.mMissing.contains(row.mPeer)) {
+      continue;
+    }
+    if (membership::HasEnded(aControl.mMembers, row)) {
+      inquiry.mMissing.insert(row.mPeer);
+      continue;
+    }
+    inquiry.mPending.insert(row.mPeer);
+    aControl.mFenceOutbox[row.mPeer].push_back({ aControl.mSelf,
+                                                 aControl.mOptions.mAddress,
+                                                 aJob.mSubmission.mKey,
+                                                 aJob.mBallot });
+  }
+}
+
+void
+NoteAllFenced(entry_control& aControl,
+              job::job& aJob,
+              core::instant aNow,
+              effects& aEffects)
+{
+  if (!aJob.mInquiry.mPending.empty() || aJob.mInquiry.mAnsweredAt) {
+    return;
+  }
+  aJob.mInquiry.mAnsweredAt = aNow;
+  ReadMembers(aControl, aEffects);
+}
+
+/** Whether the second says more of a task than the first. */
+bool
+SaysMore(const core::started_task& aLeft, const core::started_task& aRight)
+{
+  if (aLeft.mResult.mTry != aRight.mResult.mTry) {
+    return aLeft.mResult.mTry < aRight.mResult.mTry;
+  }
+  return aLeft.mState == core::record_state::Running &&
+         aRight.mState != core::record_state::Running;
+}
+
+/** The last word on each task, by index; null where no agent has any. */
+std::vector<const core::started_task*>
+LastWords(const job::job& aJob)
+{
+  std::vector<const core::started_task*> last(aJob.mTasks.size(), nullptr);
+  for (const core::started_task& started : aJob.mInquiry.mFound) {
+    const std::uint32_t index = started.mResult.mTask.mIndex;
+    if (index < last.size() &&
+        (last[index] == nullptr || SaysMore(*last[index], started))) {
+      last[index] = &started;
+    }
+  }
+  return last;
+}
+
+/** Takes over a task that runs at an agent. */
+void
+AdoptRunning(entry_control& aControl,
+             job::job& aJob,
+             std::uint32_t aIndex,
+             const core::task_result& aRecord)
+{
+  job::task& task = aJob.mTasks[aIndex];
+  task.mState = job::task_state::Running;
+  task.mTarget = target::Find(aControl.mTargets, aRecord.mTarget);
+  if (!task.mTarget) {
+    return;
+  }
+  target::Reserve(aControl.mTargets, *task.mTarget);
+  const std::string& agent =
+    aControl.mTargets.mTargets[*task.mTarget].mAgent;
+  if (const auto view = aControl.mMembers.mAgents.find(agent);
+      view != aControl.mMembers.mAgents.end()) {
+    task.mAgent = view->second.mState.mAgent;
+    aControl.mAgentTasks[agent].insert({ aJob.mSubmission.mKey, aIndex });
+  }
+}
+
+/** Why the job cannot go on from what was found; empty if it can. */
+core::error
+TakeRecord(entry_control& aControl,
+           job::job& aJob,
+           std::uint32_t aIndex,
+           const core::started_task& aRecord)
+{
+  job::task& task = aJob.mTasks[aIndex];
+  const core::task_result& result = aRecord.mResult;
+  task.mTry = result.mTry;
+  task.mPlacement = result.mPlacement;
+  task.mEverStarted = true;
+  if (aRecord.mState == core::record_state::ResultDropped) {
+    return { "recover job", result.mTarget, "a result is no longer held" };
+  }
+  if (aRecord.mState == core::record_state::Running) {
+    AdoptRunning(aControl, aJob, aIndex, result);
+    ++aControl.mTeams[aJob.mSubmission.mTeam].mRunning;
+    return {};
+  }
+  if (result.mEnd == core::task_end::Succeeded) {
+    task.mState = job::task_state::Ended;
+    task.mResult = result.mPayload;
+    ++aJob.mEnded;
+    return {};
+  }
+  if (result.mEnd == core::task_end::Failed &&
+      aJob.mSubmission.mIdempotent &&
+      result.mTry < MaxTries(aControl, aJob)) {
+    ++task.mTry;
+    return {};
+  }
+  return { "run task " + std::to_string(aIndex),
+           result.mTarget,
+           result.mPayload.empty() ? "task failed" : result.mPayload };
+}
+
+/** Ends a recovered job all of whose tasks have succeeded. */
+void
+CompleteRecovered(entry_control& aControl,
+                  job::job& aJob,
+                  core::instant aNow,
+                  effects& aEffects)
+{
+  core::job_answer answer;
+  answer.mJob = aJob.mSubmission.mKey;
+  answer.mOutcome = core::job_outcome::Complete;
+  for (job::task& ended : aJob.mTasks) {
+    answer.mResults.push_back(std::move(ended.mResult));
+  }
+  EndJob(aControl, aJob, std::move(answer), aNow, aEffects);
+}
+
+std::string
+MissingNames(const job::inquiry& aInquiry)
+{
+  std::string names;
+  for (const core::peer_ref& peer : aInquiry.mMissing) {
+    names += (names.empty() ? "" : ",") + ToString(peer);
+  }
+  return names;
+}
+
+} // namespace
+
+void
+StartRecovering(entry_control& aControl,
+                job::job& aJob,
+                core::instant aNow,
+                effects& aEffects)
+{
+  Log(aEffects,
+      "job_recovering",
+      { { "job", aJob.mSubmission.mKey },
+        { "missing", MissingNames(aJob.mInquiry) },
+        { "round", std::to_string(aJob.mBallot.mRound) } });
+  aJob.mPhase = job::phase::Recovering;
+  aJob.mInquiry = {};
+  aJob.mInquiry.mSince = aNow;
+  FenceAgents(aControl, aJob);
+  NoteAllFenced(aControl, aJob, aNow, aEffects);
+}
+
+void
+OnFenceReplies(entry_control& aControl,
+               const core::peer_ref& aAsked,
+               const std::vector<core::fence_reply>& aReplies,
+               core::instant aNow,
+               effects& aEffects)
+{
+  for (const core::fence_reply& reply : aReplies) {
+    job::job* found = job::Find(aControl.mLedger, reply.mJob);
+    if (found == nullptr || found->mPhase != job::phase::Recovering ||
+        reply.mAgent != aAsked) {
+      continue;
+    }
+    if (found->mBallot < reply.mBallot) {
+      const std::string holder =
+        membership::EntryName(aControl.mMembers, reply.mHolder);
+      if (holder.empty()) {
+        StartLocating(aControl, *found, reply.mBallot, aNow, aEffects);
+      } else {
+        AttachTo(aControl, *found, holder, aNow, aEffects);
+      }
+      continue;
+    }
+    if (found->mInquiry.mPending.erase(aAsked) == 0 &&
+        found->mInquiry.mMissing.erase(aAsked) == 0) {
+      continue;
+    }
+    found->mInquiry.mAnswered.insert(aAsked);
+    found->mInquiry.mFound.insert(found->mInquiry.mFound.end(),
+                                  reply.mStarted.begin(),
+                                  reply.mStarted.end());
+    NoteAllFenced(aControl, *found, aNow, aEffects);
+  }
+}
+
+void
+OnFenceFailed(entry_control& aControl,
+              const core::peer_ref& aAsked,
+              const std::vector<core::fence_request>& aRequests,
+              core::instant aNow,
+              effects& aEffects)
+{
+  // TickRecovering asks again, and takes the agent for missing in the end.
+  static_cast<void>(aControl);
+  static_cast<void>(aNow);
+  Log(aEffects,
+      "fence_unanswered",
+      { { "agent", ToString(aAsked) },
+        { "jobs", std::to_string(aRequests.size()) } });
+}
+
+void
+TickRecovering(entry_control& aControl,
+               job::job& aJob,
+               core::instant aNow,
+               effects& aEffects)
+{
+  constexpr core::duration kFenceAgainAfter = std::chrono::milliseconds(400);
+  job::inquiry& inquiry = aJob.mInquiry;
+  if (!inquiry.mPending.empty()) {
+    const core::duration waited = aNow - inquiry.mSince;
+    if (waited > aControl.mOptions.mRecoverTimeout) {
+      inquiry.mMissing.merge(inquiry.mPending);
+      inquiry.mPending.clear();
+    } else if (waited > kFenceAgainAfter * (inquiry.mRounds + 1)) {
+      ++inquiry.mRounds;
+      FenceAgents(aControl, aJob);
+    }
+  }
+  NoteAllFenced(aControl, aJob, aNow, aEffects);
+}
+
+void
+SettleRecovering(entry_control& aControl,
+                 job::job& aJob,
+                 core::instant aNow,
+                 effects& aEffects)
+{
+  aJob.mInquiry.mAnsweredAt.reset();
+  FenceAgents(aControl, aJob);
+  if (aJob.mInquiry.mPending.empty()) {
+    DecideRecovered(aControl, aJob, aNow, aEffects);
+  }
+}
+
+void
+DecideRecovered(entry_control& aControl,
+                job::job& aJob,
+                core::instant aNow,
+                effects& aEffects)
+{
+  const std::vector<const core::started_task*> last = LastWords(aJob);
+  const bool anyStarted =
+    std::any_of(last.begin(), last.end(), [](const auto* aRecord) {
+      return aRecord != nullptr;
+    });
+  if (!anyStarted && aJob.mInquiry.mMissing.empty()) {
+    aJob.mTasks.assign(aJob.mSubmission.mTasks.size(), {});
+    BecomeHomeIfAdmitted(aControl, aJob, aNow, aEffects);
+    return;
+  }
+  aJob.mTasks.assign(aJob.mSubmission.mTasks.size(), {});
+  aJob.mEnded = 0;
+  core::error failure;
+  for (std::uint32_t i = 0; i < last.size() && failure.mReason.empty(); ++i) {
+    if (last[i] != nullptr) {
+      failure = TakeRecord(aControl, aJob, i, *last[i]);
+    } else if (!aJob.mInquiry.mMissing.empty()) {
+      failure = { "recover job",
+                  MissingNames(aJob.mInquiry),
+                  "outcome unknown: not every agent could answer" };
+    }
+  }
+  BecomeHome(aControl, aJob, aNow, aEffects);
+  if (!failure.mReason.empty()) {
+    FailJob(aControl, aJob, failure, kStatusFailed, aNow, aEffects);
+  } else if (aJob.mEnded == aJob.mTasks.size()) {
+    CompleteRecovered(aControl, aJob, aNow, aEffects);
+  }
+}
+
+} // namespace gooseberry::entry
--- /dev/null
+++ b/src/libgooseberry/entry/submit.cpp
@@ -0,0 +1,398 @@
+#include "libgooseberry/entry/entry_control.h"
+#include "libgooseberry/entry/internal.h"
+
+#include <algorithm>
+
+namespace gooseberry::entry {
+
+namespace {
+
+constexpr core::duration kRetryAfterOutage = std::chrono::seconds(1);
+
+core::job_answer
+ErrorAnswer(const std::string& aJob,
+            core::job_outcome aOutcome,
+            const core::error& aError,
+            std::uint32_t aStatus)
+{
+  core::job_answer answer;
+  answer.mJob = aJob;
+  answer.mOutcome = aOutcome;
+  answer.mReason = aError.mReason;
+  answer.mStep = aError.mStep;
+  answer.mPeer = aError.mPeer;
+  answer.mStatus = aStatus;
+  if (aStatus == kStatusUnavailable || aStatus == kStatusTooMany) {
+    answer.mRetryAfter = kRetryAfterOutage;
+  }
+  return answer;
+}
+
+/** Tells all who wait for the job, here and at other entries. */
+void
+TellWaiters(entry_control& aControl,
+            job::job& aJob,
+            const core::job_answer& aAnswer,
+            effects& aEffects)
+{
+  for (const std::uint64_t token : aJob.mWaiters) {
+    aEffects.emplace_back(answer_caller{ token, aAnswer });
+  }
+  aJob.mWaiters.clear();
+  for (const std::string& name : aJob.mAttachedEntries) {
+    Deliver(aControl, name, aAnswer, aEffects);
+  }
+  aJob.mAttachedEntries.clear();
+}
+
+void
+LogOutcome(const job::job& aJob,
+           const core::job_answer& aAnswer,
+           core::instant aNow,
+           effects& aEffects)
+{
+  Log(aEffects,
+      "job_ended",
+      { { "job", aJob.mSubmission.mKey },
+        { "outcome", std::string(core::kJobOutcomeNames.NameOf(aAnswer.mOutcome)) },
+        { "reason", aAnswer.mReason },
+        { "step", aAnswer.mStep },
+        { "peer", aAnswer.mPeer },
+        { "ms",
+          std::to_string(core::ToMilliseconds(aNow - aJob.mArrived)) } });
+}
+
+/** Takes a job out of all that is under way; it stays in the ledger. */
+void
+StopJob(entry_control& aControl, job::job& aJob, effects& aEffects)
+{
+  const std::set<std::string> agents = ReleaseJob(aControl, aJob);
+  for (const std::string& name : agents) {
+    const auto view = aControl.mMembers.mAgents.find(name);
+    if (view != aControl.mMembers.mAgents.end()) {
+      aControl.mCancelOutbox[view->second.mState.mAddress].push_back(
+        aJob.mSubmission.mKey);
+    }
+  }
+  aControl.mInquiring.erase(aJob.mSubmission.mKey);
+  aControl.mAttached.erase(aJob.mSubmission.mKey);
+  --aControl.mOpenJobs;
+  static_cast<void>(aEffects);
+}
+
+} // namespace
+
+void
+EndJob(entry_control& aControl,
+       job::job& aJob,
+       core::job_answer aAnswer,
+       core::instant aNow,
+       effects& aEffects)
+{
+  StopJob(aControl, aJob, aEffects);
+  aJob.mPhase = job::phase::Ended;
+  aJob.mEndedAt = aNow;
+  aJob.mAnswer = std::move(aAnswer);
+  aJob.mSubmission.mTasks.clear();
+  aJob.mInquiry = {};
+  ++aControl.mCounters.mOutcomes[static_cast<std::size_t>(
+    aJob.mAnswer.mOutcome)];
+  aControl.mSamples.push_back(
+    { aNow - aJob.mArrived, aJob.mIdeal, aJob.mAnswer.mOutcome });
+  LogOutcome(aJob, aJob.mAnswer, aNow, aEffects);
+  TellWaiters(aControl, aJob, aJob.mAnswer, aEffects);
+  job::KeepEnded(aControl.mLedger, aJob, aNow);
+}
+
+void
+FailJob(entry_control& aControl,
+        job::job& aJob,
+        const core::error& aError,
+        std::uint32_t aStatus,
+        core::instant aNow,
+        effects& aEffects)
+{
+  EndJob(aControl,
+         aJob,
+         ErrorAnswer(
+           aJob.mSubmission.mKey, core::job_outcome::Failed, aError, aStatus),
+         aNow,
+         aEffects);
+}
+
+void
+RefuseJob(entry_control& aControl,
+          job::job& aJob,
+          const core::error& aError,
+          std::uint32_t aStatus,
+          core::instant aNow,
+          effects& aEffects)
+{
+  const std::string key = aJob.mSubmission.mKey;
+  const core::job_answer answer =
+    ErrorAnswer(key, core::job_outcome::NotRun, aError, aStatus);
+  StopJob(aControl, aJob, aEffects);
+  ++aControl.mCounters
+      .mOutcomes[static_cast<std::size_t>(core::job_outcome::NotRun)];
+  LogOutcome(aJob, answer, aNow, aEffects);
+  TellWaiters(aControl, aJob, answer, aEffects);
+  job::Refuse(
+    aControl.mLedger, key, aJob.mSubmission.mAttempt, answer, aNow);
+  job::Remove(aControl.mLedger, key);
+}
+
+void
+GiveUp(entry_control& aControl,
+       job::job& aJob,
+       const core::error& aError,
+       effects& aEffects)
+{
+  const std::string key = aJob.mSubmission.mKey;
+  const core::job_answer answer = ErrorAnswer(
+    key, core::job_outcome::Failed, aError, kStatusUnavailable);
+  StopJob(aControl, aJob, aEffects);
+  ++aControl.mCounters
+      .mOutcomes[static_cast<std::size_t>(core::job_outcome::Failed)];
+  TellWaiters(aControl, aJob, answer, aEffects);
+  job::Remove(aControl.mLedger, key);
+}
+
+namespace {
+
+/** Answers a submission that gets no place in the ledger. */
+void
+AnswerAtOnce(entry_control& aControl,
+             std::uint64_t aToken,
+             const job::submission& aSubmission,
+             const core::job_answer& aAnswer,
+             core::instant aNow,
+             effects& aEffects)
+{
+  ++aControl.mCounters.mOutcomes[static_cast<std::size_t>(aAnswer.mOutcome)];
+  if (aAnswer.mOutcome == core::job_outcome::NotRun) {
+    job::Refuse(aControl.mLedger,
+                aSubmission.mKey,
+                aSubmission.mAttempt,
+                aAnswer,
+                aNow);
+  }
+  Log(aEffects,
+      "submission_refused",
+      { { "job", aSubmission.mKey },
+        { "outcome", std::string(core::kJobOutcomeNames.NameOf(aAnswer.mOutcome)) },
+        { "reason", aAnswer.mReason } });
+  aEffects.emplace_back(answer_caller{ aToken, aAnswer });
+}
+
+/** A submission of a job that the ledger has. */
+void
+JoinJob(std::uint64_t aToken,
+        const job::submission& aSubmission,
+        job::job& aJob,
+        effects& aEffects)
+{
+  if (aJob.mSubmission.mContentHash != aSubmission.mContentHash) {
+    const core::error different{ "submit job",
+                                 "",
+                                 "a job of this name has other content" };
+    aEffects.emplace_back(
+      answer_caller{ aToken,
+                     ErrorAnswer(aSubmission.mKey,
+                                 core::job_outcome::Failed,
+                                 different,
+                                 kStatusConflict) });
+    return;
+  }
+  if (aJob.mPhase == job::phase::Ended) {
+    aEffects.emplace_back(answer_caller{ aToken, aJob.mAnswer });
+    return;
+  }
+  aJob.mWaiters.push_back(aToken);
+}
+
+/** Why this entry takes nothing new now; empty if it does. */
+std::string
+ReasonToTakeNothing(const entry_control& aControl, core::instant aNow)
+{
+  if (aControl.mLeaving) {
+    return "entry is leaving";
+  }
+  if (aControl.mJoining.mStage != join_stage::Open) {
+    return "entry has not joined yet";
+  }
+  if (!IsFresh(aControl, aNow)) {
+    return "entry is out of touch with the store and all peers";
+  }
+  return {};
+}
+
+bool
+IsTrustedFirst(const entry_control& aControl,
+               const job::submission& aSubmission,
+               core::instant aNow)
+{
+  const auto& blind = aControl.mJoining.mBlindUntil;
+  return aSubmission.mAttempt == job::kFirstAttempt &&
+         aControl.mOptions.mTrustFirstAttempt && !(blind && aNow < *blind) &&
+         job::FindNote(aControl.mLedger, aSubmission.mKey) == nullptr;
+}
+
+core::duration
+ExpectedWork(const entry_control& aControl, const job::submission& aSubmission)
+{
+  core::duration sum{};
+  for (const job::task_description& task : aSubmission.mTasks) {
+    sum += target::ExpectedRunTime(aControl.mTargets,
+                                   aSubmission.mService,
+                                   task.mKind,
+                                   task.mDeclared);
+  }
+  return sum;
+}
+
+/** Slots that fall to this entry: entries get equal parts. */
+std::uint32_t
+SlotShare(const entry_control& aControl, const std::string& aService)
+{
+  const auto entries = static_cast<std::uint32_t>(
+    aControl.mMembers.mEntries.size() + 1);
+  const std::uint32_t slots =
+    target::TotalSlots(aControl.mTargets, aService);
+  return std::max(1U, slots / entries);
+}
+
+/** The refusal that a submission nobody has started deserves, if any. */
+std::optional<core::job_answer>
+Reject(const entry_control& aControl,
+       const job::submission& aSubmission,
+       core::instant aNow)
+{
+  if (!target::CanEverRun(aControl.mTargets, aSubmission.mService)) {
+    const bool known = aControl.mDesired.mServices.contains(
+      aSubmission.mService);
+    return ErrorAnswer(
+      aSubmission.mKey,
+      core::job_outcome::Failed,
+      { "place job",
+        "",
+        known ? "no target may take service " + aSubmission.mService
+              : "no such service: " + aSubmission.mService },
+      kStatusUnprocessable);
+  }
+  quota::admission_request request;
+  request.mQueuedWork = aControl.mQueuedWork;
+  request.mSlots = SlotShare(aControl, aSubmission.mService);
+  request.mJobWork = ExpectedWork(aControl, aSubmission);
+  request.mDeadline = aSubmission.mDeadline;
+  const quota::admission_decision decision =
+    quota::Admit(aControl.mOptions.mAdmission, request);
+  if (decision.mAdmitted) {
+    return std::nullopt;
+  }
+  core::job_answer answer =
+    ErrorAnswer(aSubmission.mKey,
+                core::job_outcome::NotRun,
+                { "admit job", "", "expected wait exceeds the bound" },
+                kStatusTooMany);
+  answer.mRetryAfter = decision.mRetryAfter;
+  static_cast<void>(aNow);
+  return answer;
+}
+
+} // namespace
+
+void
+OnSubmit(entry_control& aControl,
+         std::uint64_t aToken,
+         job::submission aSubmission,
+         core::instant aNow,
+         effects& aEffects)
+{
+  if (job::job* known = job::Find(aControl.mLedger, aSubmission.mKey)) {
+    JoinJob(aToken, aSubmission, *known, aEffects);
+    return;
+  }
+  if (const core::job_answer* refused = job::FindRefused(
+        aControl.mLedger, aSubmission.mKey, aSubmission.mAttempt)) {
+    aEffects.emplace_back(answer_caller{ aToken, *refused });
+    return;
+  }
+  const bool first = IsTrustedFirst(aControl, aSubmission, aNow);
+  if (const std::string reason = ReasonToTakeNothing(aControl, aNow);
+      !reason.empty()) {
+    // An earlier attempt may have run elsewhere: only a first one is known not
+    // to have been run.
+    const auto outcome =
+      first ? core::job_outcome::NotRun : core::job_outcome::Failed;
+    AnswerAtOnce(aControl,
+                 aToken,
+                 aSubmission,
+                 ErrorAnswer(aSubmission.mKey,
+                             outcome,
+                             { "submit job", aControl.mSelf.mName, reason },
+                             kStatusUnavailable),
+                 aNow,
+                 aEffects);
+    return;
+  }
+  if (first) {
+    if (const auto refusal = Reject(aControl, aSubmission, aNow)) {
+      AnswerAtOnce(aControl, aToken, aSubmission, *refusal, aNow, aEffects);
+      return;
+    }
+  }
+  job::job& added =
+    job::Add(aControl.mLedger, std::move(aSubmission), aNow);
+  ++aControl.mOpenJobs;
+  added.mWaiters.push_back(aToken);
+  aControl.mDeadlines.emplace(added.mDeadline, added.mSubmission.mKey);
+  if (!first) {
+    StartLocating(aControl, added, {}, aNow, aEffects);
+    return;
+  }
+  added.mBallot = { job::kFirstAttempt, aControl.mSelf.mIncarnation };
+  BecomeHome(aControl, added, aNow, aEffects);
+  Dispatch(aControl, aNow, aEffects);
+}
+
+void
+BecomeHomeIfAdmitted(entry_control& aControl,
+                     job::job& aJob,
+                     core::instant aNow,
+                     effects& aEffects)
+{
+  const auto refusal = Reject(aControl, aJob.mSubmission, aNow);
+  if (!refusal) {
+    BecomeHome(aControl, aJob, aNow, aEffects);
+    return;
+  }
+  const core::error error{ refusal->mStep, refusal->mPeer, refusal->mReason };
+  if (refusal->mOutcome == core::job_outcome::NotRun) {
+    RefuseJob(aControl, aJob, error, refusal->mStatus, aNow, aEffects);
+  } else {
+    FailJob(aControl, aJob, error, refusal->mStatus, aNow, aEffects);
+  }
+}
+
+bool
+OnCancel(entry_control& aControl,
+         const std::string& aKey,
+         core::instant aNow,
+         effects& aEffects)
+{
+  job::job* found = job::Find(aControl.mLedger, aKey);
+  if (found == nullptr || found->mPhase != job::phase::Running) {
+    return found != nullptr && found->mPhase == job::phase::Ended;
+  }
+  ++aControl.mCounters.mCancels;
+  FailJob(aControl,
+          *found,
+          { "run job", "", "cancelled by the caller" },
+          kStatusCancelled,
+          aNow,
+          aEffects);
+  Dispatch(aControl, aNow, aEffects);
+  return true;
+}
+
+} // namespace gooseberry::entry
--- /dev/null
+++ b/src/libgooseberry/job/ready_queue.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "libgooseberry/core/enum_names.h"
+#include "libgooseberry/job/job.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace gooseberry::job {
+
+/** In which order jobs get free slots. */
+enum class order_policy : std::uint8_t
+{
+  LeastRemaining, ///< Least remaining work first, with ageing.
+  Fifo,           ///< Baseline: by arrival.
+};
+inline constexpr core::enum_names<order_policy, 2> kOrderPolicyNames{
+  { "least_remaining", "fifo" }
+};
+
+struct order_settings
+{
+  order_policy mPolicy = order_policy::LeastRemaining;
+  /**
+   * Remaining work that a job is forgiven for each unit of time it has
+   * waited, so that large jobs are not passed over for good.
+   */
+  std::int64_t mAgeing = 4;
+};
+
+struct ready_key
+{
+  std::int64_t mPriority = 0;
+  std::string mJob;
+
+  auto operator<=>(const ready_key&) const = default;
+};
+
+/** Jobs that have waiting tasks, by service and then by priority. */
+struct ready_queue
+{
+  std::map<std::string, std::set<ready_key>> mServices;
+};
+
+/** Smaller goes first. Constant while the remaining work stays the same. */
+std::int64_t Priority(const order_settings& aSettings, const job& aJob);
+
+/** Puts the job where its priority says, or takes it out if it waits for
+ * nothing. */
+void Requeue(ready_queue& aQueue, const order_settings& aSettings, job& aJob);
+
+/** Takes the job out. */
+void Unqueue(ready_queue& aQueue, job& aJob);
+
+} // namespace gooseberry::job
--- /dev/null
+++ b/src/libgooseberry/membership/members.cpp
@@ -0,0 +1,157 @@
+#include "libgooseberry/membership/members.h"
+
+#include <algorithm>
+#include <set>
+
+namespace gooseberry::membership {
+
+std::vector<member_row>
+OtherRows(const members& aMembers, role aRole)
+{
+  std::vector<member_row> rows;
+  for (const member_row& row : aMembers.mRows) {
+    if (row.mRole == aRole && row.mPeer != aMembers.mSelf) {
+      rows.push_back(row);
+    }
+  }
+  return rows;
+}
+
+void
+HearEntry(members& aMembers, const core::heartbeat& aBeat, core::instant aNow)
+{
+  if (aBeat.mEntry.mName == aMembers.mSelf.mName) {
+    return;
+  }
+  entry_view& view = aMembers.mEntries[aBeat.mEntry.mName];
+  if (view.mPeer != aBeat.mEntry) {
+    view = {};
+    view.mPeer = aBeat.mEntry;
+  }
+  view.mAddress = aBeat.mAddress;
+  view.mHeardAt = std::max(view.mHeardAt, aNow);
+  view.mGeneration = std::max(view.mGeneration, aBeat.mGeneration);
+  view.mTeams = aBeat.mTeams;
+  view.mAgents = aBeat.mAgents;
+  view.mLeaving = aBeat.mLeaving;
+}
+
+bool
+HasEnded(const members& aMembers, const member_row& aRow)
+{
+  const std::string& name = aRow.mPeer.mName;
+  if (aRow.mRole == role::Entry) {
+    if (name == aMembers.mSelf.mName) {
+      return aRow.mPeer != aMembers.mSelf;
+    }
+    const auto found = aMembers.mEntries.find(name);
+    return found != aMembers.mEntries.end() &&
+           found->second.mPeer != aRow.mPeer;
+  }
+  const auto found = aMembers.mAgents.find(name);
+  return found != aMembers.mAgents.end() &&
+         found->second.mState.mAgent != aRow.mPeer;
+}
+
+bool
+IsHeard(const members& aMembers,
+        const member_row& aRow,
+        core::instant aNow,
+        core::duration aWithin)
+{
+  const std::string& name = aRow.mPeer.mName;
+  if (aRow.mPeer == aMembers.mSelf) {
+    return true;
+  }
+  if (aRow.mRole == role::Entry) {
+    const auto found = aMembers.mEntries.find(name);
+    return found != aMembers.mEntries.end() &&
+           found->second.mPeer == aRow.mPeer &&
+           aNow - found->second.mHeardAt <= aWithin;
+  }
+  const auto found = aMembers.mAgents.find(name);
+  return found != aMembers.mAgents.end() &&
+         found->second.mState.mAgent == aRow.mPeer &&
+         aNow - found->second.mHeardAt <= aWithin;
+}
+
+std::string
+EntryAddress(const members& aMembers, const std::string& aName)
+{
+  if (const auto found = aMembers.mEntries.find(aName);
+      found != aMembers.mEntries.end()) {
+    return found->second.mAddress;
+  }
+  for (const member_row& row : aMembers.mRows) {
+    if (row.mRole == role::Entry && row.mPeer.mName == aName) {
+      return row.mAddress;
+    }
+  }
+  return {};
+}
+
+std::string
+EntryName(const members& aMembers, const std::string& aAddress)
+{
+  for (const auto& [name, view] : aMembers.mEntries) {
+    if (view.mAddress == aAddress) {
+      return name;
+    }
+  }
+  for (const member_row& row : aMembers.mRows) {
+    if (row.mRole == role::Entry && row.mAddress == aAddress) {
+      return row.mPeer.mName;
+    }
+  }
+  return {};
+}
+
+namespace {
+
+/** Whether another entry says that it hears this agent's name. */
+bool
+IsHeardByOthers(const members& aMembers, const member_row& aRow)
+{
+  return aRow.mRole == role::Agent && !HasEnded(aMembers, aRow) &&
+         std::any_of(aMembers.mEntries.begin(),
+                     aMembers.mEntries.end(),
+                     [&aRow](const auto& aEntry) {
+                       return aEntry.second.mAgents.contains(aRow.mPeer.mName);
+                     });
+}
+
+} // namespace
+
+std::vector<member_row>
+ObsoleteRows(members& aMembers,
+             core::instant aNow,
+             core::duration aHeardWithin,
+             core::duration aWindow)
+{
+  std::vector<member_row> obsolete;
+  std::map<core::peer_ref, core::instant> silent;
+  for (const member_row& row : aMembers.mRows) {
+    if (IsHeard(aMembers, row, aNow, aHeardWithin) ||
+        IsHeardByOthers(aMembers, row)) {
+      continue;
+    }
+    const auto known = aMembers.mSilentSince.find(row.mPeer);
+    const core::instant since =
+      known == aMembers.mSilentSince.end() ? aNow : known->second;
+    silent[row.mPeer] = since;
+    if (aNow - since > aWindow) {
+      obsolete.push_back(row);
+    }
+  }
+  aMembers.mSilentSince = std::move(silent);
+  return obsolete;
+}
+
+std::string
+RowKey(const member_row& aRow)
+{
+  return std::string(kRoleNames.NameOf(aRow.mRole)) + '/' + aRow.mPeer.mName +
+         '/' + std::to_string(aRow.mPeer.mIncarnation);
+}
+
+} // namespace gooseberry::membership
--- /dev/null
+++ b/src/libgooseberry/membership/members.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "libgooseberry/core/enum_names.h"
+#include "libgooseberry/core/message.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace gooseberry::membership {
+
+/** What a registered process does. */
+enum class role : std::uint8_t
+{
+  Entry,
+  Agent,
+};
+inline constexpr core::enum_names<role, 2> kRoleNames{ { "entry", "agent" } };
+
+/** One row of the table `members`: one run of one process. */
+struct member_row
+{
+  role mRole = role::Entry;
+  core::peer_ref mPeer;
+  std::string mAddress; ///< `ip:port` of its Thrift server.
+  std::string mFailureDomain;
+
+  bool operator==(const member_row&) const = default;
+};
+
+/** An entry as another one sees it. */
+struct entry_view
+{
+  core::peer_ref mPeer;
+  std::string mAddress;
+  core::instant mHeardAt{}; ///< Send time of the last answered call, or of
+                            ///< the arrival of a call from it.
+  core::generation mGeneration = 0;
+  std::map<std::string, core::team_use> mTeams;
+  std::map<std::string, core::generation> mAgents;
+  bool mLeaving = false;
+};
+
+/** An agent as an entry sees it. */
+struct agent_view
+{
+  core::agent_state mState;
+  core::instant mHeardAt{};
+};
+
+/** What one process knows of the others. */
+struct members
+{
+  core::peer_ref mSelf;
+  std::vector<member_row> mRows; ///< As last read from the table.
+  std::optional<core::instant> mRowsReadAt; ///< When that read was sent.
+  std::map<std::string, entry_view> mEntries; ///< By name, without itself.
+  std::map<std::string, agent_view> mAgents;  ///< By name.
+  /** Since when nobody has heard the process of a row. */
+  std::map<core::peer_ref, core::instant> mSilentSince;
+};
+
+/** Rows of a role but for the process's own. */
+std::vector<member_row> OtherRows(const members& aMembers, role aRole);
+
+/** Takes in a call or a reply of an entry. */
+void HearEntry(members& aMembers,
+               const core::heartbeat& aBeat,
+               core::instant aNow);
+
+/**
+ * Whether the run that a row stands for is known to be over: another run of
+ * the same name has been heard from.
+ */
+bool HasEnded(const members& aMembers, const member_row& aRow);
+
+/** Whether an entry or agent run was heard within `aWithin`. */
+bool IsHeard(const members& aMembers,
+             const member_row& aRow,
+             core::instant aNow,
+             core::duration aWithin);
+
+/** Address of an entry by name; empty where unknown. */
+std::string EntryAddress(const members& aMembers, const std::string& aName);
+
+/** Name of the entry that has this address; empty where unknown. */
+std::string EntryName(const members& aMembers, const std::string& aAddress);
+
+/** Rows of runs that nobody has heard for `aWindow`: they can go. */
+std::vector<member_row> ObsoleteRows(members& aMembers,
+                                     core::instant aNow,
+                                     core::duration aHeardWithin,
+                                     core::duration aWindow);
+
+/** Text of a row's key in the table: `role/name/incarnation`. */
+std::string RowKey(const member_row& aRow);
+
+} // namespace gooseberry::membership
--- a/src/libgooseberryio/metrics.cpp
+++ b/src/libgooseberryio/metrics.cpp
@@ -74,6 +74,7 @@
   prometheus::Family<prometheus::Counter>& mRefusals;
   prometheus::Counter& mRetries;
   prometheus::Counter& mWastedMessages;
+  prometheus::Family<prometheus::Counter>& mMessages;
   prometheus::Gauge& mQueueLength;
   prometheus::Gauge& mGeneration;
 };
@@ -102,6 +103,10 @@
                                   "for each task",
                                   aLabels)
                       .Add({}))
+  , mMessages(CounterFamily(mRegistry,
+                            "messages_total",
+                            "Messages about tasks and jobs, by type",
+                            aLabels))
   , mQueueLength(Gauge(mRegistry, "queue_length", "Tasks that wait", aLabels))
   , mGeneration(Gauge(mRegistry,
                       "configuration_generation",
@@ -162,6 +167,13 @@
   mFamilies->mWastedMessages.Increment(static_cast<double>(aCount));
 }
 
+void
+metrics::CountMessages(std::string_view aType, std::size_t aCount)
+{
+  mFamilies->mMessages.Add({ { "type", std::string(aType) } })
+    .Increment(static_cast<double>(aCount));
+}
+
 void
 metrics::SetQueueLength(std::size_t aTasks)
 {
--- a/src/libgooseberryio/metrics.h
+++ b/src/libgooseberryio/metrics.h
@@ -29,6 +29,8 @@
   void CountRetry();
   /** Messages beyond one start and one finish for each task. */
   void CountWastedMessages(std::size_t aCount = 1);
+  /** Messages about tasks and jobs, by type, one for each task or job. */
+  void CountMessages(std::string_view aType, std::size_t aCount = 1);
   void SetQueueLength(std::size_t aTasks);
   /** Generation of the configuration in force. */
   void SetGeneration(core::generation aGeneration);
