--- a/src/libgooseberry/configuration/desired_state.h
+++ b/src/libgooseberry/configuration/desired_state.h
@@ -12,6 +12,9 @@
 
 namespace gooseberry::configuration {
 
+/** Version of the operator file's format that is read and written. */
+inline constexpr std::uint32_t kFormatVersion = 1;
+
 /** Whether operators allow starts in a failure domain. */
 enum class domain_state : std::uint8_t
 {
--- /dev/null
+++ b/tests/libgooseberry/test_configuration.cpp
@@ -0,0 +1,223 @@
+#include "libgooseberry/configuration/change.h"
+#include "libgooseberry/configuration/command.h"
+#include "libgooseberry/configuration/desired_state.h"
+#include "libgooseberry/configuration/value.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace gooseberry;
+using namespace gooseberry::configuration;
+
+namespace {
+
+constexpr std::string_view kNameCharacters = "ABCXYZabcxyz0123456789._-";
+
+rc::Gen<std::string>
+AnyName()
+{
+  return rc::gen::exec([] {
+    const auto size = *rc::gen::inRange<std::size_t>(1, kMaxNameBytes + 1);
+    return *rc::gen::container<std::string>(
+      size, rc::gen::elementOf(std::string(kNameCharacters)));
+  });
+}
+
+rc::Gen<std::string>
+AnyPattern()
+{
+  return rc::gen::apply(
+    [](std::string aName, bool aHasStar) {
+      if (aHasStar) {
+        aName[aName.size() / 2] = '*';
+      }
+      return aName;
+    },
+    AnyName(),
+    rc::gen::arbitrary<bool>());
+}
+
+failure_domain
+AnyDomain()
+{
+  return { *AnyName(), *rc::gen::element(domain_state::In, domain_state::Out) };
+}
+
+service
+AnyService(const std::map<std::string, failure_domain>& aDomains)
+{
+  constexpr int kMaxTargets = 12;
+  service made;
+  made.mTargets = *rc::gen::resize(
+    kMaxTargets,
+    rc::gen::nonEmpty(rc::gen::unique<std::vector<std::string>>(AnyPattern())));
+  for (const auto& [name, domain] : aDomains) {
+    if (*rc::gen::arbitrary<bool>()) {
+      made.mFailureDomains.push_back(name);
+    }
+  }
+  made.mMaxTries = *rc::gen::inRange<std::uint32_t>(1, 11);
+  made.mMaxTaskTime =
+    std::chrono::milliseconds(*rc::gen::inRange<std::int64_t>(1, 600'001));
+  return made;
+}
+
+desired_state
+AnyState()
+{
+  constexpr int kMaxSections = 8;
+  const auto names = *rc::gen::resize(
+    kMaxSections, rc::gen::unique<std::vector<std::string>>(AnyName()));
+  desired_state state;
+  state.mName = *AnyName();
+  for (const auto& name : names) {
+    state.mFailureDomains[name] = AnyDomain();
+  }
+  for (const auto& name : names) {
+    state.mServices[name] = AnyService(state.mFailureDomains);
+  }
+  for (const auto& name : names) {
+    state.mTeams[name].mQuotaSlots =
+      *rc::gen::inRange<std::uint32_t>(0, 1'000'001);
+  }
+  return state;
+}
+
+constexpr std::string_view kFile = R"(; a comment
+[state]
+format = 1
+name = tabcraft
+
+[failure_domain brasov]
+region = ro
+state = out           ; a comment here as well
+[failure_domain cluj]
+region = ro
+state = in
+[service tab-order]
+targets = tab-*,
+  press-7
+failure_domains = brasov
+max_tries = 2
+max_task_ms = 5000
+[team notary]
+quota_slots = 20
+)";
+
+desired_state
+Tabcraft()
+{
+  return std::get<desired_state>(Parse(kFile, "tabcraft.ini"));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(operator_file)
+
+BOOST_AUTO_TEST_CASE(every_key_is_read)
+{
+  const auto state = Tabcraft();
+  BOOST_TEST(state.mName == "tabcraft");
+  BOOST_TEST(!IsDomainIn(state, "brasov"));
+  BOOST_TEST(IsDomainIn(state, "cluj"));
+  BOOST_TEST(!IsDomainIn(state, "iasi"));
+  const service expected{
+    { "tab-*", "press-7" }, { "brasov" }, 2, std::chrono::seconds(5)
+  };
+  BOOST_TEST((state.mServices.at("tab-order") == expected));
+  BOOST_TEST(state.mTeams.at("notary").mQuotaSlots == 20U);
+}
+
+BOOST_AUTO_TEST_CASE(targets_match_by_pattern_and_domain)
+{
+  const auto orders = Tabcraft().mServices.at("tab-order");
+  BOOST_TEST(MayServe(orders, "tab-", "brasov"));
+  BOOST_TEST(MayServe(orders, "tab-12", "brasov"));
+  BOOST_TEST(MayServe(orders, "press-7", "brasov"));
+  BOOST_TEST(!MayServe(orders, "press-70", "brasov"));
+  BOOST_TEST(!MayServe(orders, "tab-12", "cluj"));
+  const service both{ { "a*a" }, {}, 1, {} };
+  BOOST_TEST(!MayServe(both, "a", "cluj"));
+  BOOST_TEST(MayServe(both, "aa", "cluj"));
+}
+
+BOOST_AUTO_TEST_CASE(windows_line_ends_and_byte_order_mark_are_accepted)
+{
+  const std::string text = "\xEF\xBB\xBF[state]\r\nformat = 1\r\nname = a\r\n";
+  BOOST_TEST(std::get<desired_state>(Parse(text, "a.ini")).mName == "a");
+}
+
+BOOST_AUTO_TEST_CASE(format_is_read_back)
+{
+  BOOST_TEST(rc::check("Parse(Format(x)) == x", [] {
+    const auto state = AnyState();
+    const auto parsed = Parse(Format(state), "x.ini");
+    RC_LOG(Format(state));
+    if (const auto* problem = std::get_if<core::error>(&parsed)) {
+      RC_FAIL(core::ToString(*problem));
+    }
+    RC_ASSERT(std::get<desired_state>(parsed) == state);
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(compare_is_empty_for_equal_states_only)
+{
+  BOOST_TEST(rc::check("Compare(x, y) is empty iff x == y", [] {
+    const auto before = AnyState();
+    auto after = before;
+    if (*rc::gen::arbitrary<bool>()) {
+      after = AnyState();
+    } else if (!after.mTeams.empty()) {
+      after.mTeams.begin()->second.mQuotaSlots =
+        *rc::gen::inRange<std::uint32_t>(0, 3);
+    }
+    RC_ASSERT(Compare(before, after).empty() == (before == after));
+    RC_ASSERT(Compare(before, before).empty());
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(changes_read_as_lines)
+{
+  const auto before = Tabcraft();
+  auto after = before;
+  after.mTeams.clear();
+  after.mTeams["press"] = {};
+  after.mServices.at("tab-order").mFailureDomains.clear();
+  std::string lines;
+  for (const auto& change : Compare(before, after)) {
+    lines += ToString(change) + "\n";
+  }
+  BOOST_TEST(lines == "changed [service tab-order] failure_domains: brasov -> "
+                      "(not set)\n"
+                      "removed [team notary]\n"
+                      "added [team press]\n");
+}
+
+BOOST_AUTO_TEST_CASE(commands_undo)
+{
+  BOOST_TEST(rc::check("the inverse command restores the state", [] {
+    const auto before = AnyState();
+    RC_PRE(!before.mFailureDomains.empty());
+    auto state = before;
+    const auto domain = *rc::gen::elementOf(before.mFailureDomains);
+    const auto target = *rc::gen::element(domain_state::In, domain_state::Out);
+    const auto inverse =
+      std::get<domain_command>(SetDomainState(state, domain.first, target));
+    RC_ASSERT(IsDomainIn(state, domain.first) == (target == domain_state::In));
+    SetDomainState(state, inverse.mDomain, inverse.mState);
+    RC_ASSERT(state == before);
+  }));
+}
+
+BOOST_AUTO_TEST_CASE(command_on_undeclared_domain_changes_nothing)
+{
+  auto state = Tabcraft();
+  const auto done = SetDomainState(state, "iasi", domain_state::Out);
+  BOOST_REQUIRE(std::holds_alternative<core::error>(done));
+  BOOST_TEST(core::ToString(std::get<core::error>(done)) ==
+             "set state of failure domain: expected a declared failure domain, "
+             "got \"iasi\"");
+  BOOST_TEST((state == Tabcraft()));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
