--- a/src/libgooseberry/entry/dispatch.cpp
+++ b/src/libgooseberry/entry/dispatch.cpp
@@ -88,7 +88,7 @@
   task.mAgent = agent.mState.mAgent;
   task.mPlacement = aControl.mNextPlacement++;
   task.mMaybeDelivered = false;
-  aControl.mQueuedWork -= task.mExpected;
+  aJob.mWaitingWork -= task.mExpected;
   target::Reserve(aControl.mTargets, aChoice.mTarget);
   aControl.mAgentTasks[view.mAgent].insert({ aJob.mSubmission.mKey, aIndex });
   ++aControl.mTeams[aJob.mSubmission.mTeam].mRunning;
@@ -179,6 +179,9 @@
     call.mAgent = agent.mState.mAgent;
     call.mAddress = agent.mState.mAddress;
     call.mBatch = std::move(batch);
+    quota::EarnRetries(
+      aControl.mRetryBudget,
+      static_cast<std::uint32_t>(call.mBatch.mStarts.size()));
     const std::uint64_t id = aControl.mNextCall++;
     aEffects.emplace_back(
       send_start{ id, call.mAgent, call.mAddress, call.mBatch });
@@ -191,7 +194,7 @@
 void
 Dispatch(entry_control& aControl, core::instant aNow, effects& aEffects)
 {
-  if (!IsFresh(aControl, aNow) || aControl.mReady.mServices.empty()) {
+  if (aControl.mReady.mServices.empty() || !IsFresh(aControl, aNow)) {
     return;
   }
   batches batches;
@@ -221,6 +224,7 @@
 {
   aJob.mPhase = job::phase::Running;
   aJob.mInquiry = {};
+  aJob.mWaitingWork = {};
   aControl.mInquiring.erase(aJob.mSubmission.mKey);
   for (std::size_t i = 0; i < aJob.mTasks.size(); ++i) {
     const job::task_description& described = aJob.mSubmission.mTasks[i];
@@ -230,7 +234,7 @@
                               described.mKind,
                               described.mDeclared);
     if (aJob.mTasks[i].mState == job::task_state::Waiting) {
-      aControl.mQueuedWork += aJob.mTasks[i].mExpected;
+      aJob.mWaitingWork += aJob.mTasks[i].mExpected;
     }
   }
   aJob.mIdeal = job::IdealResponse(
@@ -275,7 +279,7 @@
   job::task& task = aJob.mTasks[aIndex];
   task.mState = job::task_state::Waiting;
   task.mTarget.reset();
-  aControl.mQueuedWork += task.mExpected;
+  aJob.mWaitingWork += task.mExpected;
   ++aControl.mTeams[aJob.mSubmission.mTeam].mWaiting;
   aJob.mWaiting.push_back(aIndex);
   UpdateOrder(aControl, aJob);
@@ -292,7 +296,6 @@
   for (std::uint32_t i = 0; i < aJob.mTasks.size(); ++i) {
     const job::task& task = aJob.mTasks[i];
     if (task.mState == job::task_state::Waiting) {
-      aControl.mQueuedWork -= task.mExpected;
       --aControl.mTeams[aJob.mSubmission.mTeam].mWaiting;
     } else if (task.mState != job::task_state::Ended) {
       agents.insert(task.mAgent.mName);
@@ -300,6 +303,7 @@
     }
   }
   aJob.mWaiting.clear();
+  aJob.mWaitingWork = {};
   return agents;
 }
 
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -45,7 +45,7 @@
   job::order_settings mOrder;
   target::placement_settings mPlacement;
   quota::admission_settings mAdmission;
-  quota::retry_settings mRetry;
+  quota::retry_budget_settings mRetry;
   bool mLogDecisions = true;
 };
 
@@ -146,7 +146,6 @@
   std::map<std::string, core::team_use> mTeams;
   std::map<std::string, std::uint32_t> mTeamShares;
   quota::retry_budget mRetryBudget;
-  core::duration mQueuedWork{}; ///< Expected, of all waiting tasks.
 
   std::unordered_map<std::uint64_t, start_call> mCalls;
   std::uint64_t mNextCall = 1;
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -18,11 +18,13 @@
       continue;
     }
     std::vector<core::team_use> others;
+    std::size_t rank = 0;
     for (const auto& [entry, view] : aControl.mMembers.mEntries) {
       if (aNow - view.mHeardAt > aControl.mOptions.mAgentLost) {
         continue;
       }
       const auto use = view.mTeams.find(name);
+      rank += entry < aControl.mSelf.mName ? 1 : 0;
       others.push_back(use == view.mTeams.end() ? core::team_use{}
                                                 : use->second);
     }
@@ -30,7 +32,8 @@
     aControl.mTeamShares[name] = quota::TeamShare(
       team.mQuotaSlots,
       own == aControl.mTeams.end() ? core::team_use{} : own->second,
-      others);
+      others,
+      rank);
   }
 }
 
--- a/src/libgooseberry/entry/submit.cpp
+++ b/src/libgooseberry/entry/submit.cpp
@@ -237,19 +237,6 @@
          job::FindNote(aControl.mLedger, aSubmission.mKey) == nullptr;
 }
 
-core::duration
-ExpectedWork(const entry_control& aControl, const job::submission& aSubmission)
-{
-  core::duration sum{};
-  for (const job::task_description& task : aSubmission.mTasks) {
-    sum += target::ExpectedRunTime(aControl.mTargets,
-                                   aSubmission.mService,
-                                   task.mKind,
-                                   task.mDeclared);
-  }
-  return sum;
-}
-
 /** Slots that fall to this entry: entries get equal parts. */
 std::uint32_t
 SlotShare(const entry_control& aControl, const std::string& aService)
@@ -261,6 +248,52 @@
   return std::max(1U, slots / entries);
 }
 
+/** Expected work of the waiting tasks that go before a job of this size. */
+core::duration
+WorkAhead(const entry_control& aControl,
+          const std::string& aService,
+          core::duration aWork,
+          core::instant aNow)
+{
+  const auto ready = aControl.mReady.mServices.find(aService);
+  if (ready == aControl.mReady.mServices.end()) {
+    return {};
+  }
+  const std::int64_t priority =
+    job::Priority(aControl.mOptions.mOrder, aWork, aNow);
+  core::duration ahead{};
+  for (const job::ready_key& key : ready->second) {
+    if (key.mPriority > priority) {
+      break;
+    }
+    ahead += aControl.mLedger.mJobs.at(key.mJob)->mWaitingWork;
+  }
+  return ahead;
+}
+
+quota::admission_request
+MakeAdmissionRequest(const entry_control& aControl,
+                     const job::submission& aSubmission,
+                     core::instant aNow)
+{
+  quota::admission_request request;
+  for (const job::task_description& task : aSubmission.mTasks) {
+    const core::duration expected = target::ExpectedRunTime(
+      aControl.mTargets, aSubmission.mService, task.mKind, task.mDeclared);
+    request.mWork += expected;
+    request.mLongestTask = std::max(request.mLongestTask, expected);
+  }
+  request.mTasks = static_cast<std::uint32_t>(aSubmission.mTasks.size());
+  request.mWorkAhead =
+    WorkAhead(aControl, aSubmission.mService, request.mWork, aNow);
+  for (const auto& [team, use] : aControl.mTeams) {
+    request.mWaitingTasks += use.mWaiting;
+  }
+  request.mSlots = SlotShare(aControl, aSubmission.mService);
+  request.mDeadline = aSubmission.mDeadline;
+  return request;
+}
+
 /** The refusal that a submission nobody has started deserves, if any. */
 std::optional<core::job_answer>
 Reject(const entry_control& aControl,
@@ -279,23 +312,22 @@
               : "no such service: " + aSubmission.mService },
       kStatusUnprocessable);
   }
-  quota::admission_request request;
-  request.mQueuedWork = aControl.mQueuedWork;
-  request.mSlots = SlotShare(aControl, aSubmission.mService);
-  request.mJobWork = ExpectedWork(aControl, aSubmission);
-  request.mDeadline = aSubmission.mDeadline;
   const quota::admission_decision decision =
-    quota::Admit(aControl.mOptions.mAdmission, request);
-  if (decision.mAdmitted) {
+    quota::Admit(aControl.mOptions.mAdmission,
+                 MakeAdmissionRequest(aControl, aSubmission, aNow));
+  const auto* refused = std::get_if<quota::refused>(&decision);
+  if (refused == nullptr) {
     return std::nullopt;
   }
-  core::job_answer answer =
-    ErrorAnswer(aSubmission.mKey,
-                core::job_outcome::NotRun,
-                { "admit job", "", "expected wait exceeds the bound" },
-                kStatusTooMany);
-  answer.mRetryAfter = decision.mRetryAfter;
-  static_cast<void>(aNow);
+  core::job_answer answer = ErrorAnswer(
+    aSubmission.mKey,
+    core::job_outcome::NotRun,
+    { "admit job",
+      "",
+      "overloaded: " + std::string(quota::kAdmissionReasonNames.NameOf(
+                         refused->mReason)) },
+    kStatusTooMany);
+  answer.mRetryAfter = refused->mRetryAfter;
   return answer;
 }
 
--- a/src/libgooseberry/job/job.h
+++ b/src/libgooseberry/job/job.h
@@ -77,6 +77,7 @@
   std::vector<std::uint32_t> mWaiting; ///< Indices; the next one is last.
   std::uint32_t mEnded = 0;
   core::duration mRemainingWork{};
+  core::duration mWaitingWork{}; ///< Expected, of the waiting tasks.
   std::int64_t mPriority = 0; ///< Its key in the ready queue.
   bool mQueued = false;       ///< Stands in the ready queue.
   inquiry mInquiry;
--- a/src/libgooseberry/job/ready_queue.cpp
+++ b/src/libgooseberry/job/ready_queue.cpp
@@ -3,14 +3,16 @@
 namespace gooseberry::job {
 
 std::int64_t
-Priority(const order_settings& aSettings, const job& aJob)
+Priority(const order_settings& aSettings,
+         core::duration aRemaining,
+         core::instant aArrived)
 {
-  const std::int64_t arrived = aJob.mArrived.time_since_epoch().count();
+  const std::int64_t arrived = aArrived.time_since_epoch().count();
   if (aSettings.mPolicy == order_policy::Fifo) {
     return arrived;
   }
   // All jobs age at the same rate, so that the arrival time alone orders them.
-  return aJob.mRemainingWork.count() + aSettings.mAgeing * arrived;
+  return aRemaining.count() + aSettings.mAgeing * arrived;
 }
 
 void
@@ -30,7 +32,7 @@
 void
 Requeue(ready_queue& aQueue, const order_settings& aSettings, job& aJob)
 {
-  const std::int64_t priority = Priority(aSettings, aJob);
+  const std::int64_t priority = Priority(aSettings, aJob.mRemainingWork, aJob.mArrived);
   const bool wanted = aJob.mPhase == phase::Running && !aJob.mWaiting.empty();
   if (aJob.mQueued && wanted && priority == aJob.mPriority) {
     return;
--- a/src/libgooseberry/job/ready_queue.h
+++ b/src/libgooseberry/job/ready_queue.h
@@ -43,8 +43,14 @@
   std::map<std::string, std::set<ready_key>> mServices;
 };
 
-/** Smaller goes first. Constant while the remaining work stays the same. */
-std::int64_t Priority(const order_settings& aSettings, const job& aJob);
+/**
+ * Smaller goes first. Constant while the remaining work stays the same.
+ *
+ * @param aRemaining Expected run time of all tasks that have not ended.
+ */
+std::int64_t Priority(const order_settings& aSettings,
+                      core::duration aRemaining,
+                      core::instant aArrived);
 
 /** Puts the job where its priority says, or takes it out if it waits for
  * nothing. */
