--- a/src/libgooseberryio/http_client.cpp
+++ b/src/libgooseberryio/http_client.cpp
@@ -40,7 +40,9 @@
   add("Expect:"); // No round trip before the body.
   add("Content-Type: " + aCall.mContentType);
   for (const auto& [name, value] : aCall.mHeaders) {
-    add(name + ": " + value);
+    std::string line = name;
+    line += ": ";
+    add(line += value);
   }
   return list;
 }
--- a/src/libgooseberryio/http_server.cpp
+++ b/src/libgooseberryio/http_server.cpp
@@ -174,6 +174,21 @@
     ->RequestEnded(ClientName(aConnection));
 }
 
+std::uint16_t
+BoundPort(MHD_Daemon* aDaemon)
+{
+  const auto* const info =
+    MHD_get_daemon_info(aDaemon, MHD_DAEMON_INFO_LISTEN_FD);
+  sockaddr_in address{};
+  socklen_t length = sizeof(address);
+  if (info == nullptr || getsockname(info->listen_fd,
+                                     reinterpret_cast<sockaddr*>(&address),
+                                     &length) != 0) {
+    return 0;
+  }
+  return ntohs(address.sin_port);
+}
+
 } // namespace
 
 http_response
@@ -327,9 +342,7 @@
                         .mReason = "cannot serve HTTP there" };
   }
   mState->mStarted = true;
-  const auto* const info = MHD_get_daemon_info(mState->mInstance.mhd_daemon,
-                                               MHD_DAEMON_INFO_BIND_PORT);
-  mState->mPort = info == nullptr ? 0 : info->port;
+  mState->mPort = BoundPort(mState->mInstance.mhd_daemon);
   return std::nullopt;
 }
 
--- a/src/libgooseberryio/log.cpp
+++ b/src/libgooseberryio/log.cpp
@@ -18,8 +18,8 @@
 log4cxx::LoggerPtr
 RootLogger()
 {
-  static const log4cxx::LoggerPtr sRoot = log4cxx::Logger::getRootLogger();
-  return sRoot;
+  static const log4cxx::LoggerPtr kRoot = log4cxx::Logger::getRootLogger();
+  return kRoot;
 }
 
 log4cxx::LevelPtr
--- a/src/libgooseberryio/platform_transport.cpp
+++ b/src/libgooseberryio/platform_transport.cpp
@@ -31,8 +31,8 @@
 std::uint64_t
 RandomNumber()
 {
-  thread_local std::mt19937_64 generator{ std::random_device{}() };
-  return generator();
+  thread_local std::mt19937_64 sGenerator{ std::random_device{}() };
+  return sGenerator();
 }
 
 retry_budget::retry_budget(const platform_settings& aSettings)
