Agent: control state and its decisions

Free functions over agent_control: records and fences, admission, queues, results held until acknowledged, freshness, joining, announces, leaving. start_verdict gains Cancelled, so that a cancelled task that waited in a queue is given back with its reason.

--- /dev/null
+++ b/src/libgooseberry/agent/admission.cpp
@@ -0,0 +1,166 @@
+#include "libgooseberry/agent/admission.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace gooseberry::agent {
+
+namespace {
+
+using core::start_verdict;
+
+constexpr admission kRepeat{ admission_action::Repeat,
+                             start_verdict::Accepted };
+
+admission
+Refused(start_verdict aVerdict)
+{
+  return { admission_action::Refuse, aVerdict };
+}
+
+/** The verdict that follows from an earlier start of the task, if any. */
+std::optional<admission>
+DecideByRecord(const agent_control& aControl, const core::task_start& aStart)
+{
+  const auto* record = FindTask(aControl.mBook, aStart.mTask);
+  if (record == nullptr) {
+    return std::nullopt;
+  }
+  const auto& result = record->mStarted.mResult;
+  if (result.mTry == aStart.mTry && result.mPlacement == aStart.mPlacement &&
+      record->mBallot == aStart.mBallot) {
+    return kRepeat;
+  }
+  const bool hasFailed =
+    record->mStarted.mState != core::record_state::Running &&
+    result.mEnd == core::task_end::Failed;
+  if (hasFailed && aStart.mTry > result.mTry) {
+    return std::nullopt;
+  }
+  const auto action = record->mStarted.mState == core::record_state::Running
+                        ? admission_action::Repeat
+                        : admission_action::Report;
+  return admission{ action, start_verdict::AlreadyStarted };
+}
+
+/** The verdict that follows from a copy of the start in a queue, if any. */
+std::optional<admission>
+DecideByQueue(const agent_control& aControl, const core::task_start& aStart)
+{
+  const auto target = aControl.mQueuedAt.find(aStart.mTask);
+  if (target == aControl.mQueuedAt.end()) {
+    return std::nullopt;
+  }
+  const auto* waiting =
+    Find(aControl.mTargets.at(target->second).mQueue, aStart.mTask);
+  const auto known = KeyOf(waiting->mStart);
+  if (KeyOf(aStart) == known) {
+    return kRepeat;
+  }
+  return KeyOf(aStart) < known ? std::optional(Refused(start_verdict::Stale))
+                               : std::nullopt;
+}
+
+std::optional<admission>
+DecideByHistory(const agent_control& aControl, const core::task_start& aStart)
+{
+  if (const auto verdict = FindRefusal(aControl.mBook, KeyOf(aStart));
+      verdict) {
+    return Refused(*verdict);
+  }
+  if (const auto* job = FindJob(aControl.mBook, aStart.mTask.mJob);
+      job != nullptr && aStart.mBallot < job->mBallot) {
+    return Refused(start_verdict::Fenced);
+  }
+  if (const auto byRecord = DecideByRecord(aControl, aStart); byRecord) {
+    return byRecord;
+  }
+  return DecideByQueue(aControl, aStart);
+}
+
+bool
+Serves(const agent_control& aControl,
+       const agent_target& aTarget,
+       const core::task_start& aStart)
+{
+  const auto service = aControl.mDesired.mServices.find(aStart.mService);
+  return service != aControl.mDesired.mServices.end() &&
+         std::find(aTarget.mServices.begin(),
+                   aTarget.mServices.end(),
+                   aStart.mService) != aTarget.mServices.end() &&
+         configuration::MayServe(
+           service->second, aStart.mTarget, aControl.mSettings.mFailureDomain);
+}
+
+} // namespace
+
+bool
+IsOwnDomainIn(const agent_control& aControl)
+{
+  return configuration::IsDomainIn(aControl.mDesired,
+                                   aControl.mSettings.mFailureDomain);
+}
+
+start_verdict
+CheckPlace(const agent_control& aControl,
+           const core::task_start& aStart,
+           core::instant aNow)
+{
+  if (!IsFresh(aControl.mFreshness, aNow, aControl.mSettings.mFreshnessBound)) {
+    return start_verdict::Stale;
+  }
+  if (!IsOwnDomainIn(aControl)) {
+    return start_verdict::DomainOut;
+  }
+  if (aControl.mLeaving) {
+    return start_verdict::Leaving;
+  }
+  const auto found = aControl.mTargets.find(aStart.mTarget);
+  if (found == aControl.mTargets.end()) {
+    return start_verdict::NoTarget;
+  }
+  const auto& target = found->second;
+  if (target.mLeaving) {
+    return start_verdict::Leaving;
+  }
+  if (target.mSuspect || target.mLeaseEnd <= aNow ||
+      !Serves(aControl, target, aStart)) {
+    return start_verdict::NoTarget;
+  }
+  return start_verdict::Accepted;
+}
+
+admission
+Decide(const agent_control& aControl,
+       const core::start_batch& aBatch,
+       const core::task_start& aStart,
+       core::instant aNow)
+{
+  const auto& settings = aControl.mSettings;
+  if (aBatch.mAgentIncarnation != settings.mAgent.mIncarnation) {
+    return Refused(start_verdict::WrongIncarnation);
+  }
+  if (const auto byHistory = DecideByHistory(aControl, aStart); byHistory) {
+    return *byHistory;
+  }
+  if (aControl.mJoin.mPhase != join_phase::Open) {
+    return Refused(start_verdict::NotOpen);
+  }
+  if (!IsStampFresh(aBatch.mAgentStamp, aNow, settings.mFreshnessBound)) {
+    return Refused(start_verdict::Stale);
+  }
+  if (const auto verdict = CheckPlace(aControl, aStart, aNow);
+      verdict != start_verdict::Accepted) {
+    return Refused(verdict);
+  }
+  const auto& target = aControl.mTargets.at(aStart.mTarget);
+  if (target.mRunning < target.mSlots) {
+    return { admission_action::Start, start_verdict::Accepted };
+  }
+  if (target.mQueue.mTasks.size() < settings.mQueuePerTarget) {
+    return { admission_action::Queue, start_verdict::Accepted };
+  }
+  return Refused(start_verdict::Busy);
+}
+
+} // namespace gooseberry::agent
--- /dev/null
+++ b/src/libgooseberry/agent/admission.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "libgooseberry/agent/agent_control.h"
+
+#include <cstdint>
+
+/** May this start here, and now? (R4, R5) */
+namespace gooseberry::agent {
+
+enum class admission_action : std::uint8_t
+{
+  Refuse,
+  Repeat, ///< Nothing to do: a copy of what was decided before.
+  Report, ///< Nothing to do but report the earlier start's result again.
+  Start,
+  Queue,
+};
+
+struct admission
+{
+  admission_action mAction = admission_action::Refuse;
+  core::start_verdict mVerdict = core::start_verdict::Busy;
+};
+
+/** Decides on one start; the state stays as it is. */
+admission
+Decide(const agent_control& aControl,
+       const core::start_batch& aBatch,
+       const core::task_start& aStart,
+       core::instant aNow);
+
+/**
+ * Whether the task may start at its target by the configuration, the agent's
+ * freshness and the target's own state, slots aside: `Accepted`, or why not.
+ */
+core::start_verdict
+CheckPlace(const agent_control& aControl,
+           const core::task_start& aStart,
+           core::instant aNow);
+
+/** Whether starts are allowed in the agent's failure domain. */
+bool
+IsOwnDomainIn(const agent_control& aControl);
+
+} // namespace gooseberry::agent
--- /dev/null
+++ b/src/libgooseberry/agent/agent_control.cpp
@@ -0,0 +1,245 @@
+#include "libgooseberry/agent/agent_control.h"
+
+#include "libgooseberry/agent/admission.h"
+#include "libgooseberry/agent/target_run.h"
+#include "libgooseberry/agent/upkeep.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gooseberry::agent {
+
+namespace {
+
+void
+LogAdmission(const core::start_batch& aBatch,
+             const core::task_start& aStart,
+             const admission& aAdmission,
+             effects& aOut)
+{
+  log_event event;
+  event.mEvent = agent_event::Admission;
+  event.mTask = aStart.mTask;
+  event.mTry = aStart.mTry;
+  event.mPlacement = aStart.mPlacement;
+  event.mVerdict = aAdmission.mVerdict;
+  event.mRepeat = aAdmission.mAction == admission_action::Repeat ||
+                  aAdmission.mAction == admission_action::Report;
+  event.mQueued = aAdmission.mAction == admission_action::Queue;
+  event.mTarget = aStart.mTarget;
+  event.mPeer = aBatch.mEntry.mName;
+  event.mGeneration = aBatch.mGeneration;
+  aOut.emplace_back(std::move(event));
+}
+
+/** A later placement of a task takes the place of one that still waits. */
+void
+ReturnSuperseded(agent_control& aControl,
+                 const core::task_start& aStart,
+                 core::instant aNow,
+                 effects& aOut)
+{
+  if (!aControl.mQueuedAt.contains(aStart.mTask)) {
+    return;
+  }
+  const auto key = KeyOf(aStart);
+  ReturnQueued(aControl,
+               core::start_verdict::Fenced,
+               aNow,
+               aOut,
+               [&](const queued_task& aTask) {
+                 return aTask.mStart.mTask == aStart.mTask &&
+                        KeyOf(aTask.mStart) < key;
+               });
+}
+
+void
+Refuse(agent_control& aControl,
+       const core::task_start& aStart,
+       core::start_verdict aVerdict,
+       core::instant aNow)
+{
+  const auto key = KeyOf(aStart);
+  // A return that is not acknowledged yet is held for longer than this.
+  if (const auto known = aControl.mBook.mRefusals.find(key);
+      known != aControl.mBook.mRefusals.end() && !known->second.mUntil) {
+    return;
+  }
+  const auto retention = RefusalRetention(aControl.mSettings);
+  RecordRefusal(aControl.mBook, key, aVerdict, aNow + retention);
+}
+
+void
+Carry(agent_control& aControl,
+      const core::start_batch& aBatch,
+      const core::task_start& aStart,
+      const admission& aAdmission,
+      core::instant aNow,
+      effects& aOut)
+{
+  if (aAdmission.mAction == admission_action::Refuse) {
+    if (aAdmission.mVerdict != core::start_verdict::WrongIncarnation) {
+      ReturnSuperseded(aControl, aStart, aNow, aOut);
+      Refuse(aControl, aStart, aAdmission.mVerdict, aNow);
+    }
+    return;
+  }
+  RaiseBallot(aControl,
+              aStart.mTask.mJob,
+              aStart.mBallot,
+              aBatch.mEntryAddress,
+              aNow,
+              aOut);
+  ReturnSuperseded(aControl, aStart, aNow, aOut);
+  switch (aAdmission.mAction) {
+    case admission_action::Start:
+      RunTask(aControl, aStart, aNow, aOut);
+      break;
+    case admission_action::Queue:
+      Enqueue(aControl, aStart, aBatch.mEntryAddress);
+      break;
+    case admission_action::Report:
+      QueueResult(aControl.mDelivery, aControl.mBook, aStart.mTask);
+      break;
+    default:
+      break;
+  }
+}
+
+void
+LogJob(agent_event aEvent,
+       const std::string& aJob,
+       const std::string& aPeer,
+       effects& aOut)
+{
+  log_event event;
+  event.mEvent = aEvent;
+  event.mTask.mJob = aJob;
+  event.mPeer = aPeer;
+  aOut.emplace_back(std::move(event));
+}
+
+} // namespace
+
+agent_control
+MakeControl(control_settings aSettings)
+{
+  agent_control control;
+  control.mSettings = std::move(aSettings);
+  return control;
+}
+
+core::agent_state
+StateOf(const agent_control& aControl, core::instant aNow)
+{
+  const auto& settings = aControl.mSettings;
+  core::agent_state state;
+  state.mAgent = settings.mAgent;
+  state.mAddress = settings.mAddress;
+  state.mFailureDomain = settings.mFailureDomain;
+  state.mRack = settings.mRack;
+  state.mGeneration = aControl.mConfiguration.mGeneration;
+  state.mStamp = aNow;
+  state.mOpen = aControl.mJoin.mPhase == join_phase::Open;
+  state.mLeaving = aControl.mLeaving;
+  state.mTargets.reserve(aControl.mTargets.size());
+  for (const auto& [name, target] : aControl.mTargets) {
+    const bool isGoing =
+      target.mLeaving || target.mSuspect || target.mLeaseEnd <= aNow;
+    state.mTargets.push_back(
+      { name,
+        target.mServices,
+        target.mSlots,
+        target.mRunning,
+        static_cast<std::uint32_t>(target.mQueue.mTasks.size()),
+        target.mConsecutiveFailures,
+        isGoing });
+  }
+  return state;
+}
+
+core::start_reply
+OnStart(agent_control& aControl,
+        const core::start_batch& aBatch,
+        core::instant aNow,
+        effects& aOut)
+{
+  core::start_reply reply;
+  reply.mVerdicts.reserve(aBatch.mStarts.size());
+  auto& entry = LearnEntry(
+    aControl.mEntries, aBatch.mEntry.mName, aBatch.mEntryAddress, aNow);
+  entry.mBacklog = aBatch.mBacklog;
+  for (const auto& start : aBatch.mStarts) {
+    const auto decided = Decide(aControl, aBatch, start, aNow);
+    LogAdmission(aBatch, start, decided, aOut);
+    Carry(aControl, aBatch, start, decided, aNow, aOut);
+    reply.mVerdicts.push_back(decided.mVerdict);
+  }
+  Settle(aControl, aNow, aOut);
+  reply.mState = StateOf(aControl, aNow);
+  return reply;
+}
+
+void
+OnCancel(agent_control& aControl,
+         const core::cancel_batch& aBatch,
+         core::instant aNow,
+         effects& aOut)
+{
+  for (const auto& job : aBatch.mJobs) {
+    LogJob(agent_event::Cancel, job, aBatch.mEntry.mName, aOut);
+  }
+  ReturnQueued(
+    aControl,
+    core::start_verdict::Cancelled,
+    aNow,
+    aOut,
+    [&](const queued_task& aTask) {
+      return aTask.mStart.mBallot.mEntry == aBatch.mEntry.mIncarnation &&
+             std::find(aBatch.mJobs.begin(),
+                       aBatch.mJobs.end(),
+                       aTask.mStart.mTask.mJob) != aBatch.mJobs.end();
+    });
+  Settle(aControl, aNow, aOut);
+}
+
+core::fence_reply
+OnFence(agent_control& aControl,
+        const core::fence_request& aRequest,
+        core::instant aNow,
+        effects& aOut)
+{
+  const auto* known = FindJob(aControl.mBook, aRequest.mJob);
+  const bool isRefused = known != nullptr && aRequest.mBallot < known->mBallot;
+  if (!isRefused) {
+    auto& job = RaiseBallot(aControl,
+                            aRequest.mJob,
+                            aRequest.mBallot,
+                            aRequest.mEntryAddress,
+                            aNow,
+                            aOut);
+    job.mFenced = true;
+  }
+  LogJob(agent_event::Fence, aRequest.mJob, aRequest.mEntry.mName, aOut);
+  const auto& job = aControl.mBook.mJobs.at(aRequest.mJob);
+  core::fence_reply reply;
+  reply.mAgent = aControl.mSettings.mAgent;
+  reply.mJob = aRequest.mJob;
+  reply.mBallot = job.mBallot;
+  reply.mHolder = job.mHolder;
+  for (const auto& [index, task] : job.mTasks) {
+    reply.mStarted.push_back(task.mStarted);
+  }
+  Settle(aControl, aNow, aOut);
+  return reply;
+}
+
+core::copy_fences_reply
+OnCopyFences(const agent_control& aControl)
+{
+  return { aControl.mSettings.mAgent,
+           aControl.mJoin.mPhase == join_phase::Open,
+           FenceNotes(aControl.mBook) };
+}
+
+} // namespace gooseberry::agent
--- /dev/null
+++ b/src/libgooseberry/agent/agent_control.h
@@ -0,0 +1,199 @@
+#pragma once
+
+#include "libgooseberry/agent/control_settings.h"
+#include "libgooseberry/agent/delivery.h"
+#include "libgooseberry/agent/effects.h"
+#include "libgooseberry/agent/freshness.h"
+#include "libgooseberry/agent/joining.h"
+#include "libgooseberry/agent/known_entries.h"
+#include "libgooseberry/agent/record.h"
+#include "libgooseberry/agent/target_queue.h"
+#include "libgooseberry/configuration/desired_state.h"
+#include "libgooseberry/core/message.h"
+#include "libgooseberry/core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+/**
+ * The agent's control state and its decisions. Each function takes one event
+ * and `aNow` of the process's clock, changes the state and appends what is to
+ * be done to `aOut`. Nothing here blocks, and the same events give the same
+ * effects.
+ */
+namespace gooseberry::agent {
+
+/** A target of this host. */
+struct agent_target
+{
+  std::string mAddress; ///< `ip:port` of its HTTP server.
+  std::vector<std::string> mServices;
+  std::uint32_t mSlots = 0;
+  std::uint32_t mRunning = 0;
+  std::uint32_t mConsecutiveFailures = 0;
+  bool mLeaving = false;
+  /** It refused a connection, and has not renewed its lease since. */
+  bool mSuspect = false;
+  core::instant mLeaseEnd{};
+  target_queue mQueue;
+};
+
+struct agent_control
+{
+  control_settings mSettings;
+  record_book mBook;
+  freshness mFreshness;
+  std::map<std::string, agent_target> mTargets;
+  /** The target at which each queued task waits. */
+  std::unordered_map<core::task_ref, std::string> mQueuedAt;
+  delivery mDelivery;
+  known_entries mEntries;
+  join_state mJoin;
+  core::versioned_configuration mConfiguration;
+  configuration::desired_state mDesired;
+  std::optional<core::instant> mRowAttemptAt;
+  std::optional<core::instant> mRowsAskedAt;
+  bool mLeaving = false;
+  bool mLeft = false;
+};
+
+/** A target says that it is there, or renews its lease. */
+struct target_announcement
+{
+  std::string mName;
+  std::string mAddress;
+  std::vector<std::string> mServices;
+  std::uint32_t mSlots = 0;
+  core::duration mLease{};
+};
+
+/** A target's call has ended. */
+struct task_report
+{
+  core::task_ref mTask;
+  std::uint32_t mTry = 1;
+  /** `Returned` only where the connection was refused before any byte was
+   * sent; `Unknown` where the call ended without a definite answer. */
+  core::task_end mEnd = core::task_end::Succeeded;
+  core::duration mRunTime{};
+  std::string mPayload;
+};
+
+agent_control
+MakeControl(control_settings aSettings);
+
+/** What the agent tells of itself. */
+core::agent_state
+StateOf(const agent_control& aControl, core::instant aNow);
+
+core::start_reply
+OnStart(agent_control& aControl,
+        const core::start_batch& aBatch,
+        core::instant aNow,
+        effects& aOut);
+
+void
+OnCancel(agent_control& aControl,
+         const core::cancel_batch& aBatch,
+         core::instant aNow,
+         effects& aOut);
+
+core::fence_reply
+OnFence(agent_control& aControl,
+        const core::fence_request& aRequest,
+        core::instant aNow,
+        effects& aOut);
+
+core::copy_fences_reply
+OnCopyFences(const agent_control& aControl);
+
+/** A joining agent's question was answered; `aAsked` is whom it meant. */
+void
+OnCopiedFences(agent_control& aControl,
+               const core::peer_ref& aAsked,
+               const core::copy_fences_reply& aReply,
+               core::instant aNow,
+               effects& aOut);
+
+void
+OnRowWritten(agent_control& aControl, core::instant aNow, effects& aOut);
+
+/** All rows of the table `members`. */
+void
+OnRows(agent_control& aControl,
+       const std::vector<member_row>& aRows,
+       core::instant aNow,
+       effects& aOut);
+
+/** False: too many targets. */
+bool
+OnTargetAnnounced(agent_control& aControl,
+                  const target_announcement& aAnnouncement,
+                  core::instant aNow,
+                  effects& aOut);
+
+/** False: no such target. */
+bool
+OnTargetLeaving(agent_control& aControl,
+                const std::string& aName,
+                core::instant aNow,
+                effects& aOut);
+
+void
+OnTaskEnded(agent_control& aControl,
+            task_report aReport,
+            core::instant aNow,
+            effects& aOut);
+
+/** An entry answered `send_announce`; `aSentAt` is when it was sent. */
+void
+OnAnnounceAnswered(agent_control& aControl,
+                   const std::string& aAddress,
+                   const core::entry_reply& aReply,
+                   core::instant aSentAt,
+                   core::instant aNow,
+                   effects& aOut);
+
+void
+OnAnnounceFailed(agent_control& aControl,
+                 const std::string& aAddress,
+                 core::instant aNow,
+                 effects& aOut);
+
+/** An entry answered `send_finish`. */
+void
+OnFinishAnswered(agent_control& aControl,
+                 std::uint64_t aBatch,
+                 const std::string& aAddress,
+                 const core::entry_reply& aReply,
+                 core::instant aSentAt,
+                 core::instant aNow,
+                 effects& aOut);
+
+void
+OnFinishFailed(agent_control& aControl,
+               std::uint64_t aBatch,
+               core::instant aNow,
+               effects& aOut);
+
+/** Adopts a newer configuration, never an older one. Gives the generation in
+ * force. */
+core::generation
+OnConfiguration(agent_control& aControl,
+                const core::versioned_configuration& aConfiguration,
+                core::instant aNow,
+                effects& aOut);
+
+/** Whatever time alone brings about; call it every few milliseconds. */
+void
+Tick(agent_control& aControl, core::instant aNow, effects& aOut);
+
+/** Takes nothing new from now on; the effect `left` follows once done. */
+void
+Leave(agent_control& aControl, core::instant aNow, effects& aOut);
+
+} // namespace gooseberry::agent
--- /dev/null
+++ b/src/libgooseberry/agent/agent_inputs.cpp
@@ -0,0 +1,208 @@
+#include "libgooseberry/agent/admission.h"
+#include "libgooseberry/agent/agent_control.h"
+#include "libgooseberry/agent/target_run.h"
+#include "libgooseberry/agent/upkeep.h"
+
+#include <algorithm>
+#include <utility>
+
+/** Events from peers, other than starts, fences and cancellations. */
+namespace gooseberry::agent {
+
+namespace {
+
+/** Takes an entry's reply as evidence only where it leaves the agent with the
+ * generation that the entry has. */
+void
+TakeReply(agent_control& aControl,
+          const core::entry_reply& aReply,
+          core::instant aSentAt,
+          core::instant aNow,
+          effects& aOut)
+{
+  if (aReply.mConfiguration) {
+    OnConfiguration(aControl, *aReply.mConfiguration, aNow, aOut);
+  }
+  if (aControl.mConfiguration.mGeneration >= aReply.mGeneration) {
+    NoteEvidence(aControl.mFreshness, aSentAt, aReply.mEvidenceAge);
+  }
+  for (const auto& [name, address] : aReply.mEntries) {
+    LearnEntry(aControl.mEntries, name, address, aNow);
+  }
+}
+
+core::duration
+RetryAfter(const control_settings& aSettings, std::uint32_t aFailures)
+{
+  constexpr std::uint32_t kMaxDoublings = 8;
+  const auto wait =
+    aSettings.mFirstRetry * (1U << std::min(aFailures, kMaxDoublings));
+  return std::min<core::duration>(wait, aSettings.mMaxRetry);
+}
+
+/** Ended runs of this agent: its own address is proof that they ended. */
+void
+DeleteOldRows(agent_control& aControl,
+              const std::vector<member_row>& aRows,
+              core::instant aNow,
+              effects& aOut)
+{
+  const auto& settings = aControl.mSettings;
+  const auto& registered = aControl.mJoin.mRegisteredAt;
+  if (!registered || aNow - *registered < settings.mDeduplicationWindow) {
+    return;
+  }
+  for (const auto& row : aRows) {
+    if (row.mRole == member_role::Agent && row.mAddress == settings.mAddress &&
+        row.mMember.mName == settings.mAgent.mName &&
+        row.mMember != settings.mAgent) {
+      aOut.emplace_back(delete_row{ row.mMember });
+    }
+  }
+}
+
+} // namespace
+
+core::generation
+OnConfiguration(agent_control& aControl,
+                const core::versioned_configuration& aConfiguration,
+                core::instant aNow,
+                effects& aOut)
+{
+  auto& current = aControl.mConfiguration;
+  if (aConfiguration.mGeneration <= current.mGeneration) {
+    return current.mGeneration;
+  }
+  log_event event;
+  event.mGeneration = aConfiguration.mGeneration;
+  auto parsed = configuration::Parse(
+    aConfiguration.mText,
+    "generation " + std::to_string(aConfiguration.mGeneration));
+  if (const auto* error = std::get_if<core::error>(&parsed)) {
+    event.mEvent = agent_event::ConfigurationRefused;
+    event.mDetail = core::ToString(*error);
+    aOut.emplace_back(std::move(event));
+    return current.mGeneration;
+  }
+  current = aConfiguration;
+  aControl.mDesired = std::move(std::get<configuration::desired_state>(parsed));
+  event.mEvent = agent_event::Configuration;
+  event.mDetail = IsOwnDomainIn(aControl) ? "domain in" : "domain out";
+  aOut.emplace_back(std::move(event));
+  ReviewQueues(aControl, aNow, aOut);
+  Settle(aControl, aNow, aOut);
+  return current.mGeneration;
+}
+
+void
+OnCopiedFences(agent_control& aControl,
+               const core::peer_ref& aAsked,
+               const core::copy_fences_reply& aReply,
+               core::instant aNow,
+               effects& aOut)
+{
+  if (aReply.mAgent != aAsked) {
+    return;
+  }
+  for (const auto& note : aReply.mNotes) {
+    const auto* known = FindJob(aControl.mBook, note.mJob);
+    if (known == nullptr || known->mBallot < note.mBallot) {
+      RaiseBallot(aControl, note.mJob, note.mBallot, note.mHolder, aNow, aOut)
+        .mFenced = true;
+    }
+  }
+  NoteAnswer(aControl.mJoin, aAsked, aReply.mOpen);
+  OpenIfJoined(aControl, aNow, aOut);
+  Settle(aControl, aNow, aOut);
+}
+
+void
+OnRowWritten(agent_control& aControl, core::instant aNow, effects& aOut)
+{
+  auto& join = aControl.mJoin;
+  if (join.mPhase == join_phase::Registering) {
+    join.mPhase = join_phase::Copying;
+    join.mRegisteredAt = aNow;
+    LogEvent(agent_event::Joining, {}, {}, aOut);
+  }
+  Tick(aControl, aNow, aOut);
+}
+
+void
+OnRows(agent_control& aControl,
+       const std::vector<member_row>& aRows,
+       core::instant aNow,
+       effects& aOut)
+{
+  for (const auto& row : aRows) {
+    if (row.mRole == member_role::Entry) {
+      LearnEntry(aControl.mEntries, row.mMember.mName, row.mAddress, aNow);
+    }
+  }
+  DeleteOldRows(aControl, aRows, aNow, aOut);
+  if (aControl.mJoin.mPhase == join_phase::Copying) {
+    const bool isFirst = !aControl.mJoin.mRowsRead;
+    NoteRows(aControl.mJoin, aControl.mSettings.mAgent, aRows);
+    if (isFirst) {
+      aControl.mJoin.mAskedAt.reset();
+    }
+  }
+  Tick(aControl, aNow, aOut);
+}
+
+void
+OnAnnounceAnswered(agent_control& aControl,
+                   const std::string& aAddress,
+                   const core::entry_reply& aReply,
+                   core::instant aSentAt,
+                   core::instant aNow,
+                   effects& aOut)
+{
+  NoteAnnounceEnd(aControl.mEntries, aAddress, true, aNow);
+  TakeReply(aControl, aReply, aSentAt, aNow, aOut);
+  Settle(aControl, aNow, aOut);
+}
+
+void
+OnAnnounceFailed(agent_control& aControl,
+                 const std::string& aAddress,
+                 core::instant aNow,
+                 effects& aOut)
+{
+  NoteAnnounceEnd(aControl.mEntries, aAddress, false, aNow);
+  Settle(aControl, aNow, aOut);
+}
+
+void
+OnFinishAnswered(agent_control& aControl,
+                 std::uint64_t aBatch,
+                 const std::string& aAddress,
+                 const core::entry_reply& aReply,
+                 core::instant aSentAt,
+                 core::instant aNow,
+                 effects& aOut)
+{
+  const auto refuseUntil = aNow + RefusalRetention(aControl.mSettings);
+  log_event event;
+  event.mEvent = agent_event::ResultsAcknowledged;
+  event.mPeer = aAddress;
+  event.mCount = static_cast<std::uint32_t>(
+    Acknowledge(aControl.mDelivery, aControl.mBook, aBatch, refuseUntil));
+  aOut.emplace_back(std::move(event));
+  TakeReply(aControl, aReply, aSentAt, aNow, aOut);
+  Settle(aControl, aNow, aOut);
+}
+
+void
+OnFinishFailed(agent_control& aControl,
+               std::uint64_t aBatch,
+               core::instant aNow,
+               effects& aOut)
+{
+  const auto wait =
+    RetryAfter(aControl.mSettings, FailuresTowards(aControl.mDelivery, aBatch));
+  Requeue(aControl.mDelivery, aControl.mBook, aBatch, aNow + wait);
+  Settle(aControl, aNow, aOut);
+}
+
+} // namespace gooseberry::agent
--- /dev/null
+++ b/src/libgooseberry/agent/effects.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "libgooseberry/core/enum_names.h"
+#include "libgooseberry/core/message.h"
+#include "libgooseberry/core/time.h"
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/** What the agent's decisions ask its surroundings to do. */
+namespace gooseberry::agent {
+
+/** Call the target now; report the end with `OnTaskEnded`. */
+struct run_task
+{
+  std::string mTargetAddress;
+  core::task_start mStart;
+  core::duration mMaxTime{}; ///< After it the end is `Unknown`.
+};
+
+/** Report with `OnFinishAnswered` or `OnFinishFailed`. */
+struct send_finish
+{
+  std::uint64_t mId = 0; ///< Names the batch in that report.
+  std::string mEntryAddress;
+  core::finish_batch mFinish;
+};
+
+/** Report with `OnAnnounceAnswered` or `OnAnnounceFailed`. */
+struct send_announce
+{
+  std::string mEntryAddress;
+  core::agent_state mState;
+};
+
+/** Report an answer with `OnCopiedFences`; a failed call needs no report. */
+struct copy_fences_from
+{
+  core::peer_ref mAgent;
+  std::string mAddress;
+};
+
+/** Report with `OnRows`; a failed read needs no report. */
+struct read_rows
+{};
+
+/** Report success with `OnRowWritten`; a failed write needs no report. */
+struct write_row
+{};
+
+/** Delete the row of an ended incarnation. */
+struct delete_row
+{
+  core::peer_ref mAgent;
+};
+
+/** The process has left: nothing runs, every result is acknowledged. */
+struct left
+{};
+
+enum class agent_event : std::uint8_t
+{
+  Admission, ///< One start was decided.
+  TaskStarted,
+  TaskEnded,
+  TaskReturned,
+  ResultsAcknowledged,
+  Fence,
+  Cancel,
+  TargetJoined,
+  TargetLeaving,
+  TargetGone,
+  Configuration,
+  ConfigurationRefused,
+  Joining,
+  Open,
+  Leaving,
+};
+inline constexpr core::enum_names<agent_event, 15> kAgentEventNames{
+  { "admission",
+    "task_started",
+    "task_ended",
+    "task_returned",
+    "results_acknowledged",
+    "fence",
+    "cancel",
+    "target_joined",
+    "target_leaving",
+    "target_gone",
+    "configuration",
+    "configuration_refused",
+    "joining",
+    "open",
+    "leaving" }
+};
+
+/** One line of the log; fields that do not apply keep their defaults. */
+struct log_event
+{
+  agent_event mEvent = agent_event::Admission;
+  core::task_ref mTask; ///< Index counts only where a single task is meant.
+  std::uint32_t mTry = 0;
+  std::uint32_t mPlacement = 0;
+  core::start_verdict mVerdict = core::start_verdict::Accepted;
+  bool mRepeat = false; ///< A copy of a start that was decided before.
+  bool mQueued = false; ///< Accepted, and waits for a slot.
+  core::task_end mEnd = core::task_end::Succeeded;
+  core::duration mRunTime{};
+  std::string mTarget;
+  std::string mPeer;
+  core::generation mGeneration = 0;
+  std::uint32_t mCount = 0;
+  std::string mDetail;
+};
+
+using effect = std::variant<run_task,
+                            send_finish,
+                            send_announce,
+                            copy_fences_from,
+                            read_rows,
+                            write_row,
+                            delete_row,
+                            left,
+                            log_event>;
+
+using effects = std::vector<effect>;
+
+} // namespace gooseberry::agent
--- /dev/null
+++ b/src/libgooseberry/agent/known_entries.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "libgooseberry/core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/** The entries that the agent announces itself to. */
+namespace gooseberry::agent {
+
+struct known_entry
+{
+  std::string mName;
+  bool mBacklog = false; ///< Has tasks that found no free slot.
+  bool mWanted = false;  ///< Announce as soon as the gap allows.
+  bool mInFlight = false;
+  std::uint32_t mFailures = 0; ///< In a row.
+  core::instant mLastSent{};
+  core::instant mLastHeard{};
+};
+
+struct known_entries
+{
+  std::map<std::string, known_entry> mByAddress;
+};
+
+/** Takes up an entry; one that is known stays as it is. */
+known_entry&
+LearnEntry(known_entries& aEntries,
+           const std::string& aName,
+           const std::string& aAddress,
+           core::instant aNow);
+
+/** Every entry that has a backlog is to hear of the grown capacity. */
+void
+WantAnnounces(known_entries& aEntries);
+
+/** Every entry is to hear of a change. */
+void
+WantAllAnnounces(known_entries& aEntries);
+
+/** An announce or a finish, which says the same, goes to the entry now. */
+void
+NoteSent(known_entries& aEntries,
+         const std::string& aAddress,
+         core::instant aNow);
+
+struct announce_limits
+{
+  core::duration mInterval{};
+  core::duration mMinGap{};
+  core::duration mForgetAfter{}; ///< Silence after which an entry is dropped.
+};
+
+/** Addresses to announce to now; they count as in flight. */
+std::vector<std::string>
+TakeDueAnnounces(known_entries& aEntries,
+                 core::instant aNow,
+                 const announce_limits& aLimits);
+
+/** An announce was answered, or not. */
+void
+NoteAnnounceEnd(known_entries& aEntries,
+                const std::string& aAddress,
+                bool aIsAnswered,
+                core::instant aNow);
+
+} // namespace gooseberry::agent
--- /dev/null
+++ b/src/libgooseberry/agent/target_inputs.cpp
@@ -0,0 +1,161 @@
+#include "libgooseberry/agent/agent_control.h"
+#include "libgooseberry/agent/target_run.h"
+#include "libgooseberry/agent/upkeep.h"
+
+#include <utility>
+
+/** Events from the targets of this host. */
+namespace gooseberry::agent {
+
+namespace {
+
+void
+CountEnd(agent_target& aTarget, core::task_end aEnd)
+{
+  --aTarget.mRunning;
+  if (aEnd == core::task_end::Succeeded) {
+    aTarget.mConsecutiveFailures = 0;
+  } else {
+    ++aTarget.mConsecutiveFailures;
+  }
+}
+
+/** The target refused the connection: nothing was started. */
+void
+TakeBack(agent_control& aControl,
+         const task_record& aRecord,
+         core::instant aNow)
+{
+  const auto& result = aRecord.mStarted.mResult;
+  returned_task returned;
+  returned.mResult = result;
+  returned.mResult.mEnd = core::task_end::Returned;
+  returned.mResult.mWhy = core::start_verdict::NoTarget;
+  returned.mBallot = aRecord.mBallot;
+  returned.mEntryAddress = FindJob(aControl.mBook, result.mTask.mJob)->mHolder;
+  returned.mReturnedAt = aNow;
+  const placement_key key{
+    result.mTask, aRecord.mBallot, result.mTry, result.mPlacement
+  };
+  RecordRefusal(
+    aControl.mBook, key, core::start_verdict::NoTarget, std::nullopt);
+  RemoveStart(aControl.mBook, returned.mResult.mTask);
+  QueueReturned(aControl.mDelivery, std::move(returned));
+}
+
+void
+LogEnd(const task_report& aReport, const std::string& aTarget, effects& aOut)
+{
+  log_event event;
+  event.mEvent = agent_event::TaskEnded;
+  event.mTask = aReport.mTask;
+  event.mTry = aReport.mTry;
+  event.mEnd = aReport.mEnd;
+  event.mRunTime = aReport.mRunTime;
+  event.mTarget = aTarget;
+  aOut.emplace_back(std::move(event));
+}
+
+void
+Record(agent_control& aControl,
+       const task_record& aRecord,
+       task_report aReport,
+       core::instant aNow)
+{
+  auto result = aRecord.mStarted.mResult;
+  result.mEnd = aReport.mEnd;
+  result.mRunTime = aReport.mRunTime;
+  result.mPayload = std::move(aReport.mPayload);
+  RecordEnd(aControl.mBook,
+            std::move(result),
+            aNow,
+            aControl.mSettings.mMaxResultBytes);
+  QueueResult(aControl.mDelivery, aControl.mBook, aReport.mTask);
+}
+
+} // namespace
+
+bool
+OnTargetAnnounced(agent_control& aControl,
+                  const target_announcement& aAnnouncement,
+                  core::instant aNow,
+                  effects& aOut)
+{
+  const bool isNew = !aControl.mTargets.contains(aAnnouncement.mName);
+  if (isNew && aControl.mTargets.size() >= aControl.mSettings.mMaxTargets) {
+    return false;
+  }
+  auto& target = aControl.mTargets[aAnnouncement.mName];
+  const bool grows = aAnnouncement.mSlots > target.mSlots;
+  const bool wasUnavailable = target.mLeaving || target.mSuspect;
+  target.mAddress = aAnnouncement.mAddress;
+  target.mServices = aAnnouncement.mServices;
+  target.mSlots = aAnnouncement.mSlots;
+  target.mLeaseEnd = aNow + aAnnouncement.mLease;
+  target.mLeaving = false;
+  target.mSuspect = false;
+  if (isNew) {
+    LogEvent(agent_event::TargetJoined, aAnnouncement.mName, {}, aOut);
+    WantAllAnnounces(aControl.mEntries);
+  }
+  ReviewQueues(aControl, aNow, aOut);
+  FillSlots(aControl, aAnnouncement.mName, aNow, aOut);
+  if (grows || wasUnavailable) {
+    WantAnnounces(aControl.mEntries);
+  }
+  Settle(aControl, aNow, aOut);
+  return true;
+}
+
+bool
+OnTargetLeaving(agent_control& aControl,
+                const std::string& aName,
+                core::instant aNow,
+                effects& aOut)
+{
+  const auto found = aControl.mTargets.find(aName);
+  if (found == aControl.mTargets.end()) {
+    return false;
+  }
+  if (!found->second.mLeaving) {
+    found->second.mLeaving = true;
+    LogEvent(agent_event::TargetLeaving, aName, {}, aOut);
+    ReviewQueues(aControl, aNow, aOut);
+    WantAllAnnounces(aControl.mEntries);
+  }
+  Settle(aControl, aNow, aOut);
+  return true;
+}
+
+void
+OnTaskEnded(agent_control& aControl,
+            task_report aReport,
+            core::instant aNow,
+            effects& aOut)
+{
+  const auto* found = FindTask(aControl.mBook, aReport.mTask);
+  if (found == nullptr ||
+      found->mStarted.mState != core::record_state::Running ||
+      found->mStarted.mResult.mTry != aReport.mTry) {
+    return;
+  }
+  const task_record record = *found;
+  const std::string name = record.mStarted.mResult.mTarget;
+  auto& target = aControl.mTargets.at(name);
+  CountEnd(target, aReport.mEnd);
+  LogEnd(aReport, name, aOut);
+  if (aReport.mEnd == core::task_end::Returned) {
+    target.mSuspect = true;
+    TakeBack(aControl, record, aNow);
+    ReviewQueues(aControl, aNow, aOut);
+  } else {
+    Record(aControl, record, std::move(aReport), aNow);
+  }
+  FillSlots(aControl, name, aNow, aOut);
+  if (target.mRunning < target.mSlots) {
+    WantAnnounces(aControl.mEntries);
+  }
+  Settle(aControl, aNow, aOut);
+}
+
+} // namespace gooseberry::agent
--- /dev/null
+++ b/src/libgooseberry/agent/target_run.cpp
@@ -0,0 +1,184 @@
+#include "libgooseberry/agent/target_run.h"
+
+#include "libgooseberry/agent/admission.h"
+
+#include <utility>
+
+namespace gooseberry::agent {
+
+namespace {
+
+using core::start_verdict;
+
+/** Reports a placement that was accepted, and will never start. */
+void
+ReturnTask(agent_control& aControl,
+           const core::task_start& aStart,
+           const std::string& aEntryAddress,
+           start_verdict aWhy,
+           core::instant aNow,
+           effects& aOut)
+{
+  returned_task returned;
+  auto& result = returned.mResult;
+  result.mTask = aStart.mTask;
+  result.mTry = aStart.mTry;
+  result.mPlacement = aStart.mPlacement;
+  result.mEnd = core::task_end::Returned;
+  result.mWhy = aWhy;
+  result.mTarget = aStart.mTarget;
+  result.mKind = aStart.mKind;
+  returned.mBallot = aStart.mBallot;
+  returned.mEntryAddress = aEntryAddress;
+  returned.mReturnedAt = aNow;
+  RecordRefusal(aControl.mBook, KeyOf(aStart), aWhy, std::nullopt);
+  QueueReturned(aControl.mDelivery, std::move(returned));
+
+  log_event event;
+  event.mEvent = agent_event::TaskReturned;
+  event.mTask = aStart.mTask;
+  event.mTry = aStart.mTry;
+  event.mPlacement = aStart.mPlacement;
+  event.mVerdict = aWhy;
+  event.mTarget = aStart.mTarget;
+  event.mPeer = aEntryAddress;
+  aOut.emplace_back(std::move(event));
+}
+
+/** The verdict on a queued task, its agent's freshness aside. */
+start_verdict
+CheckQueued(const agent_control& aControl,
+            const core::task_start& aStart,
+            core::instant aNow)
+{
+  const auto verdict = CheckPlace(aControl, aStart, aNow);
+  if (verdict != start_verdict::Stale) {
+    return verdict;
+  }
+  return IsOwnDomainIn(aControl) ? start_verdict::Accepted
+                                 : start_verdict::DomainOut;
+}
+
+} // namespace
+
+core::duration
+RefusalRetention(const control_settings& aSettings)
+{
+  return 2 * aSettings.mFreshnessBound;
+}
+
+void
+RunTask(agent_control& aControl,
+        const core::task_start& aStart,
+        core::instant aNow,
+        effects& aOut)
+{
+  auto& target = aControl.mTargets.at(aStart.mTarget);
+  const auto& service = aControl.mDesired.mServices.at(aStart.mService);
+  RecordStart(aControl.mBook, aStart, aNow);
+  ++target.mRunning;
+
+  log_event event;
+  event.mEvent = agent_event::TaskStarted;
+  event.mTask = aStart.mTask;
+  event.mTry = aStart.mTry;
+  event.mPlacement = aStart.mPlacement;
+  event.mTarget = aStart.mTarget;
+  event.mCount = target.mRunning;
+  aOut.emplace_back(std::move(event));
+  aOut.emplace_back(run_task{ target.mAddress, aStart, service.mMaxTaskTime });
+}
+
+void
+Enqueue(agent_control& aControl,
+        const core::task_start& aStart,
+        const std::string& aEntryAddress)
+{
+  aControl.mQueuedAt.emplace(aStart.mTask, aStart.mTarget);
+  Push(aControl.mTargets.at(aStart.mTarget).mQueue, { aStart, aEntryAddress });
+}
+
+void
+ReturnQueued(agent_control& aControl,
+             start_verdict aWhy,
+             core::instant aNow,
+             effects& aOut,
+             const queued_predicate& aPredicate)
+{
+  for (auto& [name, target] : aControl.mTargets) {
+    for (const auto& task : TakeIf(target.mQueue, aPredicate)) {
+      aControl.mQueuedAt.erase(task.mStart.mTask);
+      ReturnTask(aControl, task.mStart, task.mEntryAddress, aWhy, aNow, aOut);
+    }
+  }
+}
+
+void
+ReviewQueues(agent_control& aControl, core::instant aNow, effects& aOut)
+{
+  constexpr start_verdict kReasons[] = { start_verdict::DomainOut,
+                                         start_verdict::Leaving,
+                                         start_verdict::NoTarget };
+  if (aControl.mQueuedAt.empty()) {
+    return;
+  }
+  for (const auto reason : kReasons) {
+    ReturnQueued(aControl, reason, aNow, aOut, [&](const queued_task& aTask) {
+      return CheckQueued(aControl, aTask.mStart, aNow) == reason;
+    });
+  }
+}
+
+void
+FillSlots(agent_control& aControl,
+          const std::string& aTarget,
+          core::instant aNow,
+          effects& aOut)
+{
+  auto& target = aControl.mTargets.at(aTarget);
+  while (target.mRunning < target.mSlots) {
+    const auto next = PopFirst(target.mQueue);
+    if (!next) {
+      return;
+    }
+    const auto& start = next->mStart;
+    aControl.mQueuedAt.erase(start.mTask);
+    if (const auto verdict = CheckPlace(aControl, start, aNow);
+        verdict != start_verdict::Accepted) {
+      ReturnTask(aControl, start, next->mEntryAddress, verdict, aNow, aOut);
+      continue;
+    }
+    RunTask(aControl, start, aNow, aOut);
+    if (const auto entry =
+          aControl.mEntries.mByAddress.find(next->mEntryAddress);
+        entry != aControl.mEntries.mByAddress.end()) {
+      entry->second.mWanted |= entry->second.mBacklog;
+    }
+  }
+}
+
+job_record&
+RaiseBallot(agent_control& aControl,
+            const std::string& aJob,
+            const core::ballot& aBallot,
+            const std::string& aHolder,
+            core::instant aNow,
+            effects& aOut)
+{
+  auto& job = TouchJob(aControl.mBook, aJob, aNow);
+  if (job.mBallot < aBallot) {
+    job.mBallot = aBallot;
+    ReturnQueued(aControl,
+                 start_verdict::Fenced,
+                 aNow,
+                 aOut,
+                 [&](const queued_task& aTask) {
+                   return aTask.mStart.mTask.mJob == aJob &&
+                          aTask.mStart.mBallot < aBallot;
+                 });
+  }
+  job.mHolder = aHolder;
+  return job;
+}
+
+} // namespace gooseberry::agent
--- /dev/null
+++ b/src/libgooseberry/agent/upkeep.cpp
@@ -0,0 +1,179 @@
+#include "libgooseberry/agent/upkeep.h"
+
+#include "libgooseberry/agent/target_run.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gooseberry::agent {
+
+namespace {
+
+void
+SendResults(agent_control& aControl, core::instant aNow, effects& aOut)
+{
+  const auto& settings = aControl.mSettings;
+  const delivery_limits limits{ settings.mMaxResultsPerBatch,
+                                settings.mMaxBatchesInFlight,
+                                settings.mDeduplicationWindow };
+  for (auto& batch :
+       TakeBatches(aControl.mDelivery, aControl.mBook, aNow, limits)) {
+    NoteSent(aControl.mEntries, batch.mEntryAddress, aNow);
+    aOut.emplace_back(
+      send_finish{ batch.mId,
+                   std::move(batch.mEntryAddress),
+                   { StateOf(aControl, aNow), std::move(batch.mResults) } });
+  }
+}
+
+void
+SendAnnounces(agent_control& aControl, core::instant aNow, effects& aOut)
+{
+  const auto& settings = aControl.mSettings;
+  const announce_limits limits{ settings.mAnnounceInterval,
+                                settings.mMinAnnounceGap,
+                                settings.mDeduplicationWindow };
+  for (auto& address : TakeDueAnnounces(aControl.mEntries, aNow, limits)) {
+    aOut.emplace_back(
+      send_announce{ std::move(address), StateOf(aControl, aNow) });
+  }
+}
+
+void
+LeaveIfDone(agent_control& aControl, effects& aOut)
+{
+  const bool isIdle = std::all_of(
+    aControl.mTargets.begin(),
+    aControl.mTargets.end(),
+    [](const auto& aTarget) { return aTarget.second.mRunning == 0; });
+  if (aControl.mLeaving && !aControl.mLeft && isIdle &&
+      aControl.mDelivery.mPending.empty()) {
+    aControl.mLeft = true;
+    aOut.emplace_back(left{});
+  }
+}
+
+void
+EndLeases(agent_control& aControl, core::instant aNow, effects& aOut)
+{
+  const bool anyLapsed = std::any_of(
+    aControl.mTargets.begin(), aControl.mTargets.end(), [&](const auto& aItem) {
+      return aItem.second.mLeaseEnd <= aNow;
+    });
+  if (!anyLapsed) {
+    return;
+  }
+  ReviewQueues(aControl, aNow, aOut);
+  for (auto at = aControl.mTargets.begin(); at != aControl.mTargets.end();) {
+    if (at->second.mLeaseEnd <= aNow && at->second.mRunning == 0) {
+      LogEvent(agent_event::TargetGone, at->first, "lease lapsed", aOut);
+      at = aControl.mTargets.erase(at);
+    } else {
+      ++at;
+    }
+  }
+}
+
+bool
+IsDue(const std::optional<core::instant>& aLast,
+      core::instant aNow,
+      core::duration aInterval)
+{
+  return !aLast || *aLast + aInterval <= aNow;
+}
+
+void
+AskPeers(agent_control& aControl, core::instant aNow, effects& aOut)
+{
+  auto& join = aControl.mJoin;
+  if (join.mPhase != join_phase::Copying ||
+      !IsDue(join.mAskedAt, aNow, aControl.mSettings.mMaxRetry)) {
+    return;
+  }
+  join.mAskedAt = aNow;
+  for (const auto& [agent, peer] : join.mPeers) {
+    aOut.emplace_back(copy_fences_from{ agent, peer.mAddress });
+  }
+}
+
+void
+UseTable(agent_control& aControl, core::instant aNow, effects& aOut)
+{
+  const auto& settings = aControl.mSettings;
+  if (aControl.mJoin.mPhase == join_phase::Registering) {
+    if (IsDue(aControl.mRowAttemptAt, aNow, settings.mMaxRetry)) {
+      aControl.mRowAttemptAt = aNow;
+      aOut.emplace_back(write_row{});
+    }
+    return;
+  }
+  const bool isSettled =
+    aControl.mJoin.mPhase == join_phase::Open &&
+    IsFresh(aControl.mFreshness, aNow, settings.mFreshnessBound);
+  const auto interval =
+    isSettled ? settings.mIdleRowsInterval : settings.mRowsInterval;
+  if (IsDue(aControl.mRowsAskedAt, aNow, interval)) {
+    aControl.mRowsAskedAt = aNow;
+    aOut.emplace_back(read_rows{});
+  }
+}
+
+} // namespace
+
+void
+Settle(agent_control& aControl, core::instant aNow, effects& aOut)
+{
+  SendResults(aControl, aNow, aOut);
+  SendAnnounces(aControl, aNow, aOut);
+  LeaveIfDone(aControl, aOut);
+}
+
+void
+LogEvent(agent_event aEvent,
+         const std::string& aPeer,
+         const std::string& aDetail,
+         effects& aOut)
+{
+  log_event event;
+  event.mEvent = aEvent;
+  event.mPeer = aPeer;
+  event.mDetail = aDetail;
+  aOut.emplace_back(std::move(event));
+}
+
+void
+OpenIfJoined(agent_control& aControl, core::instant aNow, effects& aOut)
+{
+  auto& join = aControl.mJoin;
+  if (join.mPhase == join_phase::Copying &&
+      MayOpen(join, aNow, aControl.mSettings.mDeduplicationWindow)) {
+    join.mPhase = join_phase::Open;
+    LogEvent(agent_event::Open, {}, {}, aOut);
+    WantAllAnnounces(aControl.mEntries);
+  }
+}
+
+void
+Tick(agent_control& aControl, core::instant aNow, effects& aOut)
+{
+  Expire(aControl.mBook, aNow, aControl.mSettings.mDeduplicationWindow);
+  EndLeases(aControl, aNow, aOut);
+  OpenIfJoined(aControl, aNow, aOut);
+  UseTable(aControl, aNow, aOut);
+  AskPeers(aControl, aNow, aOut);
+  Settle(aControl, aNow, aOut);
+}
+
+void
+Leave(agent_control& aControl, core::instant aNow, effects& aOut)
+{
+  if (!aControl.mLeaving) {
+    aControl.mLeaving = true;
+    LogEvent(agent_event::Leaving, {}, {}, aOut);
+    WantAllAnnounces(aControl.mEntries);
+    ReviewQueues(aControl, aNow, aOut);
+  }
+  Settle(aControl, aNow, aOut);
+}
+
+} // namespace gooseberry::agent
--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -96,8 +96,9 @@
   Leaving,          ///< The target or the agent takes nothing new.
   WrongIncarnation, ///< Meant for another run of the agent.
   NotOpen,          ///< The agent has not joined yet.
+  Cancelled,        ///< Waited in a queue when its job was cancelled.
 };
-inline constexpr enum_names<start_verdict, 10> kStartVerdictNames{
+inline constexpr enum_names<start_verdict, 11> kStartVerdictNames{
   { "accepted",
     "already_started",
     "busy",
@@ -107,7 +108,8 @@
     "no_target",
     "leaving",
     "wrong_incarnation",
-    "not_open" }
+    "not_open",
+    "cancelled" }
 };
 
 struct start_reply
