--- /dev/null
+++ b/tests/libgooseberry/world.cpp
@@ -0,0 +1,521 @@
+#include "world.h"
+
+#include <algorithm>
+
+namespace gooseberry::world {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr duration kTick = 5ms;
+constexpr duration kCallDeadline = 300ms;
+constexpr duration kLease = 3s;
+constexpr const char* kDomains[] = { "cluj", "brasov", "iasi" };
+
+std::string
+Text(const std::set<std::string>& aOut)
+{
+  std::string text = "[state]\nformat = 1\nname = test\n";
+  for (const char* domain : kDomains) {
+    text += std::string("[failure_domain ") + domain + "]\nregion = ro\n" +
+            "state = " + (aOut.contains(domain) ? "out" : "in") + "\n";
+  }
+  return text + "[service plans]\ntargets = *\nmax_tries = 3\n" +
+         "[team office]\nquota_slots = 0\n";
+}
+
+std::string
+ResultOf(const core::task_ref& aTask)
+{
+  return "result of " + ToString(aTask);
+}
+
+} // namespace
+
+cluster::cluster(const options& aOptions)
+  : mOptions(aOptions)
+  , mRandom(aOptions.mSeed)
+  , mEntries(aOptions.mEntries)
+  , mAgents(aOptions.mAgents)
+{
+  mStored = { { 1, Text({}) }, "first", "nobody", 1 };
+  for (std::size_t i = 0; i < mEntries.size(); ++i) {
+    mEntries[i].mName = "entry-" + std::to_string(i);
+    StartEntry(i);
+  }
+  for (std::size_t i = 0; i < mAgents.size(); ++i) {
+    mAgents[i].mName = "agent-" + std::to_string(i);
+    mAgents[i].mDomain = kDomains[i % std::size(kDomains)];
+    StartAgent(i);
+  }
+}
+
+void
+cluster::At(instant aWhen, action aAction)
+{
+  mEvents.push(
+    { aWhen, mOrder++, std::make_shared<action>(std::move(aAction)) });
+}
+
+void
+cluster::RunFor(duration aTime)
+{
+  const instant end = mNow + aTime;
+  while (!mEvents.empty() && mEvents.top().mAt <= end) {
+    const timed next = mEvents.top();
+    mEvents.pop();
+    mNow = std::max(mNow, next.mAt);
+    (*next.mAction)();
+  }
+  mNow = end;
+}
+
+bool
+cluster::Chance(double aProbability)
+{
+  return std::uniform_real_distribution<>(0, 1)(mRandom) < aProbability;
+}
+
+duration
+cluster::Latency()
+{
+  constexpr int kMinMicroseconds = 200;
+  constexpr int kMaxMicroseconds = 2000;
+  duration delay(std::uniform_int_distribution<>(
+    kMinMicroseconds, kMaxMicroseconds)(mRandom));
+  if (Chance(mOptions.mFaults.mLate)) {
+    delay += duration(std::uniform_int_distribution<std::int64_t>(
+      0, mOptions.mFaults.mLateBy.count())(mRandom));
+  }
+  return delay;
+}
+
+void
+cluster::Deliver(process& aTo, std::uint64_t aIncarnation, action aAction)
+{
+  if (!aTo.mAlive || aTo.mIncarnation != aIncarnation) {
+    return;
+  }
+  if (aTo.mPausedUntil > mNow) {
+    At(aTo.mPausedUntil, [this, &aTo, aIncarnation, aAction] {
+      Deliver(aTo, aIncarnation, aAction);
+    });
+    return;
+  }
+  aAction();
+}
+
+bool
+cluster::IsCut(const process& aLeft, const process& aRight) const
+{
+  const auto names = std::minmax(aLeft.mName, aRight.mName);
+  return mCuts.contains(names.first + '|' + names.second);
+}
+
+void
+cluster::Call(process& aFrom,
+              process* aTo,
+              const std::function<action()>& aServe,
+              const std::function<void(bool)>& aFailed)
+{
+  const std::uint64_t caller = aFrom.mIncarnation;
+  auto settled = std::make_shared<bool>(false);
+  const auto fail = [=, this, &aFrom](duration aAfter, bool aDelivered) {
+    At(mNow + aAfter, [=, this, &aFrom] {
+      Deliver(aFrom, caller, [=] {
+        if (!std::exchange(*settled, true) && aFailed) {
+          aFailed(aDelivered);
+        }
+      });
+    });
+  };
+  if (aTo == nullptr || !aTo->mAlive) {
+    fail(Latency(), false); // Nobody listens: the connection is refused.
+    return;
+  }
+  fail(kCallDeadline, true);
+  if (IsCut(aFrom, *aTo) || Chance(mOptions.mFaults.mLost)) {
+    return;
+  }
+  const std::uint64_t served = aTo->mIncarnation;
+  const int copies = Chance(mOptions.mFaults.mRepeated) ? 2 : 1;
+  for (int i = 0; i < copies; ++i) {
+    At(mNow + Latency(), [=, this, &aFrom] {
+      Deliver(*aTo, served, [=, this, &aFrom] {
+        const action reply = aServe();
+        if (Chance(mOptions.mFaults.mLost) || IsCut(aFrom, *aTo)) {
+          return;
+        }
+        At(mNow + Latency(), [=, this, &aFrom] {
+          Deliver(aFrom, caller, [=] {
+            if (!std::exchange(*settled, true)) {
+              reply();
+            }
+          });
+        });
+      });
+    });
+  }
+}
+
+void
+cluster::CallStore(process& aFrom,
+                   const std::function<action()>& aServe,
+                   const action& aFailed)
+{
+  const std::uint64_t caller = aFrom.mIncarnation;
+  const bool reached = mStoreUp && !mCuts.contains("store|" + aFrom.mName);
+  At(mNow + 1ms + Latency(), [=, this, &aFrom] {
+    const action reply = reached ? aServe() : aFailed;
+    At(mNow + Latency(),
+       [=, this, &aFrom] { Deliver(aFrom, caller, reply); });
+  });
+}
+
+void
+cluster::Submit(std::size_t aEntry,
+                const std::string& aJob,
+                std::uint32_t aAttempt,
+                std::size_t aTasks,
+                bool aIdempotent,
+                duration aDeadline)
+{
+  job::submission submission;
+  submission.mKey = "office/" + aJob;
+  submission.mService = "plans";
+  submission.mTeam = "office";
+  submission.mAttempt = aAttempt;
+  submission.mIdempotent = aIdempotent;
+  submission.mDeadline = aDeadline;
+  submission.mTasks.assign(aTasks, { "plan", 100ms, "payload" });
+  submission.mContentHash = aTasks;
+  entry_process& entry = mEntries[aEntry];
+  if (!entry.mAlive) {
+    return;
+  }
+  const std::uint64_t token = mNextToken++;
+  const answered attempt{ submission.mKey, aAttempt, mNow, {} };
+  mSubmitted[token] = attempt;
+  mAttempts.push_back(attempt);
+  Deliver(entry, entry.mIncarnation, [this, &entry, token, submission] {
+    WithEntry(entry, [&](entry::effects& aEffects) {
+      entry::OnSubmit(*entry.mControl, token, submission, mNow, aEffects);
+    });
+  });
+}
+
+void
+cluster::SetDomain(std::size_t aEntry, const std::string& aDomain, bool aIn)
+{
+  entry_process& entry = mEntries[aEntry];
+  if (!entry.mAlive) {
+    return;
+  }
+  std::set<std::string> out;
+  const auto& desired = entry.mControl->mDesired;
+  for (const auto& [name, domain] : desired.mFailureDomains) {
+    if (domain.mState == configuration::domain_state::Out) {
+      out.insert(name);
+    }
+  }
+  if (aIn) {
+    out.erase(aDomain);
+    for (domain_out& known : mOut) {
+      if (known.mDomain == aDomain && known.mUntil == instant::max()) {
+        known.mUntil = mNow; // It may come back from here on.
+      }
+    }
+  } else {
+    out.insert(aDomain);
+  }
+  const std::uint64_t token = mNextToken++;
+  mChanges[token] = { aDomain, aIn };
+  Deliver(entry, entry.mIncarnation, [this, &entry, token, out] {
+    WithEntry(entry, [&](entry::effects& aEffects) {
+      entry::OnApply(*entry.mControl,
+                     token,
+                     Text(out),
+                     "change-" + std::to_string(token),
+                     entry.mControl->mRow.mConfiguration.mGeneration,
+                     mNow,
+                     aEffects);
+    });
+  });
+}
+
+void
+cluster::KillEntry(std::size_t aIndex)
+{
+  mEntries[aIndex].mAlive = false;
+}
+
+void
+cluster::StartEntry(std::size_t aIndex)
+{
+  entry_process& entry = mEntries[aIndex];
+  entry.mAlive = true;
+  entry.mIncarnation = mRandom() >> 1U;
+  entry.mPausedUntil = {};
+  entry.mGenerationSeen = 0;
+  entry::entry_options options;
+  options.mName = entry.mName;
+  options.mAddress = "entry:" + entry.mName;
+  options.mFailureDomain = kDomains[aIndex % std::size(kDomains)];
+  options.mTrustFirstAttempt = mOptions.mTrustFirstAttempt;
+  options.mPlacement.mAffinitySeed = aIndex;
+  entry::effects effects;
+  entry.mControl = std::make_unique<entry::entry_control>(entry::MakeEntry(
+    options, entry.mIncarnation, mRandom(), mNow, effects));
+  Run(entry, effects);
+  TickEntry(aIndex, entry.mIncarnation);
+}
+
+void
+cluster::KillAgent(std::size_t aIndex)
+{
+  mAgents[aIndex].mAlive = false;
+}
+
+void
+cluster::StartAgent(std::size_t aIndex)
+{
+  agent_process& agent = mAgents[aIndex];
+  agent.mAlive = true;
+  agent.mIncarnation = mRandom() >> 1U;
+  agent.mPausedUntil = {};
+  agent.mGenerationSeen = 0;
+  agent::control_settings settings;
+  settings.mAgent = { agent.mName, agent.mIncarnation };
+  settings.mAddress = "agent:" + agent.mName;
+  settings.mFailureDomain = agent.mDomain;
+  agent.mControl = std::make_unique<agent::agent_control>(
+    agent::MakeControl(settings));
+  TickAgent(aIndex, agent.mIncarnation);
+  AnnounceTarget(aIndex, agent.mIncarnation);
+}
+
+void
+cluster::PauseEntry(std::size_t aIndex, duration aTime)
+{
+  mEntries[aIndex].mPausedUntil = mNow + aTime;
+}
+
+void
+cluster::PauseAgent(std::size_t aIndex, duration aTime)
+{
+  mAgents[aIndex].mPausedUntil = mNow + aTime;
+}
+
+void
+cluster::CutEntries(std::size_t aLeft, std::size_t aRight, bool aCut)
+{
+  const auto names =
+    std::minmax(mEntries[aLeft].mName, mEntries[aRight].mName);
+  const std::string key = names.first + '|' + names.second;
+  if (aCut) {
+    mCuts.insert(key);
+  } else {
+    mCuts.erase(key);
+  }
+}
+
+void
+cluster::CutFromStore(std::size_t aEntry, bool aCut)
+{
+  const std::string key = "store|" + mEntries[aEntry].mName;
+  if (aCut) {
+    mCuts.insert(key);
+  } else {
+    mCuts.erase(key);
+  }
+}
+
+void
+cluster::WithEntry(entry_process& aEntry,
+                   const std::function<void(entry::effects&)>& aStep)
+{
+  entry::effects effects;
+  aStep(effects);
+  const core::generation now =
+    aEntry.mControl->mRow.mConfiguration.mGeneration;
+  if (now < aEntry.mGenerationSeen) {
+    mBroken = "generation went back at " + aEntry.mName;
+  }
+  aEntry.mGenerationSeen = now;
+  Run(aEntry, effects);
+}
+
+void
+cluster::WithAgent(agent_process& aAgent,
+                   const std::function<void(agent::effects&)>& aStep)
+{
+  agent::effects effects;
+  aStep(effects);
+  const core::generation now = aAgent.mControl->mConfiguration.mGeneration;
+  if (now < aAgent.mGenerationSeen) {
+    mBroken = "generation went back at " + aAgent.mName;
+  }
+  aAgent.mGenerationSeen = now;
+  Run(aAgent, effects);
+}
+
+void
+cluster::Run(entry_process& aEntry, const entry::effects& aEffects)
+{
+  for (const entry::effect& effect : aEffects) {
+    std::visit([&](const auto& aEffect) { Do(aEntry, aEffect); }, effect);
+  }
+}
+
+void
+cluster::Run(agent_process& aAgent, const agent::effects& aEffects)
+{
+  for (const agent::effect& effect : aEffects) {
+    std::visit([&](const auto& aEffect) { Do(aAgent, aEffect); }, effect);
+  }
+}
+
+void
+cluster::TickEntry(std::size_t aIndex, std::uint64_t aIncarnation)
+{
+  entry_process& entry = mEntries[aIndex];
+  At(mNow + kTick, [this, aIndex, aIncarnation, &entry] {
+    Deliver(entry, aIncarnation, [this, aIndex, aIncarnation, &entry] {
+      WithEntry(entry, [&](entry::effects& aEffects) {
+        entry::Tick(*entry.mControl, mNow, aEffects);
+      });
+      TickEntry(aIndex, aIncarnation);
+    });
+  });
+}
+
+void
+cluster::TickAgent(std::size_t aIndex, std::uint64_t aIncarnation)
+{
+  agent_process& agent = mAgents[aIndex];
+  At(mNow + kTick, [this, aIndex, aIncarnation, &agent] {
+    Deliver(agent, aIncarnation, [this, aIndex, aIncarnation, &agent] {
+      WithAgent(agent, [&](agent::effects& aEffects) {
+        agent::Tick(*agent.mControl, mNow, aEffects);
+      });
+      TickAgent(aIndex, aIncarnation);
+    });
+  });
+}
+
+void
+cluster::AnnounceTarget(std::size_t aIndex, std::uint64_t aIncarnation)
+{
+  agent_process& agent = mAgents[aIndex];
+  Deliver(agent, aIncarnation, [this, aIndex, aIncarnation, &agent] {
+    WithAgent(agent, [&](agent::effects& aEffects) {
+      agent::OnTargetAnnounced(*agent.mControl,
+                               { "target-" + std::to_string(aIndex),
+                                 "target:" + std::to_string(aIndex),
+                                 { "plans" },
+                                 mOptions.mSlots,
+                                 kLease },
+                               mNow,
+                               aEffects);
+    });
+    At(mNow + kLease / 3, [this, aIndex, aIncarnation] {
+      AnnounceTarget(aIndex, aIncarnation);
+    });
+  });
+}
+
+entry_process*
+cluster::EntryAt(const std::string& aAddress)
+{
+  for (entry_process& entry : mEntries) {
+    if (aAddress == "entry:" + entry.mName) {
+      return &entry;
+    }
+  }
+  return nullptr;
+}
+
+agent_process*
+cluster::AgentAt(const std::string& aAddress)
+{
+  for (agent_process& agent : mAgents) {
+    if (aAddress == "agent:" + agent.mName) {
+      return &agent;
+    }
+  }
+  return nullptr;
+}
+
+void
+cluster::Do(agent_process& aFrom, const agent::run_task& aEffect)
+{
+  StartTask(aFrom, aEffect);
+}
+
+void
+cluster::StartTask(agent_process& aAgent, const agent::run_task& aEffect)
+{
+  const core::task_start& start = aEffect.mStart;
+  const std::size_t index = mStarts.size();
+  mStarts.push_back(
+    { start.mTask, start.mTry, aAgent.mDomain, mNow, false, {} });
+  const duration time(std::uniform_int_distribution<std::int64_t>(
+    mOptions.mMinRunTime.count(), mOptions.mMaxRunTime.count())(mRandom));
+  const bool fails = Chance(mOptions.mFaults.mTaskFails);
+  const std::uint64_t run = aAgent.mIncarnation;
+  At(mNow + time, [this, &aAgent, run, index, start, fails, time] {
+    mStarts[index].mEndedAt = mNow;
+    mStarts[index].mFailed = fails;
+    Deliver(aAgent, run, [this, &aAgent, start, fails, time] {
+      WithAgent(aAgent, [&](agent::effects& aEffects) {
+        agent::OnTaskEnded(
+          *aAgent.mControl,
+          { start.mTask,
+            start.mTry,
+            fails ? core::task_end::Failed : core::task_end::Succeeded,
+            time,
+            fails ? "task failed" : ResultOf(start.mTask) },
+          mNow,
+          aEffects);
+      });
+    });
+  });
+}
+
+void
+cluster::Do(entry_process& aFrom, const entry::answer_caller& aEffect)
+{
+  const auto found = mSubmitted.find(aEffect.mToken);
+  if (found == mSubmitted.end()) {
+    mBroken = "answered twice, or nobody: " + aEffect.mAnswer.mJob;
+    return;
+  }
+  answered answer = found->second;
+  mSubmitted.erase(found);
+  answer.mAt = mNow;
+  answer.mAnswer = aEffect.mAnswer;
+  mAnswers.push_back(std::move(answer));
+  static_cast<void>(aFrom);
+}
+
+void
+cluster::Do(entry_process& aFrom, const entry::answer_operator& aEffect)
+{
+  static_cast<void>(aFrom);
+  const change made = mChanges.at(aEffect.mToken);
+  if (aEffect.mResult.mStatus == entry::apply_status::Applied && !made.mIn) {
+    mOut.push_back({ made.mDomain, mNow, instant::max() });
+  }
+}
+
+std::size_t
+cluster::CountAnswers(core::job_outcome aOutcome) const
+{
+  return static_cast<std::size_t>(std::count_if(
+    mAnswers.begin(), mAnswers.end(), [aOutcome](const answered& aAnswer) {
+      return aAnswer.mAnswer.mOutcome == aOutcome;
+    }));
+}
+
+} // namespace gooseberry::world
--- /dev/null
+++ b/tests/libgooseberry/world.h
@@ -0,0 +1,242 @@
+#pragma once
+
+#include "libgooseberry/agent/agent_control.h"
+#include "libgooseberry/entry/entry_control.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+/**
+ * Entries, agents, targets and the platform's table in one thread, on a fake
+ * clock and from one seed: the same functions that the daemons call, with
+ * messages that are lost, late, repeated and reordered, and processes that
+ * are paused, killed and restarted.
+ */
+namespace gooseberry::world {
+
+using core::duration;
+using core::instant;
+
+/** How often what goes wrong; probabilities for each message. */
+struct faults
+{
+  double mLost = 0;
+  double mRepeated = 0;
+  double mLate = 0;
+  duration mLateBy = std::chrono::seconds(3);
+  double mTaskFails = 0; ///< Definite failures that the target reports.
+};
+
+struct options
+{
+  std::uint64_t mSeed = 1;
+  std::size_t mEntries = 3;
+  std::size_t mAgents = 3;
+  std::uint32_t mSlots = 2;
+  faults mFaults;
+  bool mTrustFirstAttempt = true;
+  /** Task run times are drawn from these bounds. */
+  duration mMinRunTime = std::chrono::milliseconds(20);
+  duration mMaxRunTime = std::chrono::milliseconds(200);
+};
+
+/** One start that a target has seen. */
+struct started
+{
+  core::task_ref mTask;
+  std::uint32_t mTry = 0;
+  std::string mDomain;
+  instant mAt{};
+  bool mFailed = false; ///< The target has reported failure.
+  instant mEndedAt{};
+};
+
+/** One answer that a caller has got. */
+struct answered
+{
+  std::string mJob;
+  std::uint32_t mAttempt = 0;
+  instant mAt{};
+  core::job_answer mAnswer;
+};
+
+/** State of a process that both roles share. */
+struct process
+{
+  std::string mName;
+  std::uint64_t mIncarnation = 0;
+  bool mAlive = false;
+  instant mPausedUntil{};
+  core::generation mGenerationSeen = 0;
+};
+
+struct entry_process : process
+{
+  std::unique_ptr<entry::entry_control> mControl;
+};
+
+struct agent_process : process
+{
+  std::unique_ptr<agent::agent_control> mControl;
+  std::string mDomain;
+};
+
+/** When a domain was taken out, from the operator's answer on. */
+struct domain_out
+{
+  std::string mDomain;
+  instant mFrom{};
+  instant mUntil = instant::max();
+};
+
+class cluster
+{
+public:
+  explicit cluster(const options& aOptions);
+
+  instant Now() const { return mNow; }
+  void RunFor(duration aTime);
+
+  // What callers and operators do.
+  void Submit(std::size_t aEntry,
+              const std::string& aJob,
+              std::uint32_t aAttempt,
+              std::size_t aTasks,
+              bool aIdempotent,
+              duration aDeadline = std::chrono::seconds(20));
+  void SetDomain(std::size_t aEntry, const std::string& aDomain, bool aIn);
+
+  // What goes wrong.
+  void KillEntry(std::size_t aIndex);
+  void StartEntry(std::size_t aIndex);
+  void KillAgent(std::size_t aIndex);
+  void StartAgent(std::size_t aIndex);
+  void PauseEntry(std::size_t aIndex, duration aTime);
+  void PauseAgent(std::size_t aIndex, duration aTime);
+  void CutEntries(std::size_t aLeft, std::size_t aRight, bool aCut);
+  void CutFromStore(std::size_t aEntry, bool aCut);
+  void SetStore(bool aUp) { mStoreUp = aUp; }
+  void SetFaults(const faults& aFaults) { mOptions.mFaults = aFaults; }
+
+  /** The first promise that was broken, or an empty text. */
+  std::string Check() const;
+
+  const std::vector<started>& Starts() const { return mStarts; }
+  const std::vector<answered>& Answers() const { return mAnswers; }
+  std::size_t CountAnswers(core::job_outcome aOutcome) const;
+  entry_process& Entry(std::size_t aIndex) { return mEntries[aIndex]; }
+  agent_process& Agent(std::size_t aIndex) { return mAgents[aIndex]; }
+
+private:
+  using action = std::function<void()>;
+  struct timed
+  {
+    instant mAt;
+    std::uint64_t mOrder;
+    std::shared_ptr<action> mAction;
+    bool operator>(const timed& aOther) const
+    {
+      return mAt != aOther.mAt ? mAt > aOther.mAt : mOrder > aOther.mOrder;
+    }
+  };
+  struct stored_row
+  {
+    std::string mKey;
+    membership::member_row mRow;
+  };
+
+  void At(instant aWhen, action aAction);
+  bool Chance(double aProbability);
+  duration Latency();
+  /** Runs an action at a process, after its pause; never if it was killed. */
+  void Deliver(process& aTo, std::uint64_t aIncarnation, action aAction);
+  /** One call with its reply, both subject to faults. */
+  void Call(process& aFrom,
+            process* aTo,
+            const std::function<action()>& aServe,
+            const std::function<void(bool aDelivered)>& aFailed);
+
+  void WithEntry(entry_process& aEntry,
+                 const std::function<void(entry::effects&)>& aStep);
+  void WithAgent(agent_process& aAgent,
+                 const std::function<void(agent::effects&)>& aStep);
+  void Run(entry_process& aEntry, const entry::effects& aEffects);
+  void Run(agent_process& aAgent, const agent::effects& aEffects);
+  void TickEntry(std::size_t aIndex, std::uint64_t aIncarnation);
+  void TickAgent(std::size_t aIndex, std::uint64_t aIncarnation);
+  void AnnounceTarget(std::size_t aIndex, std::uint64_t aIncarnation);
+  void StartTask(agent_process& aAgent, const agent::run_task& aEffect);
+
+  void Do(entry_process& aFrom, const entry::send_start& aEffect);
+  void Do(entry_process& aFrom, const entry::send_cancel& aEffect);
+  void Do(entry_process& aFrom, const entry::send_fence& aEffect);
+  void Do(entry_process& aFrom, const entry::send_locate& aEffect);
+  void Do(entry_process& aFrom, const entry::send_heartbeat& aEffect);
+  void Do(entry_process& aFrom, const entry::send_deliver& aEffect);
+  void Do(entry_process& aFrom, const entry::copy_notes& aEffect);
+  void Do(entry_process& aFrom, const entry::push_configuration& aEffect);
+  void Do(entry_process& aFrom, const entry::read_members& aEffect);
+  void Do(entry_process& aFrom, const entry::write_member& aEffect);
+  void Do(entry_process& aFrom, const entry::delete_member& aEffect);
+  void Do(entry_process& aFrom, const entry::read_configuration& aEffect);
+  void Do(entry_process& aFrom, const entry::write_configuration& aEffect);
+  void Do(entry_process& aFrom, const entry::answer_caller& aEffect);
+  void Do(entry_process& aFrom, const entry::answer_operator& aEffect);
+  void Do(entry_process&, const entry::log_line&) {}
+  void Do(entry_process&, const entry::drained&) {}
+
+  void Do(agent_process& aFrom, const agent::run_task& aEffect);
+  void Do(agent_process& aFrom, const agent::send_finish& aEffect);
+  void Do(agent_process& aFrom, const agent::send_announce& aEffect);
+  void Do(agent_process& aFrom, const agent::copy_fences_from& aEffect);
+  void Do(agent_process& aFrom, const agent::read_rows& aEffect);
+  void Do(agent_process& aFrom, const agent::write_row& aEffect);
+  void Do(agent_process& aFrom, const agent::delete_row& aEffect);
+  void Do(agent_process&, const agent::left&) {}
+  void Do(agent_process&, const agent::log_event&) {}
+
+  entry_process* EntryAt(const std::string& aAddress);
+  agent_process* AgentAt(const std::string& aAddress);
+  bool IsCut(const process& aLeft, const process& aRight) const;
+  /** A call to the store; `aServe` gives what the reply does. */
+  void CallStore(process& aFrom,
+                 const std::function<action()>& aServe,
+                 const action& aFailed);
+
+  std::string CheckStarts() const;
+  std::string CheckDomains() const;
+  std::string CheckAnswers() const;
+
+  options mOptions;
+  std::mt19937_64 mRandom;
+  instant mNow{ std::chrono::seconds(1000) };
+  std::uint64_t mOrder = 0;
+  std::priority_queue<timed, std::vector<timed>, std::greater<>> mEvents;
+  std::vector<entry_process> mEntries;
+  std::vector<agent_process> mAgents;
+  std::set<std::string> mCuts; ///< `a|b`, names in order; `store|a`.
+  bool mStoreUp = true;
+  std::map<std::string, membership::member_row> mRows;
+  entry::configuration_row mStored;
+  std::uint64_t mNextToken = 1;
+  std::map<std::uint64_t, answered> mSubmitted; ///< By token.
+  struct change
+  {
+    std::string mDomain;
+    bool mIn = true;
+  };
+  std::map<std::uint64_t, change> mChanges; ///< By token.
+  std::vector<domain_out> mOut;
+  std::vector<started> mStarts;
+  std::vector<answered> mAnswers;
+  std::vector<answered> mAttempts; ///< Submissions, by time.
+  std::string mBroken; ///< Found while running.
+};
+
+} // namespace gooseberry::world
