--- a/tests/tools/test_client.cpp
+++ b/tests/tools/test_client.cpp
@@ -74,12 +74,32 @@
 
 BOOST_AUTO_TEST_CASE(lost_answer_is_resubmitted_to_the_next_entry)
 {
+  fake_entry cutting;
   fake_entry alive;
+  cutting.mRunTime = 2s; // longer than the deadline and its grace
+  Serve(cutting);
   Serve(alive);
-  const client_settings settings{ { "127.0.0.1:1", alive.mAddress } };
+  client_settings settings{ { cutting.mAddress, alive.mAddress } };
+  settings.mDeadline = 0ms;
+  settings.mAnswerGrace = 300ms;
   const load_result result = SendJobs(Jobs(50, 0.2), settings);
   BOOST_TEST(AllComplete(result));
-  BOOST_TEST(alive.mResubmitted > 0);
+  BOOST_TEST(alive.mResubmitted == cutting.mSubmitted);
+  BOOST_TEST(result.mRuns[0].mAnswers.at(0).mStatus == 0);
+  BOOST_TEST(result.mRuns[0].mAnswers.at(1).mAttempt == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(refused_connection_is_no_attempt)
+{
+  fake_entry alive;
+  Serve(alive);
+  const auto jobs = Jobs(50, 0.2);
+  const load_result result =
+    SendJobs(jobs, { { "127.0.0.1:1", alive.mAddress } });
+  BOOST_TEST(AllComplete(result));
+  BOOST_TEST(alive.mSubmitted == static_cast<int>(jobs.size()));
+  BOOST_TEST(alive.mResubmitted == 0);
+  BOOST_TEST(result.mRuns[0].mSubmissions == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(refusals_are_not_sent_again)
--- a/tools/load/client.cpp
+++ b/tools/load/client.cpp
@@ -17,8 +17,10 @@
 using steady = std::chrono::steady_clock;
 
 constexpr long kKeptConnections = 4000;
-constexpr std::chrono::milliseconds kAnswerGrace{ 5'000 };
 constexpr std::chrono::milliseconds kLongestPoll{ 100 };
+constexpr std::chrono::milliseconds kTurnDelay{ 2 };
+/** Entries tried in turn when none accepts connections. */
+constexpr std::uint32_t kMostTurns = 500;
 
 enum class action : std::uint8_t
 {
@@ -33,6 +35,7 @@
   action mAction = action::Submit;
   std::size_t mJob = 0;
   std::uint32_t mAttempt = 1;
+  std::uint32_t mTurn = 0; ///< Which entry: counted from that of the job.
 
   bool operator>(const event& aOther) const { return mAt > aOther.mAt; }
 };
@@ -49,6 +52,7 @@
   easy_handle mHandle;
   action mAction = action::Submit;
   std::size_t mJob = 0;
+  std::uint32_t mTurn = 0;
   answer mAnswer;
   std::string mUrl;
   std::string mRequest;
@@ -89,17 +93,18 @@
 
 /** Entries take turns; a resubmission goes to the next one. */
 const std::string&
-EntryFor(const sender& aSender, std::size_t aJob, std::uint32_t aAttempt)
+EntryFor(const sender& aSender, const event& aEvent)
 {
   const auto& entries = aSender.mSettings.mEntries;
-  return entries[(aJob + aAttempt - 1) % entries.size()];
+  return entries[(aEvent.mJob + aEvent.mTurn) % entries.size()];
 }
 
 void
 Prepare(const sender& aSender, transfer& aTransfer)
 {
   CURL* curl = aTransfer.mHandle.get();
-  const auto timeout = aSender.mSettings.mDeadline + kAnswerGrace;
+  const auto timeout =
+    aSender.mSettings.mDeadline + aSender.mSettings.mAnswerGrace;
   curl_easy_setopt(curl, CURLOPT_URL, aTransfer.mUrl.c_str());
   curl_easy_setopt(curl, CURLOPT_HTTPHEADER, aSender.mHeaders);
   curl_easy_setopt(
@@ -125,8 +130,9 @@
   made.mHandle = TakeHandle(aSender);
   made.mAction = aEvent.mAction;
   made.mJob = aEvent.mJob;
+  made.mTurn = aEvent.mTurn;
   made.mAnswer.mAttempt = aEvent.mAttempt;
-  made.mAnswer.mEntry = EntryFor(aSender, aEvent.mJob, aEvent.mAttempt);
+  made.mAnswer.mEntry = EntryFor(aSender, aEvent);
   made.mUrl = "http://" + made.mAnswer.mEntry + "/v1/jobs";
   if (aEvent.mAction == action::Submit) {
     made.mRequest =
@@ -148,12 +154,34 @@
   curl_multi_add_handle(aSender.mMulti, key);
 }
 
+/**
+ * A connection that was refused carried nothing: the same attempt goes to the
+ * next entry, as a balancer would send it.
+ */
+bool
+TryNextEntry(sender& aSender, const transfer& aTransfer, CURLcode aCode)
+{
+  if (aCode != CURLE_COULDNT_CONNECT || aTransfer.mTurn >= kMostTurns) {
+    return false;
+  }
+  --aSender.mResult.mRuns[aTransfer.mJob].mSubmissions;
+  aSender.mEvents.push({ steady::now() + kTurnDelay,
+                         action::Submit,
+                         aTransfer.mJob,
+                         aTransfer.mAnswer.mAttempt,
+                         aTransfer.mTurn + 1 });
+  return true;
+}
+
 void
 FinishSubmission(sender& aSender, transfer& aTransfer, CURLcode aCode)
 {
   const job_plan& job = aSender.mJobs[aTransfer.mJob];
   job_run& run = aSender.mResult.mRuns[aTransfer.mJob];
   answer& got = aTransfer.mAnswer;
+  if (TryNextEntry(aSender, aTransfer, aCode)) {
+    return;
+  }
   got.mAnsweredUs = common::WallClockUs();
   if (aCode == CURLE_OK) {
     long status = 0;
@@ -171,7 +199,8 @@
     aSender.mEvents.push({ steady::now() + aSender.mSettings.mLostDelay,
                            action::Submit,
                            aTransfer.mJob,
-                           run.mSubmissions + 1 });
+                           run.mSubmissions + 1,
+                           aTransfer.mTurn + 1 });
   }
   run.mAnswers.push_back(got);
 }
@@ -203,10 +232,10 @@
   double cancelDebt = 0;
   for (std::size_t i = 0; i < aSender.mJobs.size(); ++i) {
     const auto at = aSender.mOrigin + aSender.mJobs[i].mArrival;
-    aSender.mEvents.push({ at, action::Submit, i, 1 });
+    aSender.mEvents.push({ at, action::Submit, i, 1, 0 });
     if (settings.mResubmitAll) {
       aSender.mEvents.push(
-        { at + settings.mResubmitDelay, action::Submit, i, 2 });
+        { at + settings.mResubmitDelay, action::Submit, i, 2, 1 });
     }
     cancelDebt += settings.mCancelShare;
     if (cancelDebt >= 1) {
@@ -215,7 +244,8 @@
       aSender.mEvents.push({ aSender.mOrigin + wave * settings.mCancelPeriod,
                              action::Cancel,
                              i,
-                             1 });
+                             1,
+                             0 });
     }
   }
 }
--- a/tools/load/client.h
+++ b/tools/load/client.h
@@ -12,6 +12,8 @@
 {
   std::vector<std::string> mEntries; ///< `IP:PORT`, used in turn.
   std::chrono::milliseconds mDeadline{ 30'000 };
+  /** Past the deadline an answer may take this much longer to come. */
+  std::chrono::milliseconds mAnswerGrace{ 15'000 };
   /** Each job is sent a second time, to the next entry. */
   bool mResubmitAll = false;
   std::chrono::milliseconds mResubmitDelay{ 20 };
