--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -19,11 +19,12 @@
 {
   io::http_response response;
   response.mStatus = aStatus;
-  response.mBody = json{ { "error",
-                           { { "step", aError.mStep },
-                             { "peer", aError.mPeer },
-                             { "reason", aError.mReason } } } }
-                     .dump(-1, ' ', false, json::error_handler_t::replace);
+  response.mBody = json{
+    { "error",
+      { { "step", aError.mStep },
+        { "peer", aError.mPeer },
+        { "reason", aError.mReason } } }
+  }.dump(-1, ' ', false, json::error_handler_t::replace);
   return response;
 }
 
@@ -93,20 +94,17 @@
             core::instant aNow,
             bool aExplain)
 {
-  json described{
-    { "job", aJob.mSubmission.mKey },
-    { "phase", job::kPhaseNames.NameOf(aJob.mPhase) },
-    { "service", aJob.mSubmission.mService },
-    { "tasks", aJob.mTasks.size() },
-    { "ended", aJob.mEnded },
-    { "waiting", aJob.mWaiting.size() },
-    { "round", aJob.mBallot.mRound },
-    { "home", aJob.mHome.mName },
-    { "age_ms", core::ToMilliseconds(aNow - aJob.mArrived) }
-  };
+  json described{ { "job", aJob.mSubmission.mKey },
+                  { "phase", job::kPhaseNames.NameOf(aJob.mPhase) },
+                  { "service", aJob.mSubmission.mService },
+                  { "tasks", aJob.mTasks.size() },
+                  { "ended", aJob.mEnded },
+                  { "waiting", aJob.mWaiting.size() },
+                  { "round", aJob.mBallot.mRound },
+                  { "home", aJob.mHome.mName },
+                  { "age_ms", core::ToMilliseconds(aNow - aJob.mArrived) } };
   if (aJob.mPhase == job::phase::Ended) {
-    described["outcome"] =
-      core::kJobOutcomeNames.NameOf(aJob.mAnswer.mOutcome);
+    described["outcome"] = core::kJobOutcomeNames.NameOf(aJob.mAnswer.mOutcome);
     described["reason"] = aJob.mAnswer.mReason;
     described["step"] = aJob.mAnswer.mStep;
     described["peer"] = aJob.mAnswer.mPeer;
@@ -192,12 +190,11 @@
                 caller_waiters& aCallers,
                 const caller_limits& aLimits)
 {
-  aServer.Route(
-    "POST",
-    "/v1/jobs",
-    [&aLoop, &aCallers, aLimits](const io::http_request& aRequest) {
-      return Submit(aLoop, aCallers, aLimits, aRequest);
-    });
+  aServer.Route("POST",
+                "/v1/jobs",
+                [&aLoop, &aCallers, aLimits](const io::http_request& aRequest) {
+                  return Submit(aLoop, aCallers, aLimits, aRequest);
+                });
   aServer.Route("GET", "/v1/jobs", [&aLoop](const io::http_request&) {
     return ListJobs(aLoop);
   });
--- a/src/entry/caller_api.h
+++ b/src/entry/caller_api.h
@@ -20,16 +20,18 @@
 };
 
 /** Reads the body of `POST /v1/jobs`; errors say which field, and why. */
-core::result<job::submission> ParseSubmission(const std::string& aBody,
-                                              const caller_limits& aLimits);
+core::result<job::submission>
+ParseSubmission(const std::string& aBody, const caller_limits& aLimits);
 
 /** JSON of an answer to a caller. */
-std::string FormatAnswer(const core::job_answer& aAnswer);
+std::string
+FormatAnswer(const core::job_answer& aAnswer);
 
 /** Adds the routes that callers use: submit, look up and cancel jobs. */
-void AddCallerRoutes(io::http_server& aServer,
-                     control_loop& aLoop,
-                     caller_waiters& aCallers,
-                     const caller_limits& aLimits);
+void
+AddCallerRoutes(io::http_server& aServer,
+                control_loop& aLoop,
+                caller_waiters& aCallers,
+                const caller_limits& aLimits);
 
 } // namespace gooseberry::entry_program
--- a/src/entry/control_loop.cpp
+++ b/src/entry/control_loop.cpp
@@ -11,8 +11,7 @@
 
 } // namespace
 
-control_loop::control_loop(entry::entry_control aControl,
-                           effect_runner aRunner)
+control_loop::control_loop(entry::entry_control aControl, effect_runner aRunner)
   : mControl(std::move(aControl))
   , mRunner(std::move(aRunner))
   , mQueue(kQueueLimit)
--- a/src/entry/effect_runner.cpp
+++ b/src/entry/effect_runner.cpp
@@ -139,10 +139,10 @@
       const core::instant sentAt = io::Now();
       const auto result = aClient.Beat(beat);
       if (const auto* reply = std::get_if<core::heartbeat>(&result)) {
-        Feed([reply = *reply, sentAt](
-               auto& aControl, auto aNow, auto& aEffects) {
-          entry::OnHeartbeatReply(aControl, reply, sentAt, aNow, aEffects);
-        });
+        Feed(
+          [reply = *reply, sentAt](auto& aControl, auto aNow, auto& aEffects) {
+            entry::OnHeartbeatReply(aControl, reply, sentAt, aNow, aEffects);
+          });
       }
     }));
 }
@@ -167,8 +167,8 @@
     [this, effect = aEffect](io::agent_client& aClient) {
       const auto result = aClient.Apply(effect.mConfiguration);
       if (const auto* known = std::get_if<core::generation>(&result)) {
-        Feed([name = effect.mAgent, known = *known](
-               auto& aControl, auto aNow, auto& aEffects) {
+        Feed([name = effect.mAgent,
+              known = *known](auto& aControl, auto aNow, auto& aEffects) {
           entry::OnAgentGeneration(aControl, name, known, aNow, aEffects);
         });
       }
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -26,10 +26,9 @@
 {
   for (const entry::ended_sample& sample : aSamples) {
     if (sample.mIdeal > core::duration::zero()) {
-      aMetrics.ObserveResponse(
-        sample.mResponse,
-        core::ToMilliseconds(sample.mResponse) /
-          core::ToMilliseconds(sample.mIdeal));
+      aMetrics.ObserveResponse(sample.mResponse,
+                               core::ToMilliseconds(sample.mResponse) /
+                                 core::ToMilliseconds(sample.mIdeal));
     } else {
       aMetrics.ObserveResponseTime(sample.mResponse);
     }
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -11,14 +11,15 @@
 /** What the control thread hands out to be published. */
 struct measurements
 {
-  entry::entry_counters mCounters; ///< Since the start.
+  entry::entry_counters mCounters;           ///< Since the start.
   std::vector<entry::ended_sample> mSamples; ///< Since the last time.
   std::size_t mWaitingTasks = 0;
   core::generation mGeneration = 0;
 };
 
 /** Takes the samples out of the control state. */
-measurements TakeMeasurements(entry::entry_control& aControl);
+measurements
+TakeMeasurements(entry::entry_control& aControl);
 
 /** Turns counters since the start into increments of the metrics. */
 class metrics_publisher
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -57,11 +57,11 @@
 std::optional<core::error>
 entry_process::Start()
 {
-  if (const auto error = mPeers.Start()) {
+  if (auto error = mPeers.Start()) {
     return error;
   }
   mLoop.Start(mFirstEffects);
-  if (const auto error = mHttp.Start()) {
+  if (auto error = mHttp.Start()) {
     return error;
   }
   io::log_event("entry_started")
@@ -74,10 +74,9 @@
 void
 entry_process::Leave()
 {
-  static_cast<void>(
-    mLoop.Post([](auto& aControl, auto aNow, auto& aEffects) {
-      entry::Leave(aControl, aNow, aEffects);
-    }));
+  static_cast<void>(mLoop.Post([](auto& aControl, auto aNow, auto& aEffects) {
+    entry::Leave(aControl, aNow, aEffects);
+  }));
 }
 
 bool
@@ -111,10 +110,9 @@
   };
   handlers.mLocate =
     [this](const std::vector<core::locate_request>& aRequests) {
-      return mLoop.Ask(
-        [aRequests](auto& aControl, auto aNow, auto& aEffects) {
-          return entry::OnLocate(aControl, aRequests, aNow, aEffects);
-        });
+      return mLoop.Ask([aRequests](auto& aControl, auto aNow, auto& aEffects) {
+        return entry::OnLocate(aControl, aRequests, aNow, aEffects);
+      });
     };
   handlers.mCopyNotes = [this](const core::peer_ref& aJoiner) {
     return mLoop.Ask([aJoiner](auto& aControl, auto aNow, auto& aEffects) {
@@ -145,12 +143,11 @@
   });
   mHttp.Route("GET", "/readyz", [this](const io::http_request&) {
     constexpr unsigned kUnavailable = 503;
-    const bool ready =
-      mLoop.Ask([](auto& aControl, auto aNow, auto& aEffects) {
-        static_cast<void>(aEffects);
-        return aControl.mJoining.mStage == entry::join_stage::Open &&
-               !aControl.mLeaving && entry::IsFresh(aControl, aNow);
-      });
+    const bool ready = mLoop.Ask([](auto& aControl, auto aNow, auto& aEffects) {
+      static_cast<void>(aEffects);
+      return aControl.mJoining.mStage == entry::join_stage::Open &&
+             !aControl.mLeaving && entry::IsFresh(aControl, aNow);
+    });
     io::http_response response;
     response.mStatus = ready ? response.mStatus : kUnavailable;
     return response;
@@ -158,12 +155,12 @@
   mHttp.Route("GET", "/metrics", [this](const io::http_request&) {
     io::http_response response;
     response.mContentType = "text/plain; version=0.0.4";
-    mPublisher.Publish(
-      mMetrics, mLoop.Ask([](auto& aControl, auto aNow, auto& aEffects) {
-        static_cast<void>(aNow);
-        static_cast<void>(aEffects);
-        return TakeMeasurements(aControl);
-      }));
+    mPublisher.Publish(mMetrics,
+                       mLoop.Ask([](auto& aControl, auto aNow, auto& aEffects) {
+                         static_cast<void>(aNow);
+                         static_cast<void>(aEffects);
+                         return TakeMeasurements(aControl);
+                       }));
     response.mBody = mMetrics.Text();
     return response;
   });
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -22,8 +22,7 @@
   options.mHeartbeat = aSettings.mProtocol.mHeartbeat;
   options.mOrder.mPolicy = aSettings.mOrder;
   options.mPlacement = aSettings.mPlacement;
-  options.mPlacement.mAffinitySeed =
-    std::hash<std::string>{}(aSettings.mName);
+  options.mPlacement.mAffinitySeed = std::hash<std::string>{}(aSettings.mName);
   options.mAdmission.mMaxWait = aSettings.mLimits.mMaxQueueWait;
   options.mRetry.mShare = aSettings.mRetryShare;
   options.mLogDecisions = aSettings.mLogDecisions;
@@ -74,8 +73,8 @@
                              "Takes jobs from callers and dispatches their "
                              "tasks",
                              io::EntrySettingsReference() };
-  const auto read = io::ReadProgramSettings(
-    program, &io::ParseEntrySettings, aCount, aWords);
+  const auto read =
+    io::ReadProgramSettings(program, &io::ParseEntrySettings, aCount, aWords);
   if (const auto* code = std::get_if<io::exit_code>(&read)) {
     return static_cast<int>(*code);
   }
@@ -91,6 +90,6 @@
     return static_cast<int>(io::exit_code::CannotStart);
   }
   Serve(process, signals);
-  io::log_event("entry_stopped");
+  const io::log_event stopped("entry_stopped");
   return static_cast<int>(io::exit_code::Ok);
 }
--- a/src/entry/operator_api.cpp
+++ b/src/entry/operator_api.cpp
@@ -49,11 +49,12 @@
     static_cast<void>(aNow);
     static_cast<void>(aEffects);
     const entry::configuration_row& row = aControl.mRow;
-    return json{ { "generation", row.mConfiguration.mGeneration },
-                 { "text", row.mConfiguration.mText },
-                 { "request", row.mRequest },
-                 { "by", row.mBy } }
-      .dump();
+    return json{
+      { "generation", row.mConfiguration.mGeneration },
+      { "text", row.mConfiguration.mText },
+      { "request", row.mRequest },
+      { "by", row.mBy }
+    }.dump();
   });
   return response;
 }
@@ -162,27 +163,24 @@
 {
   json peers = json::array();
   for (const auto& [name, view] : aControl.mMembers.mEntries) {
-    peers.push_back(
-      { { "name", name },
-        { "role", "entry" },
-        { "generation", view.mGeneration },
-        { "age_ms", core::ToMilliseconds(aNow - view.mHeardAt) },
-        { "failure_domain", "" },
-        { "open", !view.mLeaving } });
+    peers.push_back({ { "name", name },
+                      { "role", "entry" },
+                      { "generation", view.mGeneration },
+                      { "age_ms", core::ToMilliseconds(aNow - view.mHeardAt) },
+                      { "failure_domain", "" },
+                      { "open", !view.mLeaving } });
   }
   for (const auto& [name, view] : aControl.mMembers.mAgents) {
-    peers.push_back(
-      { { "name", name },
-        { "role", "agent" },
-        { "generation", view.mState.mGeneration },
-        { "age_ms", core::ToMilliseconds(aNow - view.mHeardAt) },
-        { "failure_domain", view.mState.mFailureDomain },
-        { "open", view.mState.mOpen && !view.mState.mLeaving } });
+    peers.push_back({ { "name", name },
+                      { "role", "agent" },
+                      { "generation", view.mState.mGeneration },
+                      { "age_ms", core::ToMilliseconds(aNow - view.mHeardAt) },
+                      { "failure_domain", view.mState.mFailureDomain },
+                      { "open", view.mState.mOpen && !view.mState.mLeaving } });
   }
   return { { "entry", aControl.mSelf.mName },
            { "generation", aControl.mRow.mConfiguration.mGeneration },
-           { "stage",
-             entry::kJoinStageNames.NameOf(aControl.mJoining.mStage) },
+           { "stage", entry::kJoinStageNames.NameOf(aControl.mJoining.mStage) },
            { "fresh", entry::IsFresh(aControl, aNow) },
            { "open_jobs", aControl.mOpenJobs },
            { "peers", peers } };
@@ -206,10 +204,9 @@
                   control_loop& aLoop,
                   operator_waiters& aOperators)
 {
-  aServer.Route(
-    "GET", "/v1/configuration", [&aLoop](const io::http_request&) {
-      return ShowConfiguration(aLoop);
-    });
+  aServer.Route("GET", "/v1/configuration", [&aLoop](const io::http_request&) {
+    return ShowConfiguration(aLoop);
+  });
   aServer.Route("PUT",
                 "/v1/configuration",
                 [&aLoop, &aOperators](const io::http_request& aRequest) {
--- a/src/entry/operator_api.h
+++ b/src/entry/operator_api.h
@@ -7,8 +7,9 @@
 namespace gooseberry::entry_program {
 
 /** Adds the routes that operators use: configuration and status. */
-void AddOperatorRoutes(io::http_server& aServer,
-                       control_loop& aLoop,
-                       operator_waiters& aOperators);
+void
+AddOperatorRoutes(io::http_server& aServer,
+                  control_loop& aLoop,
+                  operator_waiters& aOperators);
 
 } // namespace gooseberry::entry_program
--- a/src/entry/platform_effects.cpp
+++ b/src/entry/platform_effects.cpp
@@ -91,8 +91,8 @@
         Feed(failed);
         return;
       }
-      Feed([members = ParseRows(*rows), sentAt](
-             auto& aControl, auto aNow, auto& aEffects) {
+      Feed([members = ParseRows(*rows),
+            sentAt](auto& aControl, auto aNow, auto& aEffects) {
         entry::OnMembers(aControl, members, sentAt, aNow, aEffects);
       });
     },
@@ -170,8 +170,8 @@
           aControl, request, written, aNow, aEffects);
       });
     },
-    [request = aEffect.mRow.mRequest](
-      auto& aControl, auto aNow, auto& aEffects) {
+    [request =
+       aEffect.mRow.mRequest](auto& aControl, auto aNow, auto& aEffects) {
       entry::write_result result;
       result.mStatus = entry::apply_status::Unsettled;
       result.mError = { "apply configuration",
--- a/src/libgooseberry/entry/configure.cpp
+++ b/src/libgooseberry/entry/configure.cpp
@@ -13,8 +13,7 @@
 {
   SendHeartbeats(aControl, aNow, aEffects);
   for (const auto& [name, view] : aControl.mMembers.mAgents) {
-    if (view.mState.mGeneration <
-        aControl.mRow.mConfiguration.mGeneration) {
+    if (view.mState.mGeneration < aControl.mRow.mConfiguration.mGeneration) {
       aEffects.emplace_back(push_configuration{
         name, view.mState.mAddress, aControl.mRow.mConfiguration });
     }
@@ -50,8 +49,7 @@
         core::instant aNow,
         effects& aEffects)
 {
-  const core::generation present =
-    aControl.mRow.mConfiguration.mGeneration;
+  const core::generation present = aControl.mRow.mConfiguration.mGeneration;
   if (aRow.mConfiguration.mGeneration < present) {
     return;
   }
@@ -80,9 +78,8 @@
     core::generation known = 0;
     if (row.mRole == membership::role::Entry) {
       const auto view = aControl.mMembers.mEntries.find(name);
-      known = view == aControl.mMembers.mEntries.end()
-                ? 0
-                : view->second.mGeneration;
+      known =
+        view == aControl.mMembers.mEntries.end() ? 0 : view->second.mGeneration;
     } else {
       const auto view = aControl.mMembers.mAgents.find(name);
       known = view == aControl.mMembers.mAgents.end()
@@ -135,8 +132,7 @@
                     effects& aEffects)
 {
   aControl.mStoreRead = true;
-  aControl.mEvidence =
-    std::max(aControl.mEvidence.value_or(aSentAt), aSentAt);
+  aControl.mEvidence = std::max(aControl.mEvidence.value_or(aSentAt), aSentAt);
   TakeRow(aControl, aRow, aNow, aEffects);
 }
 
@@ -187,13 +183,12 @@
                        core::instant aNow,
                        effects& aEffects)
 {
-  const auto found =
-    std::find_if(aControl.mApplies.begin(),
-                 aControl.mApplies.end(),
-                 [&aRequest](const pending_apply& aApply) {
-                   return aApply.mRequest == aRequest && aApply.mWriting &&
-                          !aApply.mWritten;
-                 });
+  const auto found = std::find_if(aControl.mApplies.begin(),
+                                  aControl.mApplies.end(),
+                                  [&aRequest](const pending_apply& aApply) {
+                                    return aApply.mRequest == aRequest &&
+                                           aApply.mWriting && !aApply.mWritten;
+                                  });
   if (found == aControl.mApplies.end()) {
     return;
   }
--- a/src/libgooseberry/entry/dispatch.cpp
+++ b/src/libgooseberry/entry/dispatch.cpp
@@ -52,21 +52,19 @@
   if (!aControl.mOptions.mLogDecisions) {
     return;
   }
-  const target::target_view& view =
-    aControl.mTargets.mTargets[aChoice.mTarget];
-  Log(
-    aEffects,
-    "placement",
-    { { "job", aJob.mSubmission.mKey },
-      { "task", std::to_string(aIndex) },
-      { "try", std::to_string(aJob.mTasks[aIndex].mTry) },
-      { "target", view.mName },
-      { "domain", view.mFailureDomain },
-      { "reason",
-        std::string(target::kPlacementReasonNames.NameOf(aChoice.mReason)) },
-      { "considered", std::to_string(aChoice.mConsidered) },
-      { "expected_ms",
-        std::to_string(core::ToMilliseconds(aChoice.mExpectedFinish)) } });
+  const target::target_view& view = aControl.mTargets.mTargets[aChoice.mTarget];
+  Log(aEffects,
+      "placement",
+      { { "job", aJob.mSubmission.mKey },
+        { "task", std::to_string(aIndex) },
+        { "try", std::to_string(aJob.mTasks[aIndex].mTry) },
+        { "target", view.mName },
+        { "domain", view.mFailureDomain },
+        { "reason",
+          std::string(target::kPlacementReasonNames.NameOf(aChoice.mReason)) },
+        { "considered", std::to_string(aChoice.mConsidered) },
+        { "expected_ms",
+          std::to_string(core::ToMilliseconds(aChoice.mExpectedFinish)) } });
 }
 
 /** Puts one task of the job on the chosen target. */
@@ -78,8 +76,7 @@
           batches& aBatches,
           effects& aEffects)
 {
-  const target::target_view& view =
-    aControl.mTargets.mTargets[aChoice.mTarget];
+  const target::target_view& view = aControl.mTargets.mTargets[aChoice.mTarget];
   const membership::agent_view& agent =
     aControl.mMembers.mAgents.at(view.mAgent);
   job::task& task = aJob.mTasks[aIndex];
@@ -109,8 +106,7 @@
     return false;
   }
   const auto use = aControl.mTeams.find(aTeam);
-  return use != aControl.mTeams.end() &&
-         use->second.mRunning >= share->second;
+  return use != aControl.mTeams.end() && use->second.mRunning >= share->second;
 }
 
 /** Places what it can of one job; false once nothing more is free. */
@@ -131,8 +127,8 @@
     request.mDeclared = aJob.mSubmission.mTasks[index].mDeclared;
     request.mIdempotent = aJob.mSubmission.mIdempotent;
     request.mAvoid = task.mAvoid.empty() ? nullptr : &task.mAvoid;
-    const target::placement placement = target::Place(
-      aControl.mTargets, request, aControl.mRandom, aNow);
+    const target::placement placement =
+      target::Place(aControl.mTargets, request, aControl.mRandom, aNow);
     const auto* choice = std::get_if<target::placement_choice>(&placement);
     if (choice == nullptr) {
       return false;
@@ -179,9 +175,8 @@
     call.mAgent = agent.mState.mAgent;
     call.mAddress = agent.mState.mAddress;
     call.mBatch = std::move(batch);
-    quota::EarnRetries(
-      aControl.mRetryBudget,
-      static_cast<std::uint32_t>(call.mBatch.mStarts.size()));
+    quota::EarnRetries(aControl.mRetryBudget,
+                       static_cast<std::uint32_t>(call.mBatch.mStarts.size()));
     const std::uint64_t id = aControl.mNextCall++;
     aEffects.emplace_back(
       send_start{ id, call.mAgent, call.mAddress, call.mBatch });
--- a/src/libgooseberry/entry/effects.h
+++ b/src/libgooseberry/entry/effects.h
@@ -99,8 +99,8 @@
 struct configuration_row
 {
   core::versioned_configuration mConfiguration;
-  std::string mRequest;        ///< Id of the change, made by the operator.
-  std::string mBy;             ///< Entry that wrote it.
+  std::string mRequest;          ///< Id of the change, made by the operator.
+  std::string mBy;               ///< Entry that wrote it.
   std::uint64_t mRowVersion = 0; ///< Of the table; 0: no row yet.
 };
 
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -90,8 +90,8 @@
   join_stage mStage = join_stage::Registering;
   core::instant mSince{};
   core::instant mRowWrittenAt{};
-  std::set<std::string> mAsked;    ///< Names that were asked in this round.
-  std::set<std::string> mCopied;   ///< Names of joining entries that answered.
+  std::set<std::string> mAsked;  ///< Names that were asked in this round.
+  std::set<std::string> mCopied; ///< Names of joining entries that answered.
   core::instant mNextRound{};
   /** No open entry had notes to copy: every attempt takes the careful path
    * until then. */
@@ -101,9 +101,9 @@
 /** Counts since the start, for metrics. */
 struct entry_counters
 {
-  std::uint64_t mStarts = 0;        ///< Tasks sent, first copy each.
+  std::uint64_t mStarts = 0;         ///< Tasks sent, first copy each.
   std::uint64_t mRepeatedStarts = 0; ///< Tasks sent again unanswered.
-  std::uint64_t mFinishes = 0;      ///< Results taken in.
+  std::uint64_t mFinishes = 0;       ///< Results taken in.
   std::uint64_t mRepeatedFinishes = 0;
   std::uint64_t mRetries = 0;
   std::uint64_t mLocates = 0;
@@ -173,141 +173,160 @@
 };
 
 /** A new entry; `aIncarnation` must never have been used before. */
-entry_control MakeEntry(entry_options aOptions,
-                        std::uint64_t aIncarnation,
-                        std::uint64_t aSeed,
-                        core::instant aNow,
-                        effects& aEffects);
+entry_control
+MakeEntry(entry_options aOptions,
+          std::uint64_t aIncarnation,
+          std::uint64_t aSeed,
+          core::instant aNow,
+          effects& aEffects);
 
 /** Whether the evidence of the newest configuration is within the bound. */
-bool IsFresh(const entry_control& aControl, core::instant aNow);
+bool
+IsFresh(const entry_control& aControl, core::instant aNow);
 
 // Callers -------------------------------------------------------------------
 
 /** A caller submits; `aToken` names the caller in the answer. */
-void OnSubmit(entry_control& aControl,
-              std::uint64_t aToken,
-              job::submission aSubmission,
-              core::instant aNow,
-              effects& aEffects);
+void
+OnSubmit(entry_control& aControl,
+         std::uint64_t aToken,
+         job::submission aSubmission,
+         core::instant aNow,
+         effects& aEffects);
 
 /** A caller cancels a job; false if this entry is not its home. */
-bool OnCancel(entry_control& aControl,
-              const std::string& aKey,
-              core::instant aNow,
-              effects& aEffects);
+bool
+OnCancel(entry_control& aControl,
+         const std::string& aKey,
+         core::instant aNow,
+         effects& aEffects);
 
 // Agents --------------------------------------------------------------------
 
-core::entry_reply OnAnnounce(entry_control& aControl,
-                             const core::agent_state& aState,
-                             core::instant aNow,
-                             effects& aEffects);
-
-core::entry_reply OnFinish(entry_control& aControl,
-                           const core::finish_batch& aBatch,
-                           core::instant aNow,
-                           effects& aEffects);
-
-void OnStartReply(entry_control& aControl,
-                  std::uint64_t aCall,
-                  const core::start_reply& aReply,
-                  core::instant aNow,
-                  effects& aEffects);
+core::entry_reply
+OnAnnounce(entry_control& aControl,
+           const core::agent_state& aState,
+           core::instant aNow,
+           effects& aEffects);
+
+core::entry_reply
+OnFinish(entry_control& aControl,
+         const core::finish_batch& aBatch,
+         core::instant aNow,
+         effects& aEffects);
+
+void
+OnStartReply(entry_control& aControl,
+             std::uint64_t aCall,
+             const core::start_reply& aReply,
+             core::instant aNow,
+             effects& aEffects);
 
 /** `aDelivered` is false only if nothing can have reached the agent. */
-void OnStartFailed(entry_control& aControl,
-                   std::uint64_t aCall,
-                   bool aDelivered,
-                   core::instant aNow,
-                   effects& aEffects);
-
-void OnFenceReplies(entry_control& aControl,
-                    const core::peer_ref& aAsked,
-                    const std::vector<core::fence_reply>& aReplies,
-                    core::instant aNow,
-                    effects& aEffects);
+void
+OnStartFailed(entry_control& aControl,
+              std::uint64_t aCall,
+              bool aDelivered,
+              core::instant aNow,
+              effects& aEffects);
+
+void
+OnFenceReplies(entry_control& aControl,
+               const core::peer_ref& aAsked,
+               const std::vector<core::fence_reply>& aReplies,
+               core::instant aNow,
+               effects& aEffects);
 
-void OnFenceFailed(entry_control& aControl,
-                   const core::peer_ref& aAsked,
-                   const std::vector<core::fence_request>& aRequests,
-                   core::instant aNow,
-                   effects& aEffects);
+void
+OnFenceFailed(entry_control& aControl,
+              const core::peer_ref& aAsked,
+              const std::vector<core::fence_request>& aRequests,
+              core::instant aNow,
+              effects& aEffects);
 
 /** An agent answered a pushed configuration with its generation. */
-void OnAgentGeneration(entry_control& aControl,
-                       const std::string& aAgent,
-                       core::generation aGeneration,
-                       core::instant aNow,
-                       effects& aEffects);
+void
+OnAgentGeneration(entry_control& aControl,
+                  const std::string& aAgent,
+                  core::generation aGeneration,
+                  core::instant aNow,
+                  effects& aEffects);
 
 // Entries -------------------------------------------------------------------
 
-std::vector<core::locate_reply> OnLocate(
-  entry_control& aControl,
-  const std::vector<core::locate_request>& aRequests,
-  core::instant aNow,
-  effects& aEffects);
-
-void OnLocateReplies(entry_control& aControl,
-                     const core::peer_ref& aAsked,
-                     const std::vector<core::locate_reply>& aReplies,
-                     core::instant aNow,
-                     effects& aEffects);
-
-void OnLocateFailed(entry_control& aControl,
-                    const core::peer_ref& aAsked,
-                    const std::vector<core::locate_request>& aRequests,
-                    core::instant aNow,
-                    effects& aEffects);
-
-void OnDeliver(entry_control& aControl,
-               const core::deliver_request& aRequest,
+std::vector<core::locate_reply>
+OnLocate(entry_control& aControl,
+         const std::vector<core::locate_request>& aRequests,
+         core::instant aNow,
+         effects& aEffects);
+
+void
+OnLocateReplies(entry_control& aControl,
+                const core::peer_ref& aAsked,
+                const std::vector<core::locate_reply>& aReplies,
+                core::instant aNow,
+                effects& aEffects);
+
+void
+OnLocateFailed(entry_control& aControl,
+               const core::peer_ref& aAsked,
+               const std::vector<core::locate_request>& aRequests,
                core::instant aNow,
                effects& aEffects);
 
-core::heartbeat OnHeartbeat(entry_control& aControl,
-                            const core::heartbeat& aBeat,
-                            core::instant aNow,
-                            effects& aEffects);
+void
+OnDeliver(entry_control& aControl,
+          const core::deliver_request& aRequest,
+          core::instant aNow,
+          effects& aEffects);
 
-/** `aSentAt`: when the call that this answers was sent. */
-void OnHeartbeatReply(entry_control& aControl,
-                      const core::heartbeat& aReply,
-                      core::instant aSentAt,
-                      core::instant aNow,
-                      effects& aEffects);
+core::heartbeat
+OnHeartbeat(entry_control& aControl,
+            const core::heartbeat& aBeat,
+            core::instant aNow,
+            effects& aEffects);
 
-core::copy_notes_reply OnCopyNotes(const entry_control& aControl,
-                                   const core::peer_ref& aJoiner);
-
-void OnNotesCopied(entry_control& aControl,
-                   const core::copy_notes_reply& aReply,
-                   core::instant aNow,
-                   effects& aEffects);
+/** `aSentAt`: when the call that this answers was sent. */
+void
+OnHeartbeatReply(entry_control& aControl,
+                 const core::heartbeat& aReply,
+                 core::instant aSentAt,
+                 core::instant aNow,
+                 effects& aEffects);
+
+core::copy_notes_reply
+OnCopyNotes(const entry_control& aControl, const core::peer_ref& aJoiner);
+
+void
+OnNotesCopied(entry_control& aControl,
+              const core::copy_notes_reply& aReply,
+              core::instant aNow,
+              effects& aEffects);
 
 // Platform ------------------------------------------------------------------
 
-void OnMemberWritten(entry_control& aControl,
-                     bool aStands,
-                     core::instant aNow,
-                     effects& aEffects);
-
-void OnMembers(entry_control& aControl,
-               std::vector<membership::member_row> aRows,
-               core::instant aSentAt,
-               core::instant aNow,
-               effects& aEffects);
-
-void OnMembersFailed(entry_control& aControl,
-                     core::instant aNow,
-                     effects& aEffects);
-
-void OnConfigurationRead(entry_control& aControl,
-                         const configuration_row& aRow,
-                         core::instant aSentAt,
-                         core::instant aNow,
-                         effects& aEffects);
+void
+OnMemberWritten(entry_control& aControl,
+                bool aStands,
+                core::instant aNow,
+                effects& aEffects);
+
+void
+OnMembers(entry_control& aControl,
+          std::vector<membership::member_row> aRows,
+          core::instant aSentAt,
+          core::instant aNow,
+          effects& aEffects);
+
+void
+OnMembersFailed(entry_control& aControl, core::instant aNow, effects& aEffects);
+
+void
+OnConfigurationRead(entry_control& aControl,
+                    const configuration_row& aRow,
+                    core::instant aSentAt,
+                    core::instant aNow,
+                    effects& aEffects);
 
 /** How the write of a configuration row ended. */
 struct write_result
@@ -317,28 +336,32 @@
   core::error mError;
 };
 
-void OnConfigurationWritten(entry_control& aControl,
-                            const std::string& aRequest,
-                            const write_result& aResult,
-                            core::instant aNow,
-                            effects& aEffects);
+void
+OnConfigurationWritten(entry_control& aControl,
+                       const std::string& aRequest,
+                       const write_result& aResult,
+                       core::instant aNow,
+                       effects& aEffects);
 
 // Operators -----------------------------------------------------------------
 
-void OnApply(entry_control& aControl,
-             std::uint64_t aToken,
-             std::string aText,
-             std::string aRequest,
-             std::optional<core::generation> aExpected,
-             core::instant aNow,
-             effects& aEffects);
+void
+OnApply(entry_control& aControl,
+        std::uint64_t aToken,
+        std::string aText,
+        std::string aRequest,
+        std::optional<core::generation> aExpected,
+        core::instant aNow,
+        effects& aEffects);
 
 // Time ----------------------------------------------------------------------
 
 /** Everything that is due; call it every few milliseconds. */
-void Tick(entry_control& aControl, core::instant aNow, effects& aEffects);
+void
+Tick(entry_control& aControl, core::instant aNow, effects& aEffects);
 
 /** Takes nothing new from now on; `drained` follows when all is answered. */
-void Leave(entry_control& aControl, core::instant aNow, effects& aEffects);
+void
+Leave(entry_control& aControl, core::instant aNow, effects& aEffects);
 
 } // namespace gooseberry::entry
--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -25,8 +25,7 @@
 {
   const std::uint32_t index = aResult.mTask.mIndex;
   job::task& task = aJob.mTasks[index];
-  if (aJob.mSubmission.mIdempotent &&
-      task.mTry < MaxTries(aControl, aJob) &&
+  if (aJob.mSubmission.mIdempotent && task.mTry < MaxTries(aControl, aJob) &&
       quota::TakeRetry(aControl.mRetryBudget, aNow)) {
     if (task.mTarget) {
       task.mAvoid.push_back(*task.mTarget);
@@ -42,14 +41,13 @@
           { "failed_on", aResult.mTarget } });
     return;
   }
-  FailJob(aControl,
-          aJob,
-          { "run task " + std::to_string(index),
-            aResult.mTarget,
-            aResult.mPayload },
-          kStatusFailed,
-          aNow,
-          aEffects);
+  FailJob(
+    aControl,
+    aJob,
+    { "run task " + std::to_string(index), aResult.mTarget, aResult.mPayload },
+    kStatusFailed,
+    aNow,
+    aEffects);
 }
 
 void
@@ -100,8 +98,7 @@
   job::job* found = job::Find(aControl.mLedger, aResult.mTask.mJob);
   if (found != nullptr && found->mPhase == job::phase::Recovering &&
       aResult.mEnd != core::task_end::Returned) {
-    found->mInquiry.mFound.push_back(
-      { core::record_state::Finished, aResult });
+    found->mInquiry.mFound.push_back({ core::record_state::Finished, aResult });
     return;
   }
   if (found == nullptr || found->mPhase != job::phase::Running ||
@@ -119,8 +116,7 @@
       TakeFailure(aControl, *found, aResult, aNow, aEffects);
       break;
     case core::task_end::Returned:
-      ++aControl.mCounters
-          .mRefusals[static_cast<std::size_t>(aResult.mWhy)];
+      ++aControl.mCounters.mRefusals[static_cast<std::size_t>(aResult.mWhy)];
       ReturnTask(aControl, *found, aResult.mTask.mIndex);
       break;
     case core::task_end::Unknown:
@@ -143,8 +139,7 @@
       core::instant aNow)
 {
   const auto index = target::Find(aControl.mTargets, aResult.mTarget);
-  const job::job* found =
-    job::Find(aControl.mLedger, aResult.mTask.mJob);
+  const job::job* found = job::Find(aControl.mLedger, aResult.mTask.mJob);
   if (index && found != nullptr) {
     target::RecordEnd(aControl.mTargets,
                       *index,
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -71,15 +71,13 @@
 }
 
 void
-SendHeartbeats(entry_control& aControl,
-               core::instant aNow,
-               effects& aEffects)
+SendHeartbeats(entry_control& aControl, core::instant aNow, effects& aEffects)
 {
   UpdateTeamShares(aControl, aNow);
   const core::heartbeat beat = MakeHeartbeat(aControl, aNow);
   std::set<std::string> asked;
-  for (const membership::member_row& row : membership::OtherRows(
-         aControl.mMembers, membership::role::Entry)) {
+  for (const membership::member_row& row :
+       membership::OtherRows(aControl.mMembers, membership::role::Entry)) {
     if (row.mPeer.mName != aControl.mSelf.mName &&
         asked.insert(row.mAddress).second) {
       aEffects.emplace_back(send_heartbeat{ row.mAddress, beat });
@@ -112,8 +110,7 @@
                  effects& aEffects)
 {
   membership::HearEntry(aControl.mMembers, aReply, aNow);
-  aControl.mEvidence =
-    std::max(aControl.mEvidence.value_or(aSentAt), aSentAt);
+  aControl.mEvidence = std::max(aControl.mEvidence.value_or(aSentAt), aSentAt);
   if (aReply.mConfiguration) {
     AdoptConfiguration(aControl, *aReply.mConfiguration, aNow, aEffects);
   }
@@ -147,16 +144,14 @@
   if (aControl.mEndedRuns.contains(aState.mAgent)) {
     return;
   }
-  membership::agent_view& view =
-    aControl.mMembers.mAgents[aState.mAgent.mName];
+  membership::agent_view& view = aControl.mMembers.mAgents[aState.mAgent.mName];
   const bool known = view.mState.mAgent.mIncarnation != 0;
   if (known && view.mState.mAgent != aState.mAgent) {
     const core::peer_ref ended = view.mState.mAgent;
     aControl.mEndedRuns.insert(ended);
     Log(aEffects,
         "agent_replaced",
-        { { "ended", ToString(ended) },
-          { "agent", ToString(aState.mAgent) } });
+        { { "ended", ToString(ended) }, { "agent", ToString(aState.mAgent) } });
     OnAgentEnded(aControl, ended.mName, ended, aNow, aEffects);
   } else if (known && aState.mStamp < view.mState.mStamp) {
     return; // Overtaken by a later message.
@@ -201,18 +196,18 @@
 {
   for (auto& [entry, requests] : aControl.mLocateOutbox) {
     aControl.mCounters.mLocates += requests.size();
-    aEffects.emplace_back(send_locate{
-      entry,
-      AddressOf(aControl, membership::role::Entry, entry),
-      std::move(requests) });
+    aEffects.emplace_back(
+      send_locate{ entry,
+                   AddressOf(aControl, membership::role::Entry, entry),
+                   std::move(requests) });
   }
   aControl.mLocateOutbox.clear();
   for (auto& [agent, requests] : aControl.mFenceOutbox) {
     aControl.mCounters.mFences += requests.size();
-    aEffects.emplace_back(send_fence{
-      agent,
-      AddressOf(aControl, membership::role::Agent, agent),
-      std::move(requests) });
+    aEffects.emplace_back(
+      send_fence{ agent,
+                  AddressOf(aControl, membership::role::Agent, agent),
+                  std::move(requests) });
   }
   aControl.mFenceOutbox.clear();
   for (auto& [address, jobs] : aControl.mCancelOutbox) {
--- a/src/libgooseberry/entry/joining.cpp
+++ b/src/libgooseberry/entry/joining.cpp
@@ -48,8 +48,8 @@
   bool anyRow = false;
   bool allCopied = true;
   bool anyEnded = false;
-  for (const membership::member_row& row : membership::OtherRows(
-         aControl.mMembers, membership::role::Entry)) {
+  for (const membership::member_row& row :
+       membership::OtherRows(aControl.mMembers, membership::role::Entry)) {
     anyRow = true;
     if (membership::HasEnded(aControl.mMembers, row)) {
       anyEnded = true;
@@ -96,8 +96,7 @@
   if (state.mStage == join_stage::Registering && aNow >= state.mNextRound) {
     state.mNextRound = aNow + kWriteAgainAfter;
     aEffects.emplace_back(write_member{ OwnRow(aControl) });
-  } else if (state.mStage == join_stage::Copying &&
-             aNow >= state.mNextRound) {
+  } else if (state.mStage == join_stage::Copying && aNow >= state.mNextRound) {
     AskForNotes(aControl, aNow, aEffects);
   }
 }
@@ -146,9 +145,7 @@
 }
 
 void
-OnMembersFailed(entry_control& aControl,
-                core::instant aNow,
-                effects& aEffects)
+OnMembersFailed(entry_control& aControl, core::instant aNow, effects& aEffects)
 {
   static_cast<void>(aEffects);
   aControl.mMembersReading = false;
--- a/src/libgooseberry/entry/locate.cpp
+++ b/src/libgooseberry/entry/locate.cpp
@@ -95,8 +95,7 @@
                             core::locate_verdict::Unknown,
                             aRequest.mBallot,
                             {} };
-  if (const job::note* known =
-        job::FindNote(aControl.mLedger, aRequest.mJob);
+  if (const job::note* known = job::FindNote(aControl.mLedger, aRequest.mJob);
       known != nullptr && aRequest.mBallot < known->mBallot) {
     reply.mVerdict = core::locate_verdict::Noted;
     reply.mBallot = known->mBallot;
@@ -115,8 +114,8 @@
 void
 AskEntries(entry_control& aControl, job::job& aJob)
 {
-  for (const membership::member_row& row : membership::OtherRows(
-         aControl.mMembers, membership::role::Entry)) {
+  for (const membership::member_row& row :
+       membership::OtherRows(aControl.mMembers, membership::role::Entry)) {
     if (aJob.mInquiry.mAnswered.contains(row.mPeer) ||
         aJob.mInquiry.mMissing.contains(row.mPeer)) {
       continue;
@@ -170,14 +169,13 @@
       }
       break;
     case core::locate_verdict::Different:
-      FailJob(aControl,
-              aJob,
-              { "submit job",
-                aAsked.mName,
-                "a job of this name has other content" },
-              kStatusConflict,
-              aNow,
-              aEffects);
+      FailJob(
+        aControl,
+        aJob,
+        { "submit job", aAsked.mName, "a job of this name has other content" },
+        kStatusConflict,
+        aNow,
+        aEffects);
       break;
   }
 }
@@ -222,8 +220,8 @@
         job::FindNote(aControl.mLedger, aJob.mSubmission.mKey)) {
     above = std::max(above, known->mBallot.mRound);
   }
-  const std::uint32_t round = std::max(
-    { kFirstCarefulRound, aJob.mSubmission.mAttempt, above + 1 });
+  const std::uint32_t round =
+    std::max({ kFirstCarefulRound, aJob.mSubmission.mAttempt, above + 1 });
   aJob.mPhase = job::phase::Locating;
   aJob.mHome = {};
   aJob.mBallot = { round, aControl.mSelf.mIncarnation };
@@ -231,8 +229,7 @@
   aJob.mInquiry.mSince = aNow;
   Log(aEffects,
       "job_locating",
-      { { "job", aJob.mSubmission.mKey },
-        { "round", std::to_string(round) } });
+      { { "job", aJob.mSubmission.mKey }, { "round", std::to_string(round) } });
   AskEntries(aControl, aJob);
   NoteAllAnswered(aControl, aJob, aNow, aEffects);
 }
@@ -395,9 +392,9 @@
   }
   const std::string& name = aJob.mHome.mName;
   const auto found = aControl.mMembers.mEntries.find(name);
-  const bool sameRun = found != aControl.mMembers.mEntries.end() &&
-                       (aJob.mHome.mIncarnation == 0 ||
-                        found->second.mPeer == aJob.mHome);
+  const bool sameRun =
+    found != aControl.mMembers.mEntries.end() &&
+    (aJob.mHome.mIncarnation == 0 || found->second.mPeer == aJob.mHome);
   if (!sameRun || !IsEntryHeard(aControl, name, aNow)) {
     StartLocating(aControl, aJob, {}, aNow, aEffects);
     return;
--- a/src/libgooseberry/entry/recover.cpp
+++ b/src/libgooseberry/entry/recover.cpp
@@ -12,8 +12,8 @@
 FenceAgents(entry_control& aControl, job::job& aJob)
 {
   job::inquiry& inquiry = aJob.mInquiry;
-  for (const membership::member_row& row : membership::OtherRows(
-         aControl.mMembers, membership::role::Agent)) {
+  for (const membership::member_row& row :
+       membership::OtherRows(aControl.mMembers, membership::role::Agent)) {
     if (inquiry.mAnswered.contains(row.mPeer) ||
         inquiry.mMissing.contains(row.mPeer)) {
       continue;
@@ -83,8 +83,7 @@
     return;
   }
   target::Reserve(aControl.mTargets, *task.mTarget);
-  const std::string& agent =
-    aControl.mTargets.mTargets[*task.mTarget].mAgent;
+  const std::string& agent = aControl.mTargets.mTargets[*task.mTarget].mAgent;
   if (const auto view = aControl.mMembers.mAgents.find(agent);
       view != aControl.mMembers.mAgents.end()) {
     task.mAgent = view->second.mState.mAgent;
@@ -118,8 +117,7 @@
     ++aJob.mEnded;
     return {};
   }
-  if (result.mEnd == core::task_end::Failed &&
-      aJob.mSubmission.mIdempotent &&
+  if (result.mEnd == core::task_end::Failed && aJob.mSubmission.mIdempotent &&
       result.mTry < MaxTries(aControl, aJob)) {
     ++task.mTry;
     return {};
--- a/src/libgooseberry/entry/start_calls.cpp
+++ b/src/libgooseberry/entry/start_calls.cpp
@@ -38,8 +38,7 @@
         { "task", std::to_string(aStart.mTask.mIndex) },
         { "target", aStart.mTarget },
         { "agent", ToString(aAgent) },
-        { "reason",
-          std::string(core::kStartVerdictNames.NameOf(aVerdict)) } });
+        { "reason", std::string(core::kStartVerdictNames.NameOf(aVerdict)) } });
 }
 
 /** Ends the job of a task whose agent's run is over (R7). */
--- a/src/libgooseberry/entry/submit.cpp
+++ b/src/libgooseberry/entry/submit.cpp
@@ -54,12 +54,12 @@
   Log(aEffects,
       "job_ended",
       { { "job", aJob.mSubmission.mKey },
-        { "outcome", std::string(core::kJobOutcomeNames.NameOf(aAnswer.mOutcome)) },
+        { "outcome",
+          std::string(core::kJobOutcomeNames.NameOf(aAnswer.mOutcome)) },
         { "reason", aAnswer.mReason },
         { "step", aAnswer.mStep },
         { "peer", aAnswer.mPeer },
-        { "ms",
-          std::to_string(core::ToMilliseconds(aNow - aJob.mArrived)) } });
+        { "ms", std::to_string(core::ToMilliseconds(aNow - aJob.mArrived)) } });
 }
 
 /** Takes a job out of all that is under way; it stays in the ledger. */
@@ -95,8 +95,8 @@
   aJob.mAnswer = std::move(aAnswer);
   aJob.mSubmission.mTasks.clear();
   aJob.mInquiry = {};
-  ++aControl.mCounters.mOutcomes[static_cast<std::size_t>(
-    aJob.mAnswer.mOutcome)];
+  ++aControl.mCounters
+      .mOutcomes[static_cast<std::size_t>(aJob.mAnswer.mOutcome)];
   aControl.mSamples.push_back(
     { aNow - aJob.mArrived, aJob.mIdeal, aJob.mAnswer.mOutcome });
   LogOutcome(aJob, aJob.mAnswer, aNow, aEffects);
@@ -136,8 +136,7 @@
       .mOutcomes[static_cast<std::size_t>(core::job_outcome::NotRun)];
   LogOutcome(aJob, answer, aNow, aEffects);
   TellWaiters(aControl, aJob, answer, aEffects);
-  job::Refuse(
-    aControl.mLedger, key, aJob.mSubmission.mAttempt, answer, aNow);
+  job::Refuse(aControl.mLedger, key, aJob.mSubmission.mAttempt, answer, aNow);
   job::Remove(aControl.mLedger, key);
 }
 
@@ -148,8 +147,8 @@
        effects& aEffects)
 {
   const std::string key = aJob.mSubmission.mKey;
-  const core::job_answer answer = ErrorAnswer(
-    key, core::job_outcome::Failed, aError, kStatusUnavailable);
+  const core::job_answer answer =
+    ErrorAnswer(key, core::job_outcome::Failed, aError, kStatusUnavailable);
   StopJob(aControl, aJob, aEffects);
   ++aControl.mCounters
       .mOutcomes[static_cast<std::size_t>(core::job_outcome::Failed)];
@@ -170,16 +169,14 @@
 {
   ++aControl.mCounters.mOutcomes[static_cast<std::size_t>(aAnswer.mOutcome)];
   if (aAnswer.mOutcome == core::job_outcome::NotRun) {
-    job::Refuse(aControl.mLedger,
-                aSubmission.mKey,
-                aSubmission.mAttempt,
-                aAnswer,
-                aNow);
+    job::Refuse(
+      aControl.mLedger, aSubmission.mKey, aSubmission.mAttempt, aAnswer, aNow);
   }
   Log(aEffects,
       "submission_refused",
       { { "job", aSubmission.mKey },
-        { "outcome", std::string(core::kJobOutcomeNames.NameOf(aAnswer.mOutcome)) },
+        { "outcome",
+          std::string(core::kJobOutcomeNames.NameOf(aAnswer.mOutcome)) },
         { "reason", aAnswer.mReason } });
   aEffects.emplace_back(answer_caller{ aToken, aAnswer });
 }
@@ -195,12 +192,11 @@
     const core::error different{ "submit job",
                                  "",
                                  "a job of this name has other content" };
-    aEffects.emplace_back(
-      answer_caller{ aToken,
-                     ErrorAnswer(aSubmission.mKey,
-                                 core::job_outcome::Failed,
-                                 different,
-                                 kStatusConflict) });
+    aEffects.emplace_back(answer_caller{ aToken,
+                                         ErrorAnswer(aSubmission.mKey,
+                                                     core::job_outcome::Failed,
+                                                     different,
+                                                     kStatusConflict) });
     return;
   }
   if (aJob.mPhase == job::phase::Ended) {
@@ -241,10 +237,9 @@
 std::uint32_t
 SlotShare(const entry_control& aControl, const std::string& aService)
 {
-  const auto entries = static_cast<std::uint32_t>(
-    aControl.mMembers.mEntries.size() + 1);
-  const std::uint32_t slots =
-    target::TotalSlots(aControl.mTargets, aService);
+  const auto entries =
+    static_cast<std::uint32_t>(aControl.mMembers.mEntries.size() + 1);
+  const std::uint32_t slots = target::TotalSlots(aControl.mTargets, aService);
   return std::max(1U, slots / entries);
 }
 
@@ -301,8 +296,8 @@
        core::instant aNow)
 {
   if (!target::CanEverRun(aControl.mTargets, aSubmission.mService)) {
-    const bool known = aControl.mDesired.mServices.contains(
-      aSubmission.mService);
+    const bool known =
+      aControl.mDesired.mServices.contains(aSubmission.mService);
     return ErrorAnswer(
       aSubmission.mKey,
       core::job_outcome::Failed,
@@ -324,8 +319,8 @@
     core::job_outcome::NotRun,
     { "admit job",
       "",
-      "overloaded: " + std::string(quota::kAdmissionReasonNames.NameOf(
-                         refused->mReason)) },
+      "overloaded: " +
+        std::string(quota::kAdmissionReasonNames.NameOf(refused->mReason)) },
     kStatusTooMany);
   answer.mRetryAfter = refused->mRetryAfter;
   return answer;
@@ -373,8 +368,7 @@
       return;
     }
   }
-  job::job& added =
-    job::Add(aControl.mLedger, std::move(aSubmission), aNow);
+  job::job& added = job::Add(aControl.mLedger, std::move(aSubmission), aNow);
   ++aControl.mOpenJobs;
   added.mWaiters.push_back(aToken);
   aControl.mDeadlines.emplace(added.mDeadline, added.mSubmission.mKey);
--- a/src/libgooseberry/job/job.h
+++ b/src/libgooseberry/job/job.h
@@ -78,12 +78,12 @@
   std::uint32_t mEnded = 0;
   core::duration mRemainingWork{};
   core::duration mWaitingWork{}; ///< Expected, of the waiting tasks.
-  std::int64_t mPriority = 0; ///< Its key in the ready queue.
-  bool mQueued = false;       ///< Stands in the ready queue.
+  std::int64_t mPriority = 0;    ///< Its key in the ready queue.
+  bool mQueued = false;          ///< Stands in the ready queue.
   inquiry mInquiry;
-  core::peer_ref mHome;            ///< While attached.
-  core::instant mAskedHome{};      ///< Last time it was asked.
-  std::vector<std::uint64_t> mWaiters; ///< Tokens of callers.
+  core::peer_ref mHome;                   ///< While attached.
+  core::instant mAskedHome{};             ///< Last time it was asked.
+  std::vector<std::uint64_t> mWaiters;    ///< Tokens of callers.
   std::set<std::string> mAttachedEntries; ///< Names.
   core::job_answer mAnswer;
   core::instant mEndedAt{};
@@ -91,18 +91,22 @@
 };
 
 /** Whether any task was or may have been started, here or before. */
-bool MayHaveStarted(const job& aJob);
+bool
+MayHaveStarted(const job& aJob);
 
 /** Sum of the expected run times of all tasks that have not ended. */
-core::duration RemainingWork(const job& aJob);
+core::duration
+RemainingWork(const job& aJob);
 
 /**
  * Longest expected task, or all the expected work spread over the slots,
  * whichever is longer. Zero slots count as one.
  */
-core::duration IdealResponse(const job& aJob, std::uint32_t aSlots);
+core::duration
+IdealResponse(const job& aJob, std::uint32_t aSlots);
 
 /** Fills `mWaiting` with the waiting tasks, the longest expected one last. */
-void QueueWaitingTasks(job& aJob);
+void
+QueueWaitingTasks(job& aJob);
 
 } // namespace gooseberry::job
--- a/src/libgooseberry/job/ledger.h
+++ b/src/libgooseberry/job/ledger.h
@@ -45,40 +45,49 @@
 };
 
 /** The job, or null. */
-job* Find(ledger& aLedger, const std::string& aKey);
+job*
+Find(ledger& aLedger, const std::string& aKey);
 
 /** Adds a job; replaces none. */
-job& Add(ledger& aLedger, submission aSubmission, core::instant aNow);
+job&
+Add(ledger& aLedger, submission aSubmission, core::instant aNow);
 
 /** Forgets a job at once, without an answer of its own. */
-void Remove(ledger& aLedger, const std::string& aKey);
+void
+Remove(ledger& aLedger, const std::string& aKey);
 
 /** Remembers the greater of the known and the given ballot. */
-void TakeNote(ledger& aLedger,
-              const std::string& aKey,
-              const core::ballot& aBallot,
-              const std::string& aHolder,
-              core::instant aNow);
+void
+TakeNote(ledger& aLedger,
+         const std::string& aKey,
+         const core::ballot& aBallot,
+         const std::string& aHolder,
+         core::instant aNow);
 
 /** The note of a job, or null. */
-const note* FindNote(const ledger& aLedger, const std::string& aKey);
+const note*
+FindNote(const ledger& aLedger, const std::string& aKey);
 
 /** Remembers that this attempt was answered `not_run`. */
-void Refuse(ledger& aLedger,
-            const std::string& aKey,
-            std::uint32_t aAttempt,
-            const core::job_answer& aAnswer,
-            core::instant aNow);
+void
+Refuse(ledger& aLedger,
+       const std::string& aKey,
+       std::uint32_t aAttempt,
+       const core::job_answer& aAnswer,
+       core::instant aNow);
 
 /** The remembered `not_run` that also answers this attempt, or null. */
-const core::job_answer* FindRefused(const ledger& aLedger,
-                                    const std::string& aKey,
-                                    std::uint32_t aAttempt);
+const core::job_answer*
+FindRefused(const ledger& aLedger,
+            const std::string& aKey,
+            std::uint32_t aAttempt);
 
 /** Starts the window of a job that has ended. */
-void KeepEnded(ledger& aLedger, const job& aJob, core::instant aNow);
+void
+KeepEnded(ledger& aLedger, const job& aJob, core::instant aNow);
 
 /** Forgets what the window no longer covers. */
-void Expire(ledger& aLedger, core::instant aNow);
+void
+Expire(ledger& aLedger, core::instant aNow);
 
 } // namespace gooseberry::job
--- a/src/libgooseberry/job/ready_queue.cpp
+++ b/src/libgooseberry/job/ready_queue.cpp
@@ -32,7 +32,8 @@
 void
 Requeue(ready_queue& aQueue, const order_settings& aSettings, job& aJob)
 {
-  const std::int64_t priority = Priority(aSettings, aJob.mRemainingWork, aJob.mArrived);
+  const std::int64_t priority =
+    Priority(aSettings, aJob.mRemainingWork, aJob.mArrived);
   const bool wanted = aJob.mPhase == phase::Running && !aJob.mWaiting.empty();
   if (aJob.mQueued && wanted && priority == aJob.mPriority) {
     return;
--- a/src/libgooseberry/job/ready_queue.h
+++ b/src/libgooseberry/job/ready_queue.h
@@ -48,15 +48,18 @@
  *
  * @param aRemaining Expected run time of all tasks that have not ended.
  */
-std::int64_t Priority(const order_settings& aSettings,
-                      core::duration aRemaining,
-                      core::instant aArrived);
+std::int64_t
+Priority(const order_settings& aSettings,
+         core::duration aRemaining,
+         core::instant aArrived);
 
 /** Puts the job where its priority says, or takes it out if it waits for
  * nothing. */
-void Requeue(ready_queue& aQueue, const order_settings& aSettings, job& aJob);
+void
+Requeue(ready_queue& aQueue, const order_settings& aSettings, job& aJob);
 
 /** Takes the job out. */
-void Unqueue(ready_queue& aQueue, job& aJob);
+void
+Unqueue(ready_queue& aQueue, job& aJob);
 
 } // namespace gooseberry::job
--- a/src/libgooseberry/membership/members.h
+++ b/src/libgooseberry/membership/members.h
@@ -53,8 +53,8 @@
 struct members
 {
   core::peer_ref mSelf;
-  std::vector<member_row> mRows; ///< As last read from the table.
-  std::optional<core::instant> mRowsReadAt; ///< When that read was sent.
+  std::vector<member_row> mRows;              ///< As last read from the table.
+  std::optional<core::instant> mRowsReadAt;   ///< When that read was sent.
   std::map<std::string, entry_view> mEntries; ///< By name, without itself.
   std::map<std::string, agent_view> mAgents;  ///< By name.
   /** Since when nobody has heard the process of a row. */
@@ -62,38 +62,44 @@
 };
 
 /** Rows of a role but for the process's own. */
-std::vector<member_row> OtherRows(const members& aMembers, role aRole);
+std::vector<member_row>
+OtherRows(const members& aMembers, role aRole);
 
 /** Takes in a call or a reply of an entry. */
-void HearEntry(members& aMembers,
-               const core::heartbeat& aBeat,
-               core::instant aNow);
+void
+HearEntry(members& aMembers, const core::heartbeat& aBeat, core::instant aNow);
 
 /**
  * Whether the run that a row stands for is known to be over: another run of
  * the same name has been heard from.
  */
-bool HasEnded(const members& aMembers, const member_row& aRow);
+bool
+HasEnded(const members& aMembers, const member_row& aRow);
 
 /** Whether an entry or agent run was heard within `aWithin`. */
-bool IsHeard(const members& aMembers,
-             const member_row& aRow,
-             core::instant aNow,
-             core::duration aWithin);
+bool
+IsHeard(const members& aMembers,
+        const member_row& aRow,
+        core::instant aNow,
+        core::duration aWithin);
 
 /** Address of an entry by name; empty where unknown. */
-std::string EntryAddress(const members& aMembers, const std::string& aName);
+std::string
+EntryAddress(const members& aMembers, const std::string& aName);
 
 /** Name of the entry that has this address; empty where unknown. */
-std::string EntryName(const members& aMembers, const std::string& aAddress);
+std::string
+EntryName(const members& aMembers, const std::string& aAddress);
 
 /** Rows of runs that nobody has heard for `aWindow`: they can go. */
-std::vector<member_row> ObsoleteRows(members& aMembers,
-                                     core::instant aNow,
-                                     core::duration aHeardWithin,
-                                     core::duration aWindow);
+std::vector<member_row>
+ObsoleteRows(members& aMembers,
+             core::instant aNow,
+             core::duration aHeardWithin,
+             core::duration aWindow);
 
 /** Text of a row's key in the table: `role/name/incarnation`. */
-std::string RowKey(const member_row& aRow);
+std::string
+RowKey(const member_row& aRow);
 
 } // namespace gooseberry::membership
--- a/src/libgooseberryio/rows.cpp
+++ b/src/libgooseberryio/rows.cpp
@@ -31,8 +31,7 @@
     { "incarnation", std::to_string(aRow.mPeer.mIncarnation) },
     { "address", aRow.mAddress },
     { "failure_domain", aRow.mFailureDomain }
-  }
-    .dump();
+  }.dump();
 }
 
 core::result<membership::member_row>
@@ -48,12 +47,11 @@
     if (!role) {
       return BadRow("unknown role");
     }
-    return membership::member_row{
-      *role,
-      { Text(json, "name"), std::stoull(Text(json, "incarnation")) },
-      Text(json, "address"),
-      Text(json, "failure_domain")
-    };
+    return membership::member_row{ *role,
+                                   { Text(json, "name"),
+                                     std::stoull(Text(json, "incarnation")) },
+                                   Text(json, "address"),
+                                   Text(json, "failure_domain") };
   } catch (const std::exception& failure) {
     return BadRow(failure.what());
   }
@@ -62,11 +60,12 @@
 std::string
 FormatConfiguration(const entry::configuration_row& aRow)
 {
-  return nlohmann::json{ { "generation", aRow.mConfiguration.mGeneration },
-                         { "text", aRow.mConfiguration.mText },
-                         { "by", aRow.mBy },
-                         { "request", aRow.mRequest } }
-    .dump();
+  return nlohmann::json{
+    { "generation", aRow.mConfiguration.mGeneration },
+    { "text", aRow.mConfiguration.mText },
+    { "by", aRow.mBy },
+    { "request", aRow.mRequest }
+  }.dump();
 }
 
 core::result<entry::configuration_row>
--- a/src/libgooseberryio/rows.h
+++ b/src/libgooseberryio/rows.h
@@ -14,12 +14,15 @@
 inline constexpr const char* kConfigurationKey = "current";
 
 /** JSON of a member's row. */
-std::string FormatMember(const membership::member_row& aRow);
-core::result<membership::member_row> ParseMember(const std::string& aText);
+std::string
+FormatMember(const membership::member_row& aRow);
+core::result<membership::member_row>
+ParseMember(const std::string& aText);
 
 /** JSON of the configuration row, without the table's own version. */
-std::string FormatConfiguration(const entry::configuration_row& aRow);
-core::result<entry::configuration_row> ParseConfiguration(
-  const std::string& aText);
+std::string
+FormatConfiguration(const entry::configuration_row& aRow);
+core::result<entry::configuration_row>
+ParseConfiguration(const std::string& aText);
 
 } // namespace gooseberry::io
--- a/tests/libgooseberry/world.cpp
+++ b/tests/libgooseberry/world.cpp
@@ -1,6 +1,7 @@
 #include "world.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gooseberry::world {
 
@@ -82,8 +83,8 @@
 {
   constexpr int kMinMicroseconds = 200;
   constexpr int kMaxMicroseconds = 2000;
-  duration delay(std::uniform_int_distribution<>(
-    kMinMicroseconds, kMaxMicroseconds)(mRandom));
+  duration delay(std::uniform_int_distribution<>(kMinMicroseconds,
+                                                 kMaxMicroseconds)(mRandom));
   if (Chance(mOptions.mFaults.mLate)) {
     delay += duration(std::uniform_int_distribution<std::int64_t>(
       0, mOptions.mFaults.mLateBy.count())(mRandom));
@@ -92,7 +93,9 @@
 }
 
 void
-cluster::Deliver(process& aTo, std::uint64_t aIncarnation, action aAction)
+cluster::Deliver(process& aTo,
+                 std::uint64_t aIncarnation,
+                 const action& aAction)
 {
   if (!aTo.mAlive || aTo.mIncarnation != aIncarnation) {
     return;
@@ -168,8 +171,7 @@
   const bool reached = mStoreUp && !mCuts.contains("store|" + aFrom.mName);
   At(mNow + 1ms + Latency(), [=, this, &aFrom] {
     const action reply = reached ? aServe() : aFailed;
-    At(mNow + Latency(),
-       [=, this, &aFrom] { Deliver(aFrom, caller, reply); });
+    At(mNow + Latency(), [=, this, &aFrom] { Deliver(aFrom, caller, reply); });
   });
 }
 
@@ -265,8 +267,8 @@
   options.mTrustFirstAttempt = mOptions.mTrustFirstAttempt;
   options.mPlacement.mAffinitySeed = aIndex;
   entry::effects effects;
-  entry.mControl = std::make_unique<entry::entry_control>(entry::MakeEntry(
-    options, entry.mIncarnation, mRandom(), mNow, effects));
+  entry.mControl = std::make_unique<entry::entry_control>(
+    entry::MakeEntry(options, entry.mIncarnation, mRandom(), mNow, effects));
   Run(entry, effects);
   TickEntry(aIndex, entry.mIncarnation);
 }
@@ -289,8 +291,8 @@
   settings.mAgent = { agent.mName, agent.mIncarnation };
   settings.mAddress = "agent:" + agent.mName;
   settings.mFailureDomain = agent.mDomain;
-  agent.mControl = std::make_unique<agent::agent_control>(
-    agent::MakeControl(settings));
+  agent.mControl =
+    std::make_unique<agent::agent_control>(agent::MakeControl(settings));
   TickAgent(aIndex, agent.mIncarnation);
   AnnounceTarget(aIndex, agent.mIncarnation);
 }
@@ -310,8 +312,7 @@
 void
 cluster::CutEntries(std::size_t aLeft, std::size_t aRight, bool aCut)
 {
-  const auto names =
-    std::minmax(mEntries[aLeft].mName, mEntries[aRight].mName);
+  const auto names = std::minmax(mEntries[aLeft].mName, mEntries[aRight].mName);
   const std::string key = names.first + '|' + names.second;
   if (aCut) {
     mCuts.insert(key);
@@ -337,8 +338,7 @@
 {
   entry::effects effects;
   aStep(effects);
-  const core::generation now =
-    aEntry.mControl->mRow.mConfiguration.mGeneration;
+  const core::generation now = aEntry.mControl->mRow.mConfiguration.mGeneration;
   if (now < aEntry.mGenerationSeen) {
     mBroken = "generation went back at " + aEntry.mName;
   }
@@ -419,9 +419,8 @@
                                mNow,
                                aEffects);
     });
-    At(mNow + kLease / 3, [this, aIndex, aIncarnation] {
-      AnnounceTarget(aIndex, aIncarnation);
-    });
+    At(mNow + kLease / 3,
+       [this, aIndex, aIncarnation] { AnnounceTarget(aIndex, aIncarnation); });
   });
 }
 
--- a/tests/libgooseberry/world.h
+++ b/tests/libgooseberry/world.h
@@ -155,7 +155,7 @@
   bool Chance(double aProbability);
   duration Latency();
   /** Runs an action at a process, after its pause; never if it was killed. */
-  void Deliver(process& aTo, std::uint64_t aIncarnation, action aAction);
+  void Deliver(process& aTo, std::uint64_t aIncarnation, const action& aAction);
   /** One call with its reply, both subject to faults. */
   void Call(process& aFrom,
             process* aTo,
@@ -236,7 +236,7 @@
   std::vector<started> mStarts;
   std::vector<answered> mAnswers;
   std::vector<answered> mAttempts; ///< Submissions, by time.
-  std::string mBroken; ///< Found while running.
+  std::string mBroken;             ///< Found while running.
 };
 
 } // namespace gooseberry::world
