--- /dev/null
+++ b/src/agent/agent_daemon.cpp
@@ -0,0 +1,215 @@
+#include "agent/agent_daemon.h"
+
+#include "agent/target_api.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace gooseberry::agentd {
+
+namespace {
+
+using agent::agent_control;
+using agent::effects;
+
+constexpr unsigned kUnavailable = 503;
+
+/** What the entries' and agents' calls do. */
+io::agent_handlers
+MakeHandlers(control_thread& aControl)
+{
+  io::agent_handlers handlers;
+  handlers.mStart = [&aControl](core::start_batch aBatch) {
+    return aControl.Ask<core::start_reply>(
+      [&](agent_control& aState, core::instant aNow, effects& aOut) {
+        return agent::OnStart(aState, aBatch, aNow, aOut);
+      });
+  };
+  handlers.mCancel = [&aControl](core::cancel_batch aBatch) {
+    aControl.Ask<bool>(
+      [&](agent_control& aState, core::instant aNow, effects& aOut) {
+        agent::OnCancel(aState, aBatch, aNow, aOut);
+        return true;
+      });
+  };
+  handlers.mFence = [&aControl](std::vector<core::fence_request> aRequests) {
+    return aControl.Ask<std::vector<core::fence_reply>>(
+      [&](agent_control& aState, core::instant aNow, effects& aOut) {
+        std::vector<core::fence_reply> replies;
+        replies.reserve(aRequests.size());
+        for (const auto& request : aRequests) {
+          replies.push_back(agent::OnFence(aState, request, aNow, aOut));
+        }
+        return replies;
+      });
+  };
+  handlers.mCopyFences = [&aControl](const core::peer_ref&) {
+    return aControl.Ask<core::copy_fences_reply>(
+      [](agent_control& aState, core::instant, effects&) {
+        return agent::OnCopyFences(aState);
+      });
+  };
+  handlers.mApply = [&aControl](core::versioned_configuration aText) {
+    return aControl.Ask<core::generation>(
+      [&](agent_control& aState, core::instant aNow, effects& aOut) {
+        return agent::OnConfiguration(aState, aText, aNow, aOut);
+      });
+  };
+  return handlers;
+}
+
+member_handlers
+MakeMemberHandlers(control_thread& aControl)
+{
+  return { [&aControl](std::vector<agent::member_row> aRows) {
+            aControl.Post([rows = std::move(aRows)](agent_control& aState,
+                                                    core::instant aNow,
+                                                    effects& aOut) {
+              agent::OnRows(aState, rows, aNow, aOut);
+            });
+          },
+           [&aControl] { aControl.Post(agent::OnRowWritten); } };
+}
+
+report_handler
+MakeReportHandler(control_thread& aControl)
+{
+  return [&aControl](agent::task_report aReport) {
+    aControl.Post([report = std::move(aReport)](
+                    agent_control& aState, core::instant aNow, effects& aOut) {
+      agent::OnTaskEnded(aState, report, aNow, aOut);
+    });
+  };
+}
+
+io::peer_pool_settings
+PoolSettings(const daemon_settings& aSettings)
+{
+  io::peer_pool_settings settings;
+  settings.mDeadline = aSettings.mCallDeadline;
+  return settings;
+}
+
+io::http_server_settings
+HttpSettings(const daemon_settings& aSettings)
+{
+  io::http_server_settings settings;
+  settings.mAddress = aSettings.mHttp;
+  return settings;
+}
+
+io::http_response
+TextResponse(unsigned aStatus, std::string aBody)
+{
+  io::http_response response;
+  response.mStatus = aStatus;
+  response.mContentType = "text/plain; version=0.0.4";
+  response.mBody = std::move(aBody);
+  return response;
+}
+
+std::size_t
+QueueLength(const core::agent_state& aState)
+{
+  std::size_t queued = 0;
+  for (const auto& target : aState.mTargets) {
+    queued += target.mQueued;
+  }
+  return queued;
+}
+
+} // namespace
+
+agent_daemon::agent_daemon(daemon_settings aSettings)
+  : mSettings(std::move(aSettings))
+  , mMetrics(mSettings.mControl.mAgent.mName)
+  , mMessages(mSettings.mControl.mAgent.mName)
+  , mControl(agent::MakeControl(mSettings.mControl), mSettings.mEventQueue)
+  , mRunner({ mSettings.mMaxResult, mSettings.mMaxTargetThreads },
+            MakeReportHandler(mControl))
+  , mMembers(mSettings.mPlatform, MakeMemberHandlers(mControl))
+  , mEntries(PoolSettings(mSettings))
+  , mAgents(PoolSettings(mSettings))
+  , mParts{ mSettings, mControl,  mRunner,
+            mMembers,  mEntries,  mAgents,
+            mMetrics,  mMessages, [this] { mHasLeft = true; } }
+  , mPeerServer(mSettings.mListen, MakeHandlers(mControl))
+  , mHttpServer(HttpSettings(mSettings))
+{
+}
+
+agent_daemon::~agent_daemon()
+{
+  Stop();
+}
+
+std::optional<core::error>
+agent_daemon::Start()
+{
+  RouteTargets(mHttpServer, mControl);
+  RouteHealth();
+  auto error = mPeerServer.Start();
+  if (!error) {
+    error = mHttpServer.Start();
+  }
+  if (error) {
+    // Answers calls that came in meanwhile, so that `Stop` can end them.
+    mControl.Start([](const agent::effect&) { return std::nullopt; });
+    return error;
+  }
+  mControl.Start([this](agent::effect aEffect) {
+    return Perform(mParts, std::move(aEffect));
+  });
+  return std::nullopt;
+}
+
+void
+agent_daemon::Leave()
+{
+  mControl.Post(agent::Leave);
+}
+
+bool
+agent_daemon::HasLeft() const
+{
+  return mHasLeft;
+}
+
+void
+agent_daemon::Stop()
+{
+  mHttpServer.Stop();
+  mPeerServer.Stop();
+  mMembers.Stop();
+  mRunner.Stop();
+  mEntries.Stop();
+  mAgents.Stop();
+  mControl.Stop();
+}
+
+void
+agent_daemon::RouteHealth()
+{
+  const auto state = [this] {
+    return mControl.Ask<core::agent_state>(
+      [](agent_control& aState, core::instant aNow, effects&) {
+        return agent::StateOf(aState, aNow);
+      });
+  };
+  mHttpServer.Route(
+    "GET", "/healthz", [](const auto&) { return TextResponse(200, "ok\n"); });
+  mHttpServer.Route("GET", "/readyz", [state](const auto&) {
+    const auto now = state();
+    return now.mOpen && !now.mLeaving
+             ? TextResponse(200, "ready\n")
+             : TextResponse(kUnavailable,
+                            now.mLeaving ? "leaving\n" : "not open\n");
+  });
+  mHttpServer.Route("GET", "/metrics", [this, state](const auto&) {
+    mMetrics.SetQueueLength(QueueLength(state()));
+    return TextResponse(200, mMetrics.Text() + mMessages.Text());
+  });
+}
+
+} // namespace gooseberry::agentd
--- /dev/null
+++ b/src/agent/control_thread.cpp
@@ -0,0 +1,87 @@
+#include "agent/control_thread.h"
+
+#include "libgooseberryio/clock.h"
+
+#include <utility>
+
+namespace gooseberry::agentd {
+
+namespace {
+
+constexpr core::duration kTickInterval = std::chrono::milliseconds(5);
+constexpr core::duration kPostPause = std::chrono::milliseconds(1);
+
+} // namespace
+
+control_thread::control_thread(agent::agent_control aControl,
+                               std::size_t aQueueCapacity)
+  : mControl(std::move(aControl))
+  , mEvents(aQueueCapacity)
+{
+}
+
+control_thread::~control_thread()
+{
+  Stop();
+}
+
+void
+control_thread::Start(effect_performer aPerformer)
+{
+  mPerformer = std::move(aPerformer);
+  mThread = std::thread([this] { Run(); });
+}
+
+void
+control_thread::Stop()
+{
+  mEvents.Close();
+  if (mThread.joinable()) {
+    mThread.join();
+  }
+}
+
+void
+control_thread::Post(const control_event& aEvent)
+{
+  while (!mEvents.Push(aEvent) && !mEvents.IsClosed()) {
+    std::this_thread::sleep_for(kPostPause);
+  }
+}
+
+void
+control_thread::Run()
+{
+  core::instant lastTick{};
+  while (true) {
+    auto events = mEvents.PopAll(kTickInterval);
+    for (const auto& event : events) {
+      Handle(event);
+    }
+    if (const auto now = io::Now(); now - lastTick >= kTickInterval) {
+      lastTick = now;
+      Handle(agent::Tick);
+    }
+    if (events.empty() && mEvents.IsClosed()) {
+      return;
+    }
+  }
+}
+
+void
+control_thread::Handle(const control_event& aEvent)
+{
+  std::deque<control_event> next{ aEvent };
+  while (!next.empty()) {
+    agent::effects made;
+    next.front()(mControl, io::Now(), made);
+    next.pop_front();
+    for (auto& effect : made) {
+      if (auto followUp = mPerformer(std::move(effect)); followUp) {
+        next.push_back(std::move(*followUp));
+      }
+    }
+  }
+}
+
+} // namespace gooseberry::agentd
--- /dev/null
+++ b/src/agent/daemon_settings.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "libgooseberry/agent/control_settings.h"
+#include "libgooseberryio/platform_client.h"
+
+#include <cstddef>
+#include <string>
+
+namespace gooseberry::agentd {
+
+/** Settings of the whole process. */
+struct daemon_settings
+{
+  agent::control_settings mControl;
+  std::string mListen; ///< `IP:PORT` of calls from entries and agents.
+  std::string mHttp;   ///< `IP:PORT` of targets, metrics and health.
+  io::platform_settings mPlatform;
+  core::duration mCallDeadline = std::chrono::milliseconds(500);
+  /** Largest answer of a target; a larger one is an unknown end. */
+  std::size_t mMaxResult = std::size_t{ 4 } << 20U; // bytes
+  std::size_t mMaxTargetThreads = 1024;
+  std::size_t mEventQueue = 65536; ///< Events that wait for control.
+};
+
+} // namespace gooseberry::agentd
--- /dev/null
+++ b/src/agent/effect_performer.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "agent/control_thread.h"
+#include "agent/daemon_settings.h"
+#include "agent/member_table.h"
+#include "agent/message_metrics.h"
+#include "agent/target_runner.h"
+#include "libgooseberryio/metrics.h"
+#include "libgooseberryio/peer_pool.h"
+
+#include <functional>
+
+namespace gooseberry::agentd {
+
+/** What carries out effects: pools of connections, threads and counters. */
+struct effect_parts
+{
+  const daemon_settings& mSettings;
+  control_thread& mControl;
+  target_runner& mRunner;
+  member_table& mMembers;
+  io::peer_pool<io::entry_client>& mEntries;
+  io::peer_pool<io::agent_client>& mAgents;
+  io::metrics& mMetrics;
+  message_metrics& mMessages;
+  std::function<void()> mOnLeft;
+};
+
+/** Carries out one effect without blocking; what it gives is handled next. */
+std::optional<control_event>
+Perform(effect_parts& aParts, agent::effect aEffect);
+
+} // namespace gooseberry::agentd
--- /dev/null
+++ b/src/agent/member_table.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "libgooseberry/agent/joining.h"
+#include "libgooseberryio/event_queue.h"
+#include "libgooseberryio/platform_client.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace gooseberry::agentd {
+
+/** What the table's thread tells; called on that thread. */
+struct member_handlers
+{
+  std::function<void(std::vector<agent::member_row>)> mOnRows;
+  std::function<void()> mOnWritten;
+};
+
+struct read_members
+{};
+struct write_member
+{
+  agent::member_row mRow;
+};
+struct delete_member
+{
+  core::peer_ref mAgent;
+};
+using member_request = std::variant<read_members, write_member, delete_member>;
+
+/** Key of an agent's row: `agent/NAME/INCARNATION`. */
+std::string
+KeyOf(const agent::member_row& aRow);
+
+/** The row as JSON. */
+std::string
+ToJson(const agent::member_row& aRow);
+
+/** Reads a row's JSON; none where it is malformed. */
+std::optional<agent::member_row>
+FromJson(const std::string& aText);
+
+/** The table `members`, read and written on a thread of its own. */
+class member_table
+{
+public:
+  member_table(const io::platform_settings& aPlatform,
+               member_handlers aHandlers);
+  /** Stops. */
+  ~member_table();
+  member_table(const member_table&) = delete;
+  member_table& operator=(const member_table&) = delete;
+
+  /** Dropped where earlier requests have not been dealt with. */
+  void Post(member_request aRequest);
+
+  void Stop();
+
+private:
+  void Run();
+  void Do(const member_request& aRequest);
+
+  io::platform_client mClient;
+  const member_handlers mHandlers;
+  io::event_queue<member_request> mRequests;
+  std::thread mThread;
+};
+
+} // namespace gooseberry::agentd
--- a/src/libgooseberry/agent/admission.cpp
+++ b/src/libgooseberry/agent/admission.cpp
@@ -106,9 +106,6 @@
            const core::task_start& aStart,
            core::instant aNow)
 {
-  if (!IsFresh(aControl.mFreshness, aNow, aControl.mSettings.mFreshnessBound)) {
-    return start_verdict::Stale;
-  }
   if (!IsOwnDomainIn(aControl)) {
     return start_verdict::DomainOut;
   }
@@ -130,6 +127,17 @@
   return start_verdict::Accepted;
 }
 
+start_verdict
+CheckStart(const agent_control& aControl,
+           const core::task_start& aStart,
+           core::instant aNow)
+{
+  const auto bound = aControl.mSettings.mFreshnessBound;
+  return IsFresh(aControl.mFreshness, aNow, bound)
+           ? CheckPlace(aControl, aStart, aNow)
+           : start_verdict::Stale;
+}
+
 admission
 Decide(const agent_control& aControl,
        const core::start_batch& aBatch,
@@ -149,7 +157,7 @@
   if (!IsStampFresh(aBatch.mAgentStamp, aNow, settings.mFreshnessBound)) {
     return Refused(start_verdict::Stale);
   }
-  if (const auto verdict = CheckPlace(aControl, aStart, aNow);
+  if (const auto verdict = CheckStart(aControl, aStart, aNow);
       verdict != start_verdict::Accepted) {
     return Refused(verdict);
   }
--- a/src/libgooseberry/agent/admission.h
+++ b/src/libgooseberry/agent/admission.h
@@ -30,14 +30,20 @@
        core::instant aNow);
 
 /**
- * Whether the task may start at its target by the configuration, the agent's
- * freshness and the target's own state, slots aside: `Accepted`, or why not.
+ * Whether the task may be at its target by the configuration and the target's
+ * own state, slots and freshness aside: `Accepted`, or why not.
  */
 core::start_verdict
 CheckPlace(const agent_control& aControl,
            const core::task_start& aStart,
            core::instant aNow);
 
+/** `CheckPlace`, and whether the agent is in touch. */
+core::start_verdict
+CheckStart(const agent_control& aControl,
+           const core::task_start& aStart,
+           core::instant aNow);
+
 /** Whether starts are allowed in the agent's failure domain. */
 bool
 IsOwnDomainIn(const agent_control& aControl);
--- a/src/libgooseberry/agent/agent_inputs.cpp
+++ b/src/libgooseberry/agent/agent_inputs.cpp
@@ -40,27 +40,6 @@
   return std::min<core::duration>(wait, aSettings.mMaxRetry);
 }
 
-/** Ended runs of this agent: its own address is proof that they ended. */
-void
-DeleteOldRows(agent_control& aControl,
-              const std::vector<member_row>& aRows,
-              core::instant aNow,
-              effects& aOut)
-{
-  const auto& settings = aControl.mSettings;
-  const auto& registered = aControl.mJoin.mRegisteredAt;
-  if (!registered || aNow - *registered < settings.mDeduplicationWindow) {
-    return;
-  }
-  for (const auto& row : aRows) {
-    if (row.mRole == member_role::Agent && row.mAddress == settings.mAddress &&
-        row.mMember.mName == settings.mAgent.mName &&
-        row.mMember != settings.mAgent) {
-      aOut.emplace_back(delete_row{ row.mMember });
-    }
-  }
-}
-
 } // namespace
 
 core::generation
@@ -139,7 +118,6 @@
       LearnEntry(aControl.mEntries, row.mMember.mName, row.mAddress, aNow);
     }
   }
-  DeleteOldRows(aControl, aRows, aNow, aOut);
   if (aControl.mJoin.mPhase == join_phase::Copying) {
     const bool isFirst = !aControl.mJoin.mRowsRead;
     NoteRows(aControl.mJoin, aControl.mSettings.mAgent, aRows);
--- a/src/libgooseberry/agent/effects.h
+++ b/src/libgooseberry/agent/effects.h
@@ -50,12 +50,6 @@
 struct write_row
 {};
 
-/** Delete the row of an ended incarnation. */
-struct delete_row
-{
-  core::peer_ref mAgent;
-};
-
 /** The process has left: nothing runs, every result is acknowledged. */
 struct left
 {};
@@ -121,7 +115,6 @@
                             copy_fences_from,
                             read_rows,
                             write_row,
-                            delete_row,
                             left,
                             log_event>;
 
--- a/src/libgooseberry/agent/target_run.cpp
+++ b/src/libgooseberry/agent/target_run.cpp
@@ -45,20 +45,6 @@
   aOut.emplace_back(std::move(event));
 }
 
-/** The verdict on a queued task, its agent's freshness aside. */
-start_verdict
-CheckQueued(const agent_control& aControl,
-            const core::task_start& aStart,
-            core::instant aNow)
-{
-  const auto verdict = CheckPlace(aControl, aStart, aNow);
-  if (verdict != start_verdict::Stale) {
-    return verdict;
-  }
-  return IsOwnDomainIn(aControl) ? start_verdict::Accepted
-                                 : start_verdict::DomainOut;
-}
-
 } // namespace
 
 core::duration
@@ -124,7 +110,7 @@
   }
   for (const auto reason : kReasons) {
     ReturnQueued(aControl, reason, aNow, aOut, [&](const queued_task& aTask) {
-      return CheckQueued(aControl, aTask.mStart, aNow) == reason;
+      return CheckPlace(aControl, aTask.mStart, aNow) == reason;
     });
   }
 }
@@ -143,7 +129,7 @@
     }
     const auto& start = next->mStart;
     aControl.mQueuedAt.erase(start.mTask);
-    if (const auto verdict = CheckPlace(aControl, start, aNow);
+    if (const auto verdict = CheckStart(aControl, start, aNow);
         verdict != start_verdict::Accepted) {
       ReturnTask(aControl, start, next->mEntryAddress, verdict, aNow, aOut);
       continue;
