--- a/tools/load/mix.cpp
+++ b/tools/load/mix.cpp
@@ -1,7 +1,6 @@
 #include "load/mix.h"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <random>
 
@@ -30,19 +29,10 @@
   return aLow + (aHigh - aLow) * Uniform(aRandom);
 }
 
-struct owner
+std::string
+ServiceOf(mix aMix)
 {
-  std::string mService;
-  std::array<const char*, 3> mTeams;
-};
-
-owner
-OwnerOf(mix aMix)
-{
-  if (aMix == mix::Tabcraft) {
-    return { "tab-order", { "wholesale", "print-shops", "notaries" } };
-  }
-  return { "almanac", { "tunis", "sfax", "sousse" } };
+  return aMix == mix::Tabcraft ? "tab-order" : "almanac";
 }
 
 std::uint32_t
@@ -104,21 +94,28 @@
 std::vector<job_shape>
 ShapesOf(mix aMix)
 {
+  const std::vector<std::string> trade{ "wholesale", "print-shop", "notary" };
+  const std::vector<std::string> desk{ "counter" };
+  const std::vector<std::string> print{ "calendar" };
   switch (aMix) {
     case mix::Tabcraft:
-      return { { "label_check", 0.55, 1, 4, false, 50, 200, 0 },
-               { "die_cut_proof", 0.40, 4, 16, false, 100, 600, 0 },
-               { "cutting_plan", 0.049, 20, 120, true, 200, 1000, 0.005 },
-               { "large_plan", 0.001, 121, 870, true, 200, 1000, 0.005 } };
+      return {
+        { "label_check", trade, 0.55, 1, 4, false, 50, 200, 0 },
+        { "die_cut_proof", trade, 0.40, 4, 16, false, 100, 600, 0 },
+        { "cutting_plan", trade, 0.049, 20, 120, true, 200, 1000, 0.005 },
+        { "large_plan", trade, 0.001, 121, 870, true, 200, 1000, 0.005 }
+      };
     case mix::Qamar:
-      return { { "moon_phase", 0.70, 1, 4, false, 50, 150, 0 },
-               { "holiday_check", 0.20, 1, 3, false, 50, 250, 0 },
-               { "month_render", 0.099, 28, 31, false, 200, 1000, 0.005 },
-               { "calendar_run", 0.001, 58, 870, true, 200, 1000, 0.005 } };
+      return {
+        { "moon_phase", desk, 0.70, 1, 4, false, 50, 150, 0 },
+        { "holiday_check", desk, 0.20, 1, 3, false, 50, 250, 0 },
+        { "month_render", print, 0.099, 28, 31, false, 200, 1000, 0.005 },
+        { "calendar_run", print, 0.001, 58, 870, true, 200, 1000, 0.005 }
+      };
     case mix::Single:
       break;
   }
-  return { { "single", 1.0, 1, 1, false, 50, 50, 0 } };
+  return { { "single", desk, 1.0, 1, 1, false, 50, 50, 0 } };
 }
 
 double
@@ -141,7 +138,6 @@
 {
   random_source random(aSettings.mSeed);
   const auto shapes = ShapesOf(aSettings.mMix);
-  const owner owner = OwnerOf(aSettings.mMix);
   std::vector<job_plan> jobs;
   double at = 0;
   while (true) {
@@ -157,8 +153,8 @@
     job_plan job;
     job.mName = aSettings.mRun + "-" + std::to_string(jobs.size());
     job.mKind = shape.mKind;
-    job.mService = owner.mService;
-    job.mTeam = owner.mTeams[random() % owner.mTeams.size()];
+    job.mService = ServiceOf(aSettings.mMix);
+    job.mTeam = shape.mTeams[random() % shape.mTeams.size()];
     job.mArrival = std::chrono::duration_cast<microseconds>(
       std::chrono::duration<double>(at));
     job.mIdempotent = Uniform(random) >= kNonIdempotentShare;
--- a/tools/load/mix.h
+++ b/tools/load/mix.h
@@ -26,7 +26,8 @@
 struct job_shape
 {
   std::string mKind;
-  double mShare = 1.0; ///< Of the jobs of the mix.
+  std::vector<std::string> mTeams; ///< One of them sends the job.
+  double mShare = 1.0;             ///< Of the jobs of the mix.
   std::uint32_t mMinTasks = 1;
   std::uint32_t mMaxTasks = 1;
   /** Few tasks are likelier than many: uniform in the logarithm. */
