--- a/src/agent/effect_performer.cpp
+++ b/src/agent/effect_performer.cpp
@@ -154,12 +154,6 @@
     return std::nullopt;
   }
 
-  followup operator()(agent::delete_row& aEffect) const
-  {
-    mParts.mMembers.Post(delete_member{ aEffect.mAgent });
-    return std::nullopt;
-  }
-
   followup operator()(agent::left&) const
   {
     mParts.mOnLeft();
--- a/tests/libgooseberry/world_calls.cpp
+++ b/tests/libgooseberry/world_calls.cpp
@@ -416,17 +416,4 @@
     [] {});
 }
 
-void
-cluster::Do(agent_process& aFrom, const agent::delete_row& aEffect)
-{
-  CallStore(
-    aFrom,
-    [this, aEffect]() -> action {
-      mRows.erase(membership::RowKey(
-        { membership::role::Agent, aEffect.mAgent, {}, {} }));
-      return [] {};
-    },
-    [] {});
-}
-
 } // namespace gooseberry::world
