--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -62,7 +62,7 @@
 member_handlers
 MakeMemberHandlers(control_thread& aControl)
 {
-  return { [&aControl](std::vector<agent::member_row> aRows) {
+  return { [&aControl](std::vector<membership::member_row> aRows) {
             aControl.Post([rows = std::move(aRows)](agent_control& aState,
                                                     core::instant aNow,
                                                     effects& aOut) {
@@ -124,16 +124,14 @@
 agent_daemon::agent_daemon(daemon_settings aSettings)
   : mSettings(std::move(aSettings))
   , mMetrics(mSettings.mControl.mAgent.mName)
-  , mMessages(mSettings.mControl.mAgent.mName)
   , mControl(agent::MakeControl(mSettings.mControl), mSettings.mEventQueue)
   , mRunner({ mSettings.mMaxResult, mSettings.mMaxTargetThreads },
             MakeReportHandler(mControl))
   , mMembers(mSettings.mPlatform, MakeMemberHandlers(mControl))
   , mEntries(PoolSettings(mSettings))
   , mAgents(PoolSettings(mSettings))
-  , mParts{ mSettings, mControl,  mRunner,
-            mMembers,  mEntries,  mAgents,
-            mMetrics,  mMessages, [this] { mHasLeft = true; } }
+  , mParts{ mSettings, mControl, mRunner,  mMembers,
+            mEntries,  mAgents,  mMetrics, [this] { mHasLeft = true; } }
   , mPeerServer(mSettings.mListen, MakeHandlers(mControl))
   , mHttpServer(HttpSettings(mSettings))
 {
@@ -147,7 +145,7 @@
 std::optional<core::error>
 agent_daemon::Start()
 {
-  RouteTargets(mHttpServer, mControl);
+  RouteTargets(mHttpServer, mControl, mSettings.mMaxLease);
   RouteHealth();
   auto error = mPeerServer.Start();
   if (!error) {
@@ -208,7 +206,7 @@
   });
   mHttpServer.Route("GET", "/metrics", [this, state](const auto&) {
     mMetrics.SetQueueLength(QueueLength(state()));
-    return TextResponse(200, mMetrics.Text() + mMessages.Text());
+    return TextResponse(200, mMetrics.Text());
   });
 }
 
--- a/src/agent/agent_daemon.h
+++ b/src/agent/agent_daemon.h
@@ -38,7 +38,6 @@
 
   const daemon_settings mSettings;
   io::metrics mMetrics;
-  message_metrics mMessages;
   std::atomic<bool> mHasLeft = false;
   control_thread mControl;
   target_runner mRunner;
--- a/src/agent/daemon_settings.h
+++ b/src/agent/daemon_settings.h
@@ -17,7 +17,9 @@
   io::platform_settings mPlatform;
   core::duration mCallDeadline = std::chrono::milliseconds(500);
   /** Largest answer of a target; a larger one is an unknown end. */
-  std::size_t mMaxResult = std::size_t{ 4 } << 20U; // bytes
+  std::size_t mMaxResult = std::size_t{ 4 } << 20U;   // bytes
+  core::duration mMaxLease = std::chrono::seconds(3); ///< Of a target.
+  bool mLogDecisions = false; ///< One line for each start that is decided.
   std::size_t mMaxTargetThreads = 1024;
   std::size_t mEventQueue = 65536; ///< Events that wait for control.
 };
--- a/src/agent/effect_performer.cpp
+++ b/src/agent/effect_performer.cpp
@@ -17,16 +17,16 @@
 void
 Count(effect_parts& aParts, const agent::log_event& aEvent)
 {
-  auto& messages = aParts.mMessages;
+  auto& metrics = aParts.mMetrics;
   switch (aEvent.mEvent) {
     case agent::agent_event::Admission:
       if (aEvent.mRepeat) {
-        messages.Count(message_type::Repeat);
+        metrics.CountMessages("repeat");
         aParts.mMetrics.CountWastedMessages();
       } else if (aEvent.mVerdict == core::start_verdict::Accepted) {
-        messages.Count(message_type::Start);
+        metrics.CountMessages("start");
       } else {
-        messages.Count(message_type::Refused);
+        metrics.CountMessages("refused");
         aParts.mMetrics.CountRefusal(
           core::kStartVerdictNames.NameOf(aEvent.mVerdict));
         aParts.mMetrics.CountWastedMessages();
@@ -34,12 +34,10 @@
       return;
     case agent::agent_event::TaskStarted:
       return aParts.mMetrics.CountStarts();
-    case agent::agent_event::TaskEnded:
-      return messages.ObserveRunTime(aEvent.mRunTime);
     case agent::agent_event::Fence:
-      return messages.Count(message_type::Fence);
+      return metrics.CountMessages("fence");
     case agent::agent_event::Cancel:
-      return messages.Count(message_type::Cancel);
+      return metrics.CountMessages("cancel");
     case agent::agent_event::Configuration:
       return aParts.mMetrics.SetGeneration(aEvent.mGeneration);
     default:
@@ -60,8 +58,7 @@
 
   followup operator()(agent::send_finish& aEffect) const
   {
-    mParts.mMessages.Count(message_type::Finish,
-                           aEffect.mFinish.mResults.size());
+    mParts.mMetrics.CountMessages("finish", aEffect.mFinish.mResults.size());
     const auto id = aEffect.mId;
     const auto address = aEffect.mEntryAddress;
     const auto fail = [id](agent_control& aState, auto aNow, effects& aOut) {
@@ -90,7 +87,7 @@
 
   followup operator()(agent::send_announce& aEffect) const
   {
-    mParts.mMessages.Count(message_type::Announce);
+    mParts.mMetrics.CountMessages("announce");
     const auto address = aEffect.mEntryAddress;
     const auto fail =
       [address](agent_control& aState, auto aNow, effects& aOut) {
@@ -147,19 +144,13 @@
   followup operator()(agent::write_row&) const
   {
     const auto& control = mParts.mSettings.mControl;
-    mParts.mMembers.Post(write_member{ { agent::member_role::Agent,
+    mParts.mMembers.Post(write_member{ { membership::role::Agent,
                                          control.mAgent,
                                          control.mAddress,
                                          control.mFailureDomain } });
     return std::nullopt;
   }
 
-  followup operator()(agent::delete_row& aEffect) const
-  {
-    mParts.mMembers.Post(delete_member{ aEffect.mAgent });
-    return std::nullopt;
-  }
-
   followup operator()(agent::left&) const
   {
     mParts.mOnLeft();
@@ -169,7 +160,10 @@
   followup operator()(agent::log_event& aEffect) const
   {
     Count(mParts, aEffect);
-    WriteLine(aEffect);
+    if (aEffect.mEvent != agent::agent_event::Admission ||
+        mParts.mSettings.mLogDecisions) {
+      WriteLine(aEffect);
+    }
     return std::nullopt;
   }
 };
--- a/src/agent/effect_performer.h
+++ b/src/agent/effect_performer.h
@@ -3,7 +3,6 @@
 #include "agent/control_thread.h"
 #include "agent/daemon_settings.h"
 #include "agent/member_table.h"
-#include "agent/message_metrics.h"
 #include "agent/target_runner.h"
 #include "libgooseberryio/metrics.h"
 #include "libgooseberryio/peer_pool.h"
@@ -22,7 +21,6 @@
   io::peer_pool<io::entry_client>& mEntries;
   io::peer_pool<io::agent_client>& mAgents;
   io::metrics& mMetrics;
-  message_metrics& mMessages;
   std::function<void()> mOnLeft;
 };
 
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -1,80 +1,91 @@
 #include "agent/agent_daemon.h"
-
+#include "libgooseberryio/agent_settings.h"
 #include "libgooseberryio/log.h"
+#include "libgooseberryio/program.h"
+#include "libgooseberryio/stop_signals.h"
 
-#include <chrono>
-#include <csignal>
-#include <cstdlib>
-#include <iostream>
+#include <cstdint>
 #include <random>
-#include <tclap/CmdLine.h>
-#include <thread>
+#include <variant>
 
 namespace {
 
 using namespace gooseberry;
 
-constexpr auto kSignalPoll = std::chrono::milliseconds(20);
-constexpr int kExitStart = 1;
-constexpr int kExitStopped = 3;
-
-volatile std::sig_atomic_t sSignals = 0;
-
-void
-OnSignal(int)
-{
-  sSignals = sSignals + 1;
-}
+constexpr core::duration kSignalPoll = std::chrono::milliseconds(20);
 
 std::uint64_t
 RandomIncarnation()
 {
+  constexpr unsigned kWordBits = 31; // Leaves the sign bit of the wire clear.
   std::random_device device;
-  return (std::uint64_t{ device() } << 31U) ^ device();
+  return (std::uint64_t{ device() } << kWordBits) ^ device();
 }
 
 agentd::daemon_settings
-ReadSettings(int aCount, char** aWords)
+DaemonSettings(const io::agent_settings& aSettings)
 {
-  TCLAP::CmdLine line("gooseberry-agent", ' ', "0.1.0");
-  TCLAP::ValueArg<std::string> name("", "name", "", true, "", "NAME", line);
-  TCLAP::ValueArg<std::string> listen(
-    "", "listen", "", true, "", "IP:PORT", line);
-  TCLAP::ValueArg<std::string> http("", "http", "", true, "", "IP:PORT", line);
-  TCLAP::ValueArg<std::string> platform(
-    "", "platform", "", true, "", "URL", line);
-  TCLAP::ValueArg<std::string> domain(
-    "", "failure-domain", "", true, "", "NAME", line);
-  TCLAP::ValueArg<std::string> rack("", "rack", "", false, "", "NAME", line);
-  line.parse(aCount, aWords);
-  agentd::daemon_settings settings;
-  settings.mControl.mAgent = { name.getValue(), RandomIncarnation() };
-  settings.mControl.mAddress = listen.getValue();
-  settings.mControl.mFailureDomain = domain.getValue();
-  settings.mControl.mRack = rack.getValue();
-  settings.mListen = listen.getValue();
-  settings.mHttp = http.getValue();
-  settings.mPlatform.mUrl = platform.getValue();
-  return settings;
+  agentd::daemon_settings daemon;
+  daemon.mListen = aSettings.mPeerAddress;
+  daemon.mHttp = aSettings.mHttpAddress;
+  daemon.mPlatform = aSettings.mPlatform;
+  daemon.mCallDeadline = aSettings.mProtocol.mPeerDeadline;
+  daemon.mMaxResult = aSettings.mLimits.mMaxAnswerBytes;
+  daemon.mMaxLease = aSettings.mLimits.mTargetLease;
+  daemon.mLogDecisions = aSettings.mLogDecisions;
+  auto& control = daemon.mControl;
+  control.mAgent = { aSettings.mName, RandomIncarnation() };
+  control.mAddress = aSettings.mPeerAddress;
+  control.mFailureDomain = aSettings.mFailureDomain;
+  control.mRack = aSettings.mRack;
+  control.mFreshnessBound = aSettings.mProtocol.mFreshnessBound;
+  control.mDeduplicationWindow = aSettings.mProtocol.mDeduplicationWindow;
+  control.mAnnounceInterval = aSettings.mProtocol.mAnnounce;
+  control.mQueuePerTarget = aSettings.mLimits.mQueuePerTarget;
+  control.mMaxTargets = aSettings.mLimits.mMaxTargets;
+  control.mMaxResultBytes = aSettings.mLimits.mResultBytes;
+  return daemon;
 }
 
-/** Serves until the process has left, or a second signal stops it. */
-int
-Serve(agentd::agent_daemon& aDaemon)
+/** Serves until the process has left; a second signal ends it at once. */
+io::exit_code
+Serve(const io::program& aProgram,
+      const io::agent_settings& aSettings,
+      io::stop_signals& aSignals)
 {
-  bool isLeaving = false;
-  while (!aDaemon.HasLeft()) {
+  agentd::agent_daemon daemon(DaemonSettings(aSettings));
+  if (const auto error = daemon.Start(); error) {
+    io::PrintError(aProgram, *error);
+    return io::exit_code::CannotStart;
+  }
+  while (!aSignals.WaitFor(kSignalPoll)) {
+  }
+  daemon.Leave();
+  while (!daemon.HasLeft()) {
     std::this_thread::sleep_for(kSignalPoll);
-    if (sSignals > 0 && !isLeaving) {
-      isLeaving = true;
-      aDaemon.Leave();
-    }
-    if (sSignals > 1) {
-      std::_Exit(kExitStopped);
-    }
   }
-  aDaemon.Stop();
-  return EXIT_SUCCESS;
+  daemon.Stop();
+  return io::exit_code::Ok;
+}
+
+io::exit_code
+Run(int aCount, const char* const* aWords)
+{
+  const io::program program{ "gooseberry-agent",
+                             "Runs tasks on the targets of one worker.",
+                             io::AgentSettingsReference() };
+  const auto read =
+    io::ReadProgramSettings(program, io::ParseAgentSettings, aCount, aWords);
+  if (const auto* code = std::get_if<io::exit_code>(&read)) {
+    return *code;
+  }
+  const auto& settings = std::get<io::agent_settings>(read);
+  io::stop_signals signals;
+  if (const auto error = io::SetUpLog(settings.mLog); error) {
+    io::PrintError(program, *error);
+    return io::exit_code::CannotStart;
+  }
+  return Serve(program, settings, signals);
 }
 
 } // namespace
@@ -82,18 +93,5 @@
 int
 main(int aCount, char** aWords)
 {
-  std::signal(SIGTERM, OnSignal);
-  std::signal(SIGINT, OnSignal);
-  std::signal(SIGPIPE, SIG_IGN);
-  const auto settings = ReadSettings(aCount, aWords);
-  if (const auto error = io::SetUpLog({}); error) {
-    std::cerr << "gooseberry-agent: " << core::ToString(*error) << '\n';
-    return kExitStart;
-  }
-  agentd::agent_daemon daemon(settings);
-  if (const auto error = daemon.Start(); error) {
-    std::cerr << "gooseberry-agent: " << core::ToString(*error) << '\n';
-    return kExitStart;
-  }
-  return Serve(daemon);
+  return static_cast<int>(Run(aCount, aWords));
 }
--- a/src/agent/member_table.h
+++ b/src/agent/member_table.h
@@ -1,12 +1,10 @@
 #pragma once
 
-#include "libgooseberry/agent/joining.h"
+#include "libgooseberry/membership/members.h"
 #include "libgooseberryio/event_queue.h"
 #include "libgooseberryio/platform_client.h"
 
 #include <functional>
-#include <optional>
-#include <string>
 #include <thread>
 #include <variant>
 #include <vector>
@@ -16,7 +14,7 @@
 /** What the table's thread tells; called on that thread. */
 struct member_handlers
 {
-  std::function<void(std::vector<agent::member_row>)> mOnRows;
+  std::function<void(std::vector<membership::member_row>)> mOnRows;
   std::function<void()> mOnWritten;
 };
 
@@ -24,25 +22,9 @@
 {};
 struct write_member
 {
-  agent::member_row mRow;
+  membership::member_row mRow;
 };
-struct delete_member
-{
-  core::peer_ref mAgent;
-};
-using member_request = std::variant<read_members, write_member, delete_member>;
-
-/** Key of an agent's row: `agent/NAME/INCARNATION`. */
-std::string
-KeyOf(const agent::member_row& aRow);
-
-/** The row as JSON. */
-std::string
-ToJson(const agent::member_row& aRow);
-
-/** Reads a row's JSON; none where it is malformed. */
-std::optional<agent::member_row>
-FromJson(const std::string& aText);
+using member_request = std::variant<read_members, write_member>;
 
 /** The table `members`, read and written on a thread of its own. */
 class member_table
--- a/src/agent/target_api.cpp
+++ b/src/agent/target_api.cpp
@@ -149,14 +149,17 @@
 }
 
 io::http_response
-PutTarget(control_thread& aControl, const io::http_request& aRequest)
+PutTarget(control_thread& aControl,
+          core::duration aMaxLease,
+          const io::http_request& aRequest)
 {
-  const auto parsed =
+  auto parsed =
     ParseAnnouncement(aRequest.mPathParameters.at("name"), aRequest.mBody);
   if (const auto* error = std::get_if<core::error>(&parsed)) {
     return ErrorResponse(kBadRequest, core::ToString(*error));
   }
-  const auto& target = std::get<agent::target_announcement>(parsed);
+  auto& target = std::get<agent::target_announcement>(parsed);
+  target.mLease = std::min(target.mLease, aMaxLease);
   const bool isTaken = aControl.Ask<bool>(
     [&](auto& aState, core::instant aNow, agent::effects& aOut) {
       return agent::OnTargetAnnounced(aState, target, aNow, aOut);
@@ -236,11 +239,13 @@
 }
 
 void
-RouteTargets(io::http_server& aServer, control_thread& aControl)
+RouteTargets(io::http_server& aServer,
+             control_thread& aControl,
+             core::duration aMaxLease)
 {
   const std::string one = "/v1/targets/:name";
-  aServer.Route("PUT", one, [&aControl](const auto& aRequest) {
-    return PutTarget(aControl, aRequest);
+  aServer.Route("PUT", one, [&aControl, aMaxLease](const auto& aRequest) {
+    return PutTarget(aControl, aMaxLease, aRequest);
   });
   aServer.Route("DELETE", one, [&aControl](const auto& aRequest) {
     return DeleteTarget(aControl, aRequest);
--- a/src/agent/target_api.h
+++ b/src/agent/target_api.h
@@ -13,9 +13,12 @@
 core::result<agent::target_announcement>
 ParseAnnouncement(const std::string& aName, const std::string& aBody);
 
-/** Adds the routes under /v1/targets; to be called before the start. */
+/** Adds the routes under /v1/targets; to be called before the start. No lease
+ * is longer than `aMaxLease`. */
 void
-RouteTargets(io::http_server& aServer, control_thread& aControl);
+RouteTargets(io::http_server& aServer,
+             control_thread& aControl,
+             core::duration aMaxLease);
 
 /** A response with `{"error": ...}`. */
 io::http_response
--- a/src/libgooseberry/agent/agent_control.h
+++ b/src/libgooseberry/agent/agent_control.h
@@ -125,7 +125,7 @@
 /** All rows of the table `members`. */
 void
 OnRows(agent_control& aControl,
-       const std::vector<member_row>& aRows,
+       const std::vector<membership::member_row>& aRows,
        core::instant aNow,
        effects& aOut);
 
--- a/src/libgooseberry/agent/agent_inputs.cpp
+++ b/src/libgooseberry/agent/agent_inputs.cpp
@@ -109,13 +109,13 @@
 
 void
 OnRows(agent_control& aControl,
-       const std::vector<member_row>& aRows,
+       const std::vector<membership::member_row>& aRows,
        core::instant aNow,
        effects& aOut)
 {
   for (const auto& row : aRows) {
-    if (row.mRole == member_role::Entry) {
-      LearnEntry(aControl.mEntries, row.mMember.mName, row.mAddress, aNow);
+    if (row.mRole == membership::role::Entry) {
+      LearnEntry(aControl.mEntries, row.mPeer.mName, row.mAddress, aNow);
     }
   }
   if (aControl.mJoin.mPhase == join_phase::Copying) {
--- a/src/libgooseberry/agent/joining.cpp
+++ b/src/libgooseberry/agent/joining.cpp
@@ -8,20 +8,20 @@
 void
 NoteRows(join_state& aJoin,
          const core::peer_ref& aSelf,
-         const std::vector<member_row>& aRows)
+         const std::vector<membership::member_row>& aRows)
 {
   if (!aJoin.mRegisteredAt) {
     return;
   }
   std::map<core::peer_ref, join_peer> peers;
   for (const auto& row : aRows) {
-    if (row.mRole != member_role::Agent || row.mMember == aSelf) {
+    if (row.mRole != membership::role::Agent || row.mPeer == aSelf) {
       continue;
     }
-    const auto known = aJoin.mPeers.find(row.mMember);
+    const auto known = aJoin.mPeers.find(row.mPeer);
     const auto answer =
       known == aJoin.mPeers.end() ? join_answer::None : known->second.mAnswer;
-    peers.emplace(row.mMember, join_peer{ row.mAddress, answer });
+    peers.emplace(row.mPeer, join_peer{ row.mAddress, answer });
   }
   aJoin.mPeers = std::move(peers);
   aJoin.mRowsRead = true;
--- a/src/libgooseberry/agent/joining.h
+++ b/src/libgooseberry/agent/joining.h
@@ -3,6 +3,7 @@
 #include "libgooseberry/core/enum_names.h"
 #include "libgooseberry/core/identity.h"
 #include "libgooseberry/core/time.h"
+#include "libgooseberry/membership/members.h"
 
 #include <cstdint>
 #include <map>
@@ -13,24 +14,6 @@
 /** How an agent joins: row, fences of an open peer, then starts (R6). */
 namespace gooseberry::agent {
 
-enum class member_role : std::uint8_t
-{
-  Agent,
-  Entry,
-};
-inline constexpr core::enum_names<member_role, 2> kMemberRoleNames{
-  { "agent", "entry" }
-};
-
-/** One row of the table `members`: one run of an entry or an agent. */
-struct member_row
-{
-  member_role mRole = member_role::Agent;
-  core::peer_ref mMember;
-  std::string mAddress;
-  std::string mFailureDomain;
-};
-
 enum class join_phase : std::uint8_t
 {
   Registering, ///< The own row is not known to be written.
@@ -70,7 +53,7 @@
 void
 NoteRows(join_state& aJoin,
          const core::peer_ref& aSelf,
-         const std::vector<member_row>& aRows);
+         const std::vector<membership::member_row>& aRows);
 
 /** An agent answered with its fences. */
 void
--- a/tests/libgooseberry/test_agent_joining.cpp
+++ b/tests/libgooseberry/test_agent_joining.cpp
@@ -10,11 +10,17 @@
 
 namespace {
 
-const member_row kPeer{ member_role::Agent, { "p", 1 }, "10.0.0.5:9100", "n" };
-const member_row kOther{ member_role::Agent, { "q", 2 }, "10.0.0.6:9100", "n" };
+const membership::member_row kPeer{ membership::role::Agent,
+                                    { "p", 1 },
+                                    "10.0.0.5:9100",
+                                    "n" };
+const membership::member_row kOther{ membership::role::Agent,
+                                     { "q", 2 },
+                                     "10.0.0.6:9100",
+                                     "n" };
 
 agent_world
-JoiningWorld(const std::vector<member_row>& aRows)
+JoiningWorld(const std::vector<membership::member_row>& aRows)
 {
   agent_world world;
   OnRowWritten(world.mControl, world.mNow, world.mOut);
@@ -27,13 +33,13 @@
 
 void
 Answer(agent_world& aWorld,
-       const member_row& aPeer,
+       const membership::member_row& aPeer,
        bool aIsOpen,
        std::vector<core::fence_note> aNotes = {})
 {
   OnCopiedFences(aWorld.mControl,
-                 aPeer.mMember,
-                 { aPeer.mMember, aIsOpen, std::move(aNotes) },
+                 aPeer.mPeer,
+                 { aPeer.mPeer, aIsOpen, std::move(aNotes) },
                  aWorld.mNow,
                  aWorld.mOut);
 }
@@ -94,7 +100,7 @@
 {
   auto world = JoiningWorld({ kPeer });
   OnCopiedFences(world.mControl,
-                 kPeer.mMember,
+                 kPeer.mPeer,
                  { { "p", 99 }, true, {} },
                  world.mNow,
                  world.mOut);
