--- a/src/libgooseberryio/http_server.cpp
+++ b/src/libgooseberryio/http_server.cpp
@@ -62,8 +62,8 @@
     std::ranges::transform(name, name.begin(), [](unsigned char aCharacter) {
       return static_cast<char>(std::tolower(aCharacter));
     });
-    headers.insert_or_assign(std::move(name),
-                             std::string(aMap->values[i], aMap->lengths[i]));
+    // The library's lengths count the terminating zero.
+    headers.insert_or_assign(std::move(name), std::string(aMap->values[i]));
   }
   return headers;
 }
--- /dev/null
+++ b/tests/agent/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE agent
+#include <boost/test/unit_test.hpp>
