--- a/tests/libgooseberry/world_calls.cpp
+++ b/tests/libgooseberry/world_calls.cpp
@@ -5,20 +5,6 @@
 /** Calls between the processes of the fake cluster, and to its store. */
 namespace gooseberry::world {
 
-namespace {
-
-agent::member_row
-ToAgentRow(const membership::member_row& aRow)
-{
-  return { aRow.mRole == membership::role::Entry ? agent::member_role::Entry
-                                                 : agent::member_role::Agent,
-           aRow.mPeer,
-           aRow.mAddress,
-           aRow.mFailureDomain };
-}
-
-} // namespace
-
 void
 cluster::Do(entry_process& aFrom, const entry::send_start& aEffect)
 {
@@ -383,9 +369,9 @@
   CallStore(
     aFrom,
     [this, &aFrom]() -> action {
-      std::vector<agent::member_row> rows;
+      std::vector<membership::member_row> rows;
       for (const auto& [key, row] : mRows) {
-        rows.push_back(ToAgentRow(row));
+        rows.push_back(row);
       }
       return [this, &aFrom, rows] {
         WithAgent(aFrom, [&](agent::effects& aEffects) {
