--- a/tests/tools/test_checks.cpp
+++ b/tests/tools/test_checks.cpp
@@ -200,6 +200,14 @@
     read(
       R"({"job":"j","outcome":"complete","results":["{\"task\":\"team/j:0\",\"echo\":\"f\"}"]})")
       .mWrong);
+  BOOST_TEST(
+    !read(
+       R"({"job":"team/j","outcome":"complete","results":["{\"task\":\"team/j:0\",\"echo\":\"e\"}"]})")
+       .mWrong);
+  BOOST_TEST(
+    read(
+      R"({"job":"k","outcome":"complete","results":["{\"task\":\"team/j:0\",\"echo\":\"e\"}"]})")
+      .mWrong);
   BOOST_TEST(!read("no json").mOutcome.has_value());
 }
 
--- a/tools/load/answer.cpp
+++ b/tools/load/answer.cpp
@@ -86,7 +86,8 @@
   if (aAnswer.mOutcome == core::job_outcome::Complete) {
     CompareResults(aJob, body.value("results", json()), aAnswer);
     const std::string name = Text(body, "job");
-    aAnswer.mWrong = aAnswer.mWrong || name != aJob.mName;
+    aAnswer.mWrong =
+      aAnswer.mWrong || (name != aJob.mName && name != KeyOf(aJob));
   } else if (const auto results = body.find("results");
              results != body.end() && !results->empty()) {
     aAnswer.mPartial = true;
