--- a/src/libgooseberry/target/capacity.cpp
+++ b/src/libgooseberry/target/capacity.cpp
@@ -77,8 +77,11 @@
   target.mFree = allowed > used ? allowed - used : 0;
   target.mRoom = target.mStartable && !target.mRampStart &&
                  used < target.mLoad.mSlots + aTable.mSettings.mPrefetch;
+  const std::uint32_t before = target.mCounted;
+  target.mCounted = target.mStartable ? target.mLoad.mSlots : 0;
   for (const auto& [service, position] : target.mMemberships) {
     service_view& view = aTable.mServices[service];
+    view.mSlots = view.mSlots - before + target.mCounted;
     Assign(view.mStartable, position, target.mStartable);
     Assign(view.mFree, position, target.mFree > 0);
     Assign(view.mRoomy, position, target.mFree > 1);
--- a/src/libgooseberry/target/members.cpp
+++ b/src/libgooseberry/target/members.cpp
@@ -17,10 +17,17 @@
   return aValue ^ (aValue >> 31);
 }
 
+/** A target that its agent no longer names stays listed: it may come back. */
+bool
+IsListed(const target_table& aTable, const target_view& aTarget)
+{
+  return aTarget.mKnown || aTable.mNow - aTarget.mReportedAt <= kKnownFor;
+}
+
 bool
 IsMember(const service_view& aService, const target_view& aTarget)
 {
-  if (!aService.mDeclared || !aTarget.mKnown) {
+  if (!aService.mDeclared || aTarget.mExpired) {
     return false;
   }
   const auto& offered = aTarget.mLoad.mServices;
@@ -95,6 +102,17 @@
            : &aTable.mServices[found->second];
 }
 
+bool
+HasKnownMember(const target_table& aTable, const service_view& aService)
+{
+  return std::any_of(aService.mMembers.begin(),
+                     aService.mMembers.end(),
+                     [&](target_index aTarget) {
+                       const auto heard = aTable.mTargets[aTarget].mReportedAt;
+                       return aTable.mNow - heard <= kKnownFor;
+                     });
+}
+
 void
 RebuildMembers(target_table& aTable, std::uint32_t aService)
 {
@@ -103,8 +121,11 @@
     DropMembership(aTable.mTargets[index], aService);
   }
   service.mMembers.clear();
+  service.mSlots = 0;
   for (target_index index = 0; index < aTable.mTargets.size(); ++index) {
-    if (IsMember(service, aTable.mTargets[index])) {
+    target_view& target = aTable.mTargets[index];
+    target.mExpired = !IsListed(aTable, target);
+    if (IsMember(service, target)) {
       service.mMembers.push_back(index);
     }
   }
@@ -116,7 +137,9 @@
   Reset(service.mRoom, size);
   for (std::uint32_t position = 0; position < size; ++position) {
     const target_index index = service.mMembers[position];
-    aTable.mTargets[index].mMemberships.push_back({ aService, position });
+    target_view& target = aTable.mTargets[index];
+    target.mMemberships.push_back({ aService, position });
+    service.mSlots += target.mCounted;
     Refresh(aTable, index);
   }
 }
--- a/src/libgooseberry/target/members.h
+++ b/src/libgooseberry/target/members.h
@@ -23,6 +23,10 @@
 const service_view*
 FindService(const target_table& aTable, std::string_view aName);
 
+/** Whether any target that may take the service was heard of of late. */
+bool
+HasKnownMember(const target_table& aTable, const service_view& aService);
+
 /** Makes the service's list of members and its sets anew. */
 void
 RebuildMembers(target_table& aTable, std::uint32_t aService);
--- a/src/libgooseberry/target/placement.cpp
+++ b/src/libgooseberry/target/placement.cpp
@@ -296,8 +296,11 @@
   if (choice) {
     return *choice;
   }
-  return AnyStartable(search) ? placement_refusal::NothingFree
-                              : placement_refusal::NothingEligible;
+  if (AnyStartable(search)) {
+    return placement_refusal::NothingFree;
+  }
+  return HasKnownMember(aTable, *service) ? placement_refusal::NothingEligible
+                                          : placement_refusal::NoTarget;
 }
 
 } // namespace gooseberry::target
--- a/src/libgooseberry/target/report.cpp
+++ b/src/libgooseberry/target/report.cpp
@@ -60,13 +60,14 @@
          IsFresh(aTable, aTarget, aTable.mNow);
 }
 
-/** Whether who may use the target is another question than before. */
+/** Whether the lists that the target is in are out of date. */
 bool
-ChangesUse(const target_view& aTarget,
-           const core::agent_state& aState,
-           const core::target_load& aLoad)
+ChangesLists(const target_view& aTarget,
+             const core::agent_state& aState,
+             const core::target_load& aLoad)
 {
-  return !aTarget.mKnown || aTarget.mFailureDomain != aState.mFailureDomain ||
+  return aTarget.mAgent.empty() || aTarget.mExpired ||
+         aTarget.mFailureDomain != aState.mFailureDomain ||
          aTarget.mLoad.mServices != aLoad.mServices;
 }
 
@@ -90,6 +91,7 @@
   aTarget.mDomainIn =
     configuration::IsDomainIn(aTable.mConfiguration, aState.mFailureDomain);
   aTarget.mKnown = true;
+  aTarget.mExpired = false;
 }
 
 /** A target that was not there may come up in a domain that is coming back. */
@@ -105,10 +107,9 @@
 }
 
 void
-Drop(target_table& aTable, target_index aTarget, service_list& aServices)
+Drop(target_table& aTable, target_index aTarget)
 {
   target_view& target = aTable.mTargets[aTarget];
-  AddServices(aTable, target, aServices);
   target.mKnown = false;
   // Whatever took it away may have mended it.
   target.mHealth.mProbeAt = std::min(target.mHealth.mProbeAt, aTable.mNow);
@@ -141,10 +142,10 @@
   return true;
 }
 
-service_list
+report_change
 ApplyReport(target_table& aTable, const core::agent_state& aState)
 {
-  service_list services;
+  report_change change;
   std::vector<target_index> reported;
   for (const core::target_load& load : aState.mTargets) {
     const target_index index = FindOrAdd(aTable, load.mName);
@@ -153,14 +154,17 @@
       continue;
     }
     reported.push_back(index);
-    const bool changesUse = ChangesUse(target, aState, load);
-    if (changesUse) {
-      AddServices(aTable, target, services);
+    const bool wasKnown = target.mKnown;
+    const bool changesLists = ChangesLists(target, aState, load);
+    if (changesLists) {
+      AddServices(aTable, target, change.mServices);
     }
     const std::uint32_t failures = target.mLoad.mConsecutiveFailures;
     CopyReport(aTable, target, aState, load);
-    if (changesUse) {
-      AddServices(aTable, target, services);
+    if (changesLists) {
+      AddServices(aTable, target, change.mServices);
+    }
+    if (!wasKnown) {
       JoinRamp(aTable, index);
     }
     TakeReport(aTable, index, failures);
@@ -172,26 +176,11 @@
       std::find(agent.mTargets.begin(), agent.mTargets.end(), index) !=
       agent.mTargets.end();
     if (!isStillThere && aTable.mTargets[index].mAgent == aState.mAgent.mName) {
-      Drop(aTable, index, services);
-    }
-  }
-  return services;
-}
-
-service_list
-DropTargets(target_table& aTable, std::string_view aAgent)
-{
-  service_list services;
-  const auto agent = aTable.mAgents.find(aAgent);
-  if (agent == aTable.mAgents.end()) {
-    return services;
-  }
-  for (const target_index index : std::exchange(agent->second.mTargets, {})) {
-    if (aTable.mTargets[index].mAgent == aAgent) {
-      Drop(aTable, index, services);
+      Drop(aTable, index);
+      change.mDropped = true;
     }
   }
-  return services;
+  return change;
 }
 
 } // namespace gooseberry::target
--- a/src/libgooseberry/target/report.h
+++ b/src/libgooseberry/target/report.h
@@ -2,7 +2,7 @@
 
 #include "libgooseberry/target/target_table.h"
 
-#include <string_view>
+#include <cstdint>
 #include <vector>
 
 /** Takes reports of agents apart. */
@@ -15,15 +15,18 @@
 bool
 AcceptReport(target_table& aTable, const core::agent_state& aState);
 
+/** What a report has changed beyond the load of its targets. */
+struct report_change
+{
+  std::vector<std::uint32_t> mServices; ///< Their lists are out of date.
+  bool mDropped = false;                ///< A target is no longer reported.
+};
+
 /**
- * Updates the targets that the report names and drops those that the same agent
- * reported before. Returns the services whose members have changed.
+ * Updates the targets that the report names and drops those that only the same
+ * agent's last report named.
  */
-std::vector<std::uint32_t>
+report_change
 ApplyReport(target_table& aTable, const core::agent_state& aState);
 
-/** Drops all the agent's targets; returns the services that lost members. */
-std::vector<std::uint32_t>
-DropTargets(target_table& aTable, std::string_view aAgent);
-
 } // namespace gooseberry::target
--- a/src/libgooseberry/target/target_table.cpp
+++ b/src/libgooseberry/target/target_table.cpp
@@ -155,11 +155,11 @@
     const auto known = Find(aTable, load.mName);
     before.push_back(known ? CapacityOf(aTable, *known) : capacity{});
   }
-  const auto changed = ApplyReport(aTable, aState);
-  for (const std::uint32_t service : changed) {
+  const auto [services, dropped] = ApplyReport(aTable, aState);
+  for (const std::uint32_t service : services) {
     RebuildMembers(aTable, service);
   }
-  bool changesUse = !changed.empty();
+  bool changesUse = dropped || !services.empty();
   std::vector<target_index> grown;
   for (std::size_t i = 0; i < aState.mTargets.size(); ++i) {
     const target_index index = *Find(aTable, aState.mTargets[i].mName);
@@ -182,8 +182,16 @@
             core::instant aNow)
 {
   AdvanceTo(aTable, aNow);
-  for (const std::uint32_t service : DropTargets(aTable, aAgentName)) {
-    RebuildMembers(aTable, service);
+  const auto agent = aTable.mAgents.find(aAgentName);
+  if (agent == aTable.mAgents.end()) {
+    return;
+  }
+  for (const target_index index : agent->second.mTargets) {
+    target_view& target = aTable.mTargets[index];
+    if (target.mAgent == aAgentName) {
+      target.mAgentOpen = false;
+      Refresh(aTable, index);
+    }
   }
   EnforceEjectedShare(aTable);
 }
@@ -268,14 +276,7 @@
 TotalSlots(const target_table& aTable, std::string_view aService)
 {
   const service_view* const service = FindService(aTable, aService);
-  std::uint32_t slots = 0;
-  if (service != nullptr) {
-    for (const target_index index : service->mMembers) {
-      const target_view& target = aTable.mTargets[index];
-      slots += target.mStartable ? target.mLoad.mSlots : 0;
-    }
-  }
-  return slots;
+  return service != nullptr ? service->mSlots : 0;
 }
 
 std::uint32_t
@@ -301,7 +302,8 @@
 CanEverRun(const target_table& aTable, std::string_view aService)
 {
   const service_view* const service = FindService(aTable, aService);
-  return service != nullptr && service->mDeclared && !service->mMembers.empty();
+  return service != nullptr && service->mDeclared &&
+         HasKnownMember(aTable, *service);
 }
 
 std::optional<core::instant>
--- a/src/libgooseberry/target/target_table.h
+++ b/src/libgooseberry/target/target_table.h
@@ -18,6 +18,9 @@
 
 namespace gooseberry::target {
 
+/** Without a report for longer, a target counts as gone for good. */
+inline constexpr core::duration kKnownFor = std::chrono::minutes(1);
+
 /** Where a target stands in the list of one service. */
 struct membership
 {
@@ -40,10 +43,12 @@
   std::uint32_t mSentSinceReport = 0;
   bool mAgentOpen = false;
 
+  bool mExpired = false;       ///< Left out of lists: long gone.
   bool mKnown = false;         ///< Its agent reports it.
   bool mDomainIn = false;      ///< The configuration allows starts there.
   bool mStartable = false;     ///< May get a start.
   bool mRoom = false;          ///< Startable, with room for a prefetch.
+  std::uint32_t mCounted = 0;  ///< Its slots in the sums of its services.
   std::uint32_t mFree = 0;     ///< Slots that this entry takes to be free.
   std::uint64_t mAffinity = 0; ///< Smaller is preferred by this entry.
   std::optional<core::instant> mRampStart; ///< While slots are coming back.
@@ -93,16 +98,19 @@
 
 /**
  * Takes an agent's report. A new incarnation replaces the old one; targets that
- * are no longer reported are gone; reports that are older than one already
- * taken, or come from an ended incarnation, change nothing. Returns the targets
- * whose capacity for this entry may have grown.
+ * are no longer reported get no more starts; reports that are older than one
+ * already taken, or come from an ended incarnation, change nothing. Returns the
+ * targets whose capacity for this entry may have grown.
  */
 std::vector<target_index>
 Observe(target_table& aTable,
         const core::agent_state& aState,
         core::instant aNow);
 
-/** The agent's run has ended: its targets are gone. */
+/**
+ * The agent does not answer or its run has ended: its targets get nothing until
+ * it reports again. They stay known for `kKnownFor`.
+ */
 void
 ForgetAgent(target_table& aTable,
             std::string_view aAgentName,
@@ -150,8 +158,8 @@
           core::instant aNow);
 
 /**
- * Whether the configuration has the service and any known target, though out,
- * silent or ejected now, may take it.
+ * Whether the configuration has the service and a target that may take it,
+ * though out, silent or ejected now, was heard of within `kKnownFor`.
  */
 bool
 CanEverRun(const target_table& aTable, std::string_view aService);
