--- a/src/libgooseberryio/http_server.cpp
+++ b/src/libgooseberryio/http_server.cpp
@@ -96,6 +96,11 @@
                                nullptr);
     return;
   }
+  // The library takes no empty body here, and would leave the status at 200.
+  if (aFrom.mBody.empty()) {
+    ulfius_set_empty_body_response(aTo, aFrom.mStatus);
+    return;
+  }
   ulfius_set_binary_body_response(
     aTo, aFrom.mStatus, aFrom.mBody.data(), aFrom.mBody.size());
 }
--- a/src/libgooseberryio/http_server.h
+++ b/src/libgooseberryio/http_server.h
@@ -27,9 +27,9 @@
 struct http_response
 {
   unsigned mStatus = 200;
-  std::map<std::string, std::string> mHeaders;
+  std::map<std::string, std::string> mHeaders{};
   std::string mContentType = "application/json";
-  std::string mBody;
+  std::string mBody{};
   /** Closes the connection in the middle of the response; for stand-ins. */
   bool mCutShort = false;
 };
--- a/src/libgooseberryio/log.cpp
+++ b/src/libgooseberryio/log.cpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <exception>
+#include <fstream>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
@@ -10,8 +11,7 @@
 namespace gooseberry::io {
 namespace {
 
-constexpr const char* kPattern =
-  "%d{yyyy-MM-dd'T'HH:mm:ss.SSS'Z'}{GMT} %p %m%n";
+constexpr const char* kPattern = "%d{yyyy-MM-ddTHH:mm:ss.SSS}{GMT}Z %p %m%n";
 
 std::atomic<log_level> sLevel = log_level::Off;
 
@@ -71,11 +71,23 @@
   }
 }
 
+/** The library itself does not say so. */
+bool
+CanAppendTo(const std::string& aFile)
+{
+  return std::ofstream(aFile, std::ios::app).good();
+}
+
 } // namespace
 
 std::optional<core::error>
 SetUpLog(const log_settings& aSettings)
 {
+  if (!aSettings.mFile.empty() && !CanAppendTo(aSettings.mFile)) {
+    return core::error{ .mStep = "open log",
+                        .mPeer = aSettings.mFile,
+                        .mReason = "cannot be written" };
+  }
   try {
     const auto layout =
       std::make_shared<log4cxx::PatternLayout>(log4cxx::LogString(kPattern));
