--- a/src/entry/submission_json.cpp
+++ b/src/entry/submission_json.cpp
@@ -202,7 +202,9 @@
 std::string
 FormatAnswer(const core::job_answer& aAnswer)
 {
-  json body{ { "job", aAnswer.mJob },
+  // Callers know the job by the name that they gave it, without the team.
+  const std::string name = aAnswer.mJob.substr(aAnswer.mJob.find('/') + 1);
+  json body{ { "job", name },
              { "outcome", core::kJobOutcomeNames.NameOf(aAnswer.mOutcome) } };
   if (aAnswer.mOutcome == core::job_outcome::Complete) {
     body["results"] = aAnswer.mResults;
