Prefetch counts an entry's own queued tasks; priorities carry no host clock

Cause: at 83% of the slots one entry's small jobs waited up to 1.1 s while another entry's large job refilled every freed slot: a target's queue of one was shared by all entries, so the first one shut out the others.

--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -192,7 +192,7 @@
   const auto state = [this] {
     return mControl.Ask<core::agent_state>(
       [](agent_control& aState, core::instant aNow, effects&) {
-        return agent::StateOf(aState, aNow);
+        return agent::StateOf(aState, {}, aNow);
       });
   };
   mHttpServer.Route(
--- a/src/libgooseberry/agent/agent_control.cpp
+++ b/src/libgooseberry/agent/agent_control.cpp
@@ -130,7 +130,9 @@
 }
 
 core::agent_state
-StateOf(const agent_control& aControl, core::instant aNow)
+StateOf(const agent_control& aControl,
+        std::string_view aReceiver,
+        core::instant aNow)
 {
   const auto& settings = aControl.mSettings;
   core::agent_state state;
@@ -153,7 +155,8 @@
         target.mRunning,
         static_cast<std::uint32_t>(target.mQueue.mTasks.size()),
         target.mConsecutiveFailures,
-        isGoing });
+        isGoing,
+        CountFrom(target.mQueue, aReceiver) });
   }
   return state;
 }
@@ -176,7 +179,7 @@
     reply.mVerdicts.push_back(decided.mVerdict);
   }
   Settle(aControl, aNow, aOut);
-  reply.mState = StateOf(aControl, aNow);
+  reply.mState = StateOf(aControl, aBatch.mEntryAddress, aNow);
   return reply;
 }
 
--- a/src/libgooseberry/agent/agent_control.h
+++ b/src/libgooseberry/agent/agent_control.h
@@ -86,9 +86,11 @@
 agent_control
 MakeControl(control_settings aSettings);
 
-/** What the agent tells of itself. */
+/** What the agent tells of itself to the entry at `aReceiver`, `ip:port`. */
 core::agent_state
-StateOf(const agent_control& aControl, core::instant aNow);
+StateOf(const agent_control& aControl,
+        std::string_view aReceiver,
+        core::instant aNow);
 
 core::start_reply
 OnStart(agent_control& aControl,
--- a/src/libgooseberry/agent/upkeep.cpp
+++ b/src/libgooseberry/agent/upkeep.cpp
@@ -19,10 +19,11 @@
   for (auto& batch :
        TakeBatches(aControl.mDelivery, aControl.mBook, aNow, limits)) {
     NoteSent(aControl.mEntries, batch.mEntryAddress, aNow);
+    core::agent_state state = StateOf(aControl, batch.mEntryAddress, aNow);
     aOut.emplace_back(
       send_finish{ batch.mId,
                    std::move(batch.mEntryAddress),
-                   { StateOf(aControl, aNow), std::move(batch.mResults) } });
+                   { std::move(state), std::move(batch.mResults) } });
   }
 }
 
@@ -34,8 +35,8 @@
                                 settings.mMinAnnounceGap,
                                 settings.mDeduplicationWindow };
   for (auto& address : TakeDueAnnounces(aControl.mEntries, aNow, limits)) {
-    aOut.emplace_back(
-      send_announce{ std::move(address), StateOf(aControl, aNow) });
+    core::agent_state state = StateOf(aControl, address, aNow);
+    aOut.emplace_back(send_announce{ std::move(address), std::move(state) });
   }
 }
 
--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -28,6 +28,8 @@
   /** Failures that the target reported since its last success. */
   std::uint32_t mConsecutiveFailures = 0;
   bool mLeaving = false;
+  /** Of the queued tasks, those that the receiver of the message has sent. */
+  std::uint32_t mQueuedByReceiver = 0;
 
   bool operator==(const target_load&) const = default;
 };
--- a/src/libgooseberry/entry/dispatch.cpp
+++ b/src/libgooseberry/entry/dispatch.cpp
@@ -22,6 +22,16 @@
   return batch;
 }
 
+/** The job's priority as seen by agents: free of this host's clock. */
+std::int64_t
+RelativePriority(const entry_control& aControl,
+                 const job::job& aJob,
+                 core::instant aNow)
+{
+  return aJob.mPriority -
+         job::Priority(aControl.mOptions.mOrder, core::duration::zero(), aNow);
+}
+
 core::task_start
 MakeStart(const job::job& aJob,
           std::uint32_t aIndex,
@@ -38,7 +48,6 @@
   start.mKind = described.mKind;
   start.mTarget = aTargetName;
   start.mPayload = described.mPayload;
-  start.mPriority = aJob.mPriority;
   return start;
 }
 
@@ -74,6 +83,7 @@
           std::uint32_t aIndex,
           const target::placement_choice& aChoice,
           batches& aBatches,
+          core::instant aNow,
           effects& aEffects)
 {
   const target::target_view& view = aControl.mTargets.mTargets[aChoice.mTarget];
@@ -95,6 +105,8 @@
     batch->second = MakeBatch(aControl, agent);
   }
   batch->second.mStarts.push_back(MakeStart(aJob, aIndex, view.mName));
+  batch->second.mStarts.back().mPriority =
+    RelativePriority(aControl, aJob, aNow);
   LogPlacement(aControl, aJob, aIndex, aChoice, aEffects);
 }
 
@@ -135,7 +147,7 @@
     }
     aJob.mWaiting.pop_back();
     --aControl.mTeams[aJob.mSubmission.mTeam].mWaiting;
-    PlaceTask(aControl, aJob, index, *choice, aBatches, aEffects);
+    PlaceTask(aControl, aJob, index, *choice, aBatches, aNow, aEffects);
   }
   return true;
 }
--- a/src/libgooseberryio/protocol/from_wire.cpp
+++ b/src/libgooseberryio/protocol/from_wire.cpp
@@ -81,7 +81,8 @@
            .mQueued = Count(aLoad.queued, "queued"),
            .mConsecutiveFailures =
              Count(aLoad.consecutiveFailures, "consecutive failures"),
-           .mLeaving = aLoad.leaving };
+           .mLeaving = aLoad.leaving,
+           .mQueuedByReceiver = Count(aLoad.queuedByReceiver, "queued") };
 }
 
 core::agent_state
--- a/src/libgooseberryio/protocol/gooseberry.thrift
+++ b/src/libgooseberryio/protocol/gooseberry.thrift
@@ -11,7 +11,8 @@
 
 struct TargetLoad {
   1: string name; 2: list<string> services; 3: i32 slots; 4: i32 running;
-  5: i32 queued; 6: i32 consecutiveFailures; 7: bool leaving
+  5: i32 queued; 6: i32 consecutiveFailures; 7: bool leaving;
+  8: i32 queuedByReceiver
 }
 struct AgentState {
   1: PeerRef agent; 2: string address; 3: string failureDomain;
--- a/src/libgooseberryio/protocol/to_wire.cpp
+++ b/src/libgooseberryio/protocol/to_wire.cpp
@@ -67,6 +67,7 @@
   load.queued = Bits(aLoad.mQueued);
   load.consecutiveFailures = Bits(aLoad.mConsecutiveFailures);
   load.leaving = aLoad.mLeaving;
+  load.queuedByReceiver = Bits(aLoad.mQueuedByReceiver);
   return load;
 }
 
--- a/tests/libgooseberry/test_agent_joining.cpp
+++ b/tests/libgooseberry/test_agent_joining.cpp
@@ -47,7 +47,7 @@
 bool
 IsOpen(const agent_world& aWorld)
 {
-  return StateOf(aWorld.mControl, aWorld.mNow).mOpen;
+  return StateOf(aWorld.mControl, {}, aWorld.mNow).mOpen;
 }
 
 } // namespace
@@ -124,7 +124,7 @@
   world.Configure(6, domain_state::Out);
   world.Configure(5, domain_state::In);
   world.Configure(6, domain_state::In);
-  BOOST_TEST(StateOf(world.mControl, world.mNow).mGeneration == 6U);
+  BOOST_TEST(StateOf(world.mControl, {}, world.mNow).mGeneration == 6U);
   BOOST_TEST((world.Start(Task(0)) == start_verdict::DomainOut));
 }
 
--- a/tests/libgooseberry/test_agent_results.cpp
+++ b/tests/libgooseberry/test_agent_results.cpp
@@ -147,7 +147,7 @@
 {
   auto world = OpenWorld();
   const auto failures = [&] {
-    return StateOf(world.mControl, world.mNow)
+    return StateOf(world.mControl, {}, world.mNow)
       .mTargets.at(0)
       .mConsecutiveFailures;
   };
--- a/tests/libgooseberry/test_agent_schedules.cpp
+++ b/tests/libgooseberry/test_agent_schedules.cpp
@@ -128,7 +128,7 @@
     RC_ASSERT(target.mQueue.mTasks.size() <= 2U);
   }
   RC_ASSERT(
-    StateOf(aSchedule.mWorld.mControl, aSchedule.mWorld.mNow).mGeneration ==
+    StateOf(aSchedule.mWorld.mControl, {}, aSchedule.mWorld.mNow).mGeneration ==
     aSchedule.mGeneration);
 }
 
