--- a/src/libgooseberry/target/capacity.cpp
+++ b/src/libgooseberry/target/capacity.cpp
@@ -1,11 +1,15 @@
 #include "libgooseberry/target/capacity.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gooseberry::target {
 
 namespace {
 
+/** Time between two looks at all targets for silent agents. */
+constexpr core::duration kSweepEvery = std::chrono::milliseconds(500);
+
 /** Time from one step of a ramp to the next; 0 where there is no ramp. */
 core::duration
 StepTime(const placement_settings& aSettings)
@@ -29,6 +33,40 @@
     std::min<std::int64_t>(made, aTable.mSettings.mRampSteps));
 }
 
+/** Takes targets of silent agents out of the sets and sums. */
+void
+SweepSilent(target_table& aTable)
+{
+  for (target_index index = 0; index < aTable.mTargets.size(); ++index) {
+    const target_view& target = aTable.mTargets[index];
+    if (target.mStartable && !IsFresh(aTable, target, aTable.mNow)) {
+      Refresh(aTable, index);
+    }
+  }
+}
+
+/** Brings returning targets to the step that is due. */
+void
+StepRamps(target_table& aTable)
+{
+  aTable.mNextStepAt = core::instant::max();
+  const core::duration step = StepTime(aTable.mSettings);
+  std::vector<target_index> ramping;
+  for (const target_index index : aTable.mRamping) {
+    target_view& target = aTable.mTargets[index];
+    const std::uint32_t made = StepsMade(aTable, *target.mRampStart);
+    if (made < aTable.mSettings.mRampSteps) {
+      ramping.push_back(index);
+      aTable.mNextStepAt =
+        std::min(aTable.mNextStepAt, *target.mRampStart + step * made);
+    } else {
+      target.mRampStart.reset();
+    }
+    Refresh(aTable, index);
+  }
+  aTable.mRamping = std::move(ramping);
+}
+
 } // namespace
 
 bool
@@ -108,25 +146,13 @@
 AdvanceTo(target_table& aTable, core::instant aNow)
 {
   aTable.mNow = std::max(aTable.mNow, aNow);
-  if (aTable.mNow < aTable.mNextStepAt) {
-    return;
+  if (aTable.mNow >= aTable.mNextStepAt) {
+    StepRamps(aTable);
   }
-  aTable.mNextStepAt = core::instant::max();
-  const core::duration step = StepTime(aTable.mSettings);
-  std::vector<target_index> ramping;
-  for (const target_index index : aTable.mRamping) {
-    target_view& target = aTable.mTargets[index];
-    const std::uint32_t made = StepsMade(aTable, *target.mRampStart);
-    if (made < aTable.mSettings.mRampSteps) {
-      ramping.push_back(index);
-      aTable.mNextStepAt =
-        std::min(aTable.mNextStepAt, *target.mRampStart + step * made);
-    } else {
-      target.mRampStart.reset();
-    }
-    Refresh(aTable, index);
+  if (aTable.mNow >= aTable.mNextSweepAt) {
+    SweepSilent(aTable);
+    aTable.mNextSweepAt = aTable.mNow + kSweepEvery;
   }
-  aTable.mRamping = std::move(ramping);
 }
 
 } // namespace gooseberry::target
--- a/src/libgooseberry/target/ejection.cpp
+++ b/src/libgooseberry/target/ejection.cpp
@@ -148,8 +148,11 @@
 {
   target_view& target = aTable.mTargets[aTarget];
   const std::uint32_t failures = target.mLoad.mConsecutiveFailures;
-  if (failures < aBefore) {
-    // Something has succeeded there, maybe a task of another entry.
+  const target_health& health = target.mHealth;
+  const bool isUnprobed =
+    health.mEjected && aTable.mNow - health.mProbeAt >= kUnprobedFor;
+  // Fewer failures: something has succeeded there, maybe of another entry.
+  if (failures < aBefore || isUnprobed) {
     PutBack(aTable, aTarget);
   }
   if (!IsSuspect(target.mHealth, failures, aTable.mSettings, aTable.mNow)) {
--- a/src/libgooseberry/target/health.h
+++ b/src/libgooseberry/target/health.h
@@ -16,6 +16,12 @@
  */
 inline constexpr core::duration kSuspectTime = std::chrono::milliseconds(250);
 
+/**
+ * A target that nothing has probed for this long, since no idempotent task came
+ * by, is put back: one fault must not cost it for good.
+ */
+inline constexpr core::duration kUnprobedFor = std::chrono::minutes(5);
+
 /** Ends older than this say nothing about a kind. */
 inline constexpr core::duration kOutcomeMemory = std::chrono::seconds(10);
 
--- a/src/libgooseberry/target/target_table.h
+++ b/src/libgooseberry/target/target_table.h
@@ -84,7 +84,8 @@
   std::vector<target_index> mEjected;
   std::vector<target_index> mRamping;
   core::instant mNextStepAt = core::instant::max(); ///< Of those ramping.
-  core::instant mNow{}; ///< The latest time that any call was given.
+  core::instant mNextSweepAt{}; ///< For agents that have gone silent.
+  core::instant mNow{};         ///< The latest time that any call was given.
 };
 
 /**
--- a/tests/libgooseberry/test_quota_admission.cpp
+++ b/tests/libgooseberry/test_quota_admission.cpp
@@ -7,7 +7,8 @@
 using namespace gooseberry;
 using namespace gooseberry::quota;
 using namespace std::chrono_literals;
-using gooseberry::test::Holds;
+using gooseberry::test::Between;
+using gooseberry::test::CheckProperty;
 
 namespace {
 
@@ -50,7 +51,7 @@
 
 BOOST_AUTO_TEST_CASE(retries_stay_within_share_floor_and_burst)
 {
-  Holds(
+  CheckProperty(
     [] {
       retry_budget budget;
       budget.mEarnedAt = kStart;
@@ -58,11 +59,11 @@
       double starts = 0;
       double retries = 0;
       for (int step = 0; step < 200; ++step) {
-        now += *rc::gen::inRange(0, 50) * 1ms;
-        const auto started = *rc::gen::inRange<std::uint32_t>(0, 20);
+        now += Between(0, 50) * 1ms;
+        const auto started = Between<std::uint32_t>(0, 20);
         EarnRetries(budget, started);
         starts += started;
-        for (int i = *rc::gen::inRange(0, 10); i > 0; --i) {
+        for (int i = Between(0, 10); i > 0; --i) {
           retries += TakeRetry(budget, now) ? 1 : 0;
         }
         const std::chrono::duration<double> passed = now - kStart;
@@ -122,13 +123,13 @@
 
 BOOST_AUTO_TEST_CASE(more_work_ahead_never_turns_a_refusal_round)
 {
-  Holds(
+  CheckProperty(
     [] {
-      admission_request request = MakeRequest(*rc::gen::inRange(1, 400) * 1s);
-      request.mSlots = *rc::gen::inRange(0, 100);
-      request.mDeadline = *rc::gen::inRange(1, 4000) * 1ms;
+      admission_request request = MakeRequest(Between(1, 400) * 1s);
+      request.mSlots = Between(0, 100);
+      request.mDeadline = Between(1, 4000) * 1ms;
       const auto first = Admit({}, request);
-      request.mWorkAhead += *rc::gen::inRange(0, 100) * 1s;
+      request.mWorkAhead += Between(0, 100) * 1s;
       const auto second = Admit({}, request);
       RC_ASSERT(std::holds_alternative<admitted>(first) ||
                 std::holds_alternative<refused>(second));
--- a/tests/libgooseberry/test_quota_share.cpp
+++ b/tests/libgooseberry/test_quota_share.cpp
@@ -8,7 +8,8 @@
 
 using namespace gooseberry;
 using namespace gooseberry::quota;
-using gooseberry::test::Holds;
+using gooseberry::test::Between;
+using gooseberry::test::CheckProperty;
 
 namespace {
 
@@ -34,11 +35,11 @@
 std::vector<core::team_use>
 AnyUses(std::uint32_t aQuota)
 {
-  std::vector<core::team_use> uses(*rc::gen::inRange(1, 7));
+  std::vector<core::team_use> uses(Between(1, 7));
   std::uint32_t left = aQuota;
   for (core::team_use& use : uses) {
-    use.mRunning = std::min<std::uint32_t>(left, *rc::gen::inRange(0, 20));
-    use.mWaiting = *rc::gen::inRange(0, 40) * *rc::gen::inRange(0, 2);
+    use.mRunning = std::min<std::uint32_t>(left, Between(0, 20));
+    use.mWaiting = Between(0, 40) * Between(0, 2);
     left -= use.mRunning;
   }
   return uses;
@@ -95,9 +96,9 @@
 
 BOOST_AUTO_TEST_CASE(shares_never_add_up_to_more_than_the_quota)
 {
-  Holds(
+  CheckProperty(
     [] {
-      const std::uint32_t quota = *rc::gen::inRange(1, 60);
+      const std::uint32_t quota = Between(1, 60);
       const auto uses = AnyUses(quota);
       const auto shares = SharesOf(quota, uses);
       RC_ASSERT(Sum(shares) <= quota);
@@ -114,9 +115,9 @@
 
 BOOST_AUTO_TEST_CASE(nothing_is_left_idle_while_there_is_demand)
 {
-  Holds(
+  CheckProperty(
     [] {
-      const std::uint32_t quota = *rc::gen::inRange(1, 60);
+      const std::uint32_t quota = Between(1, 60);
       auto uses = AnyUses(quota);
       std::uint64_t demand = 0;
       for (core::team_use& use : uses) {
--- a/tests/libgooseberry/test_target_ejection.cpp
+++ b/tests/libgooseberry/test_target_ejection.cpp
@@ -111,6 +111,17 @@
   BOOST_TEST(FreeSlots(table, kService, now) == 74); // Returns in steps.
 }
 
+BOOST_AUTO_TEST_CASE(without_idempotent_tasks_it_is_put_back_in_the_end)
+{
+  const estate estate = MakeEstate(10, 8);
+  target_table table = MakeEjected(estate);
+  const core::instant due = *NextChange(table);
+  ObserveAll(table, estate, due + kUnprobedFor - 1ms);
+  BOOST_TEST(table.mTargets[0].mHealth.mEjected);
+  ObserveAll(table, estate, due + kUnprobedFor);
+  BOOST_TEST(!table.mTargets[0].mHealth.mEjected);
+}
+
 BOOST_AUTO_TEST_CASE(kind_that_fails_everywhere_ejects_nobody_for_long)
 {
   target_table table = MakeTable(MakeEstate(10, 8));
--- a/tests/libgooseberry/test_target_placement.cpp
+++ b/tests/libgooseberry/test_target_placement.cpp
@@ -11,7 +11,8 @@
 using namespace gooseberry;
 using namespace gooseberry::target;
 using namespace gooseberry::target::test;
-using gooseberry::test::Holds;
+using gooseberry::test::Between;
+using gooseberry::test::CheckProperty;
 
 namespace {
 
@@ -156,21 +157,21 @@
 
 BOOST_AUTO_TEST_CASE(never_chooses_what_may_not_or_cannot_take_it)
 {
-  BOOST_TEST(Holds([] {
-    estate estate = MakeEstate(*rc::gen::inRange(1, 80), 2);
-    SetDomain(estate, "cluj", *rc::gen::arbitrary<bool>());
-    SetDomain(estate, "iasi", *rc::gen::arbitrary<bool>());
+  CheckProperty([] {
+    estate estate = MakeEstate(Between(1, 80), 2);
+    SetDomain(estate, "cluj", Between(0, 2) == 0);
+    SetDomain(estate, "iasi", Between(0, 2) == 0);
     target_table table;
-    table.mSettings.mAffinitySeed = *rc::gen::inRange(0, 3);
+    table.mSettings.mAffinitySeed = Between(0, 3);
     table.mSettings.mMaxEjectedShare = 1.0;
-    table.mSettings.mPrefetch = *rc::gen::inRange(0, 2);
+    table.mSettings.mPrefetch = Between(0, 2);
     SetConfiguration(table, estate.mConfiguration, kStart);
     for (auto& agent : estate.mAgents) {
-      agent.mLeaving = *rc::gen::inRange(0, 5) == 0;
-      agent.mOpen = *rc::gen::inRange(0, 5) != 0;
-      agent.mTargets[0].mLeaving = *rc::gen::inRange(0, 5) == 0;
-      agent.mTargets[0].mRunning = *rc::gen::inRange(0, 4);
-      const auto age = *rc::gen::inRange(0, 2) * 1s;
+      agent.mLeaving = Between(0, 5) == 0;
+      agent.mOpen = Between(0, 5) != 0;
+      agent.mTargets[0].mLeaving = Between(0, 5) == 0;
+      agent.mTargets[0].mRunning = Between(0, 4);
+      const auto age = Between(0, 2) * 1s;
       Observe(table, agent, kStart + 2s - age * 2);
     }
     const core::instant now = kStart + 2s;
@@ -190,7 +191,7 @@
     RC_ASSERT((choice->mReason == placement_reason::FreeSlot) == anyFree);
     RC_ASSERT(target.mLoad.mRunning <
               2 + (anyFree ? 0 : table.mSettings.mPrefetch));
-  }));
+  });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgooseberry/test_target_table.cpp
+++ b/tests/libgooseberry/test_target_table.cpp
@@ -128,6 +128,15 @@
   BOOST_TEST(ViewOf(table, "w0").mAgent == "w1");
 }
 
+BOOST_AUTO_TEST_CASE(slots_of_silent_agents_are_not_counted)
+{
+  const estate estate = MakeEstate(2, 8);
+  target_table table = MakeTable(estate);
+  Observe(table, estate.mAgents[0], kStart + 1s);
+  Observe(table, estate.mAgents[0], kStart + 2s);
+  BOOST_TEST(TotalSlots(table, kService) == 8);
+}
+
 BOOST_AUTO_TEST_CASE(what_can_never_run_is_told_from_what_cannot_run_now)
 {
   estate estate = MakeEstate(3, 8);
