--- a/src/libgooseberryio/http_server.cpp
+++ b/src/libgooseberryio/http_server.cpp
@@ -62,8 +62,8 @@
     std::ranges::transform(name, name.begin(), [](unsigned char aCharacter) {
       return static_cast<char>(std::tolower(aCharacter));
     });
-    headers.insert_or_assign(std::move(name),
-                             std::string(aMap->values[i], aMap->lengths[i]));
+    // The library's lengths count the terminating zero.
+    headers.insert_or_assign(std::move(name), std::string(aMap->values[i]));
   }
   return headers;
 }
@@ -96,6 +96,11 @@
                                nullptr);
     return;
   }
+  // The library takes no empty body here, and would leave the status at 200.
+  if (aFrom.mBody.empty()) {
+    ulfius_set_empty_body_response(aTo, aFrom.mStatus);
+    return;
+  }
   ulfius_set_binary_body_response(
     aTo, aFrom.mStatus, aFrom.mBody.data(), aFrom.mBody.size());
 }
