Configuration: a change that waited or was outrun no longer overwrites a rival's

An entry checked the expected generation only when a change came in. A change queued behind another, or one whose write lost to a rival that a heartbeat had brought meanwhile, was written again on top: the rival's change was gone though it had been accepted. The generation is now compared before each write, and a row that cannot be read ends the change. An entry that hears a configuration from a peer no longer shows the author of the one before; gooseberryctl waits until the author is known.

The new tests failed before (6 checks) and pass.

--- a/src/libgooseberry/configuration/change.cpp
+++ b/src/libgooseberry/configuration/change.cpp
@@ -45,7 +45,10 @@
 {
   auto keys = aBefore.mKeys;
   for (const auto& entry : aAfter.mKeys) {
-    if (ValueOf(aBefore, entry.mKey).empty()) {
+    const auto isSame = [&](const key_text& aOther) {
+      return aOther.mKey == entry.mKey;
+    };
+    if (std::none_of(keys.begin(), keys.end(), isSame)) {
       keys.push_back(entry);
     }
   }
--- a/src/libgooseberry/entry/configure.cpp
+++ b/src/libgooseberry/entry/configure.cpp
@@ -20,10 +20,42 @@
   }
 }
 
-/** Writes the change at the head of the queue, if none is under way. */
+/** Whether the change was made against another generation than the present. */
+bool
+IsOutrun(const entry_control& aControl, const pending_apply& aApply)
+{
+  return aApply.mExpected &&
+         *aApply.mExpected != aControl.mRow.mConfiguration.mGeneration;
+}
+
+apply_result
+Outrun(const entry_control& aControl)
+{
+  apply_result result;
+  result.mStatus = apply_status::Conflict;
+  result.mGeneration = aControl.mRow.mConfiguration.mGeneration;
+  result.mBy = aControl.mRow.mBy;
+  result.mError = { "apply configuration",
+                    aControl.mRow.mBy,
+                    "another change came first" };
+  return result;
+}
+
+/**
+ * Writes the change at the head of the queue, if none is under way. Changes
+ * that were outrun while they waited are refused.
+ */
 void
 StartWrite(entry_control& aControl, effects& aEffects)
 {
+  std::erase_if(aControl.mApplies, [&](const pending_apply& aApply) {
+    const bool isRefused =
+      !aApply.mWriting && !aApply.mWritten && IsOutrun(aControl, aApply);
+    if (isRefused) {
+      aEffects.emplace_back(answer_operator{ aApply.mToken, Outrun(aControl) });
+    }
+    return isRefused;
+  });
   for (pending_apply& apply : aControl.mApplies) {
     if (apply.mWritten) {
       continue;
@@ -114,6 +146,9 @@
     return false;
   }
   aControl.mRow.mConfiguration = aNewer;
+  // Peers do not tell who made it; the next read of the store does.
+  aControl.mRow.mRequest.clear();
+  aControl.mRow.mBy.clear();
   aControl.mDesired = std::get<configuration::desired_state>(parsed);
   target::SetConfiguration(aControl.mTargets, aControl.mDesired, aNow);
   Log(aEffects,
@@ -156,12 +191,6 @@
     result.mError = { "apply configuration",
                       "table service",
                       "the stored configuration was not read yet" };
-  } else if (aExpected && *aExpected != result.mGeneration) {
-    result.mStatus = apply_status::Conflict;
-    result.mBy = aControl.mRow.mBy;
-    result.mError = { "apply configuration",
-                      aControl.mRow.mBy,
-                      "another change came first" };
   } else {
     pending_apply apply;
     apply.mToken = aToken;
@@ -197,9 +226,10 @@
     found->mGeneration = aResult.mRow.mConfiguration.mGeneration;
     found->mSince = aNow;
   } else if (aResult.mStatus == apply_status::Conflict &&
-             aResult.mRow.mConfiguration.mGeneration <=
+             aResult.mRow.mConfiguration.mGeneration ==
                aControl.mRow.mConfiguration.mGeneration) {
-    // Only the version of the row was not known here: nobody else's change.
+    // Nothing new here but the version of the row: try again, if the change
+    // was made against this generation.
     found->mWriting = false;
   } else {
     apply_result result;
--- a/src/libgooseberryio/operator_client.cpp
+++ b/src/libgooseberryio/operator_client.cpp
@@ -1,5 +1,6 @@
 #include "libgooseberryio/operator_client.h"
 
+#include "libgooseberryio/clock.h"
 #include "libgooseberryio/json.h"
 
 #include <array>
@@ -265,7 +266,8 @@
   if (aView.mRequest == aChange.mRequest) {
     return accepted_change{ aView.mGeneration, {}, {}, true };
   }
-  if (aView.mGeneration <= aChange.mExpected) {
+  // An entry that heard a configuration from a peer learns its author later.
+  if (aView.mGeneration <= aChange.mExpected || aView.mRequest.empty()) {
     return std::nullopt;
   }
   const bool isNext = aView.mGeneration == aChange.mExpected + 1;
@@ -358,18 +360,18 @@
 operator_result<accepted_change>
 Apply(operator_client& aClient, const proposed_change& aChange)
 {
+  auto outcome = PutToAny(aClient, aChange, 0);
+  if (auto* problem = std::get_if<operator_problem>(&outcome)) {
+    return std::move(*problem);
+  }
   core::error lost;
-  for (std::uint32_t i = 0; i < aClient.mSettings.mSettleTries; ++i) {
-    auto outcome = PutToAny(aClient, aChange, i);
+  const auto end = Now() + aClient.mSettings.mSettleTime;
+  for (std::size_t attempt = 1;; ++attempt) {
     if (auto* accepted = std::get_if<accepted_change>(&outcome)) {
       return std::move(*accepted);
     }
-    auto* problem = std::get_if<operator_problem>(&outcome);
-    if (problem != nullptr && i == 0) {
-      return std::move(*problem);
-    }
-    if (const auto* answer = std::get_if<lost_answer>(&outcome)) {
-      lost = answer->mError;
+    if (auto* answer = std::get_if<lost_answer>(&outcome)) {
+      lost = std::move(answer->mError);
     }
     const auto read = ReadConfiguration(aClient, aChange.mExpected + 1);
     if (const auto* view = std::get_if<configuration_view>(&read)) {
@@ -377,9 +379,14 @@
         return std::move(*settled);
       }
     }
+    if (Now() >= end) {
+      return operator_problem{
+        operator_failure::Unsettled, std::move(lost), 0, ""
+      };
+    }
     std::this_thread::sleep_for(aClient.mSettings.mSettlePause);
+    outcome = PutToAny(aClient, aChange, attempt);
   }
-  return operator_problem{ operator_failure::Unsettled, lost, 0, "" };
 }
 
 } // namespace gooseberry::io
--- a/src/libgooseberryio/operator_client.h
+++ b/src/libgooseberryio/operator_client.h
@@ -48,8 +48,8 @@
   std::string mEntry; ///< Address of the entry that said so.
   core::generation mGeneration = 0;
   std::string mText;
-  std::string mRequest; ///< Id of the change that made it.
-  std::string mBy;      ///< Who made it.
+  std::string mRequest; ///< Id of the change that made it; empty: not known.
+  std::string mBy;      ///< Who made it; empty: not known.
 };
 
 /** A change that was accepted. */
@@ -77,8 +77,9 @@
   core::duration mReadDeadline = std::chrono::seconds(3);
   /** An entry waits for the store and for peers before it answers. */
   core::duration mApplyDeadline = std::chrono::seconds(25);
-  core::duration mSettlePause = std::chrono::milliseconds(200);
-  std::uint32_t mSettleTries = 5;
+  core::duration mSettlePause = std::chrono::milliseconds(300);
+  /** How long a lost answer is looked for, before the last try begins. */
+  core::duration mSettleTime = std::chrono::seconds(10);
 };
 
 /** Connections to entries. For one thread. */
--- a/tests/libgooseberry/test_configuration.cpp
+++ b/tests/libgooseberry/test_configuration.cpp
@@ -193,6 +193,14 @@
                       "added [team press]\n");
 }
 
+BOOST_AUTO_TEST_CASE(each_change_from_the_empty_state_is_listed_once)
+{
+  desired_state named;
+  named.mName = "a";
+  const change expected{ change_kind::Changed, "state", "name", "", "a" };
+  BOOST_TEST((Compare({}, named) == std::vector<change>{ expected }));
+}
+
 BOOST_AUTO_TEST_CASE(commands_undo)
 {
   BOOST_TEST(rc::check("the inverse command restores the state", [] {
--- /dev/null
+++ b/tests/libgooseberry/test_entry_configuration.cpp
@@ -0,0 +1,137 @@
+#include "libgooseberry/entry/entry_control.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace gooseberry;
+using namespace gooseberry::entry;
+
+namespace {
+
+std::string
+Named(const std::string& aName)
+{
+  return "[state]\nformat = 1\nname = " + aName + "\n";
+}
+
+/** The row that stands after a change. */
+configuration_row
+Row(core::generation aGeneration, const std::string& aName)
+{
+  return { { aGeneration, Named(aName) }, aName, "entry-9", aGeneration };
+}
+
+/** An entry that has read generation 1. */
+struct fixture
+{
+  fixture()
+  {
+    entry_options options;
+    options.mName = "entry-1";
+    mControl = MakeEntry(options, 1, 1, mNow, mEffects);
+    OnConfigurationRead(mControl, Row(1, "first"), mNow, mNow, mEffects);
+  }
+
+  void Apply(std::uint64_t aToken, const std::string& aName)
+  {
+    OnApply(mControl, aToken, Named(aName), aName, mExpected, mNow, mEffects);
+  }
+
+  void Written(const std::string& aRequest,
+               apply_status aStatus,
+               const configuration_row& aRow)
+  {
+    OnConfigurationWritten(
+      mControl, aRequest, { aStatus, aRow, {} }, mNow, mEffects);
+  }
+
+  /** A rival's change, as another entry's heartbeat brings it. */
+  void Hear(const configuration_row& aRow)
+  {
+    core::heartbeat beat;
+    beat.mEntry = { "entry-9", 9 };
+    beat.mAddress = "127.0.0.1:9";
+    beat.mGeneration = aRow.mConfiguration.mGeneration;
+    beat.mConfiguration = aRow.mConfiguration;
+    OnHeartbeatReply(mControl, beat, mNow, mNow, mEffects);
+  }
+
+  template<typename Effect>
+  std::vector<Effect> Take()
+  {
+    std::vector<Effect> found;
+    for (const auto& effect : mEffects) {
+      if (const auto* match = std::get_if<Effect>(&effect)) {
+        found.push_back(*match);
+      }
+    }
+    return found;
+  }
+
+  core::instant mNow{ std::chrono::seconds(100) };
+  effects mEffects;
+  entry_control mControl;
+  std::optional<core::generation> mExpected = 1;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(entry_configuration, fixture)
+
+BOOST_AUTO_TEST_CASE(change_waiting_behind_another_loses)
+{
+  Apply(1, "a");
+  Apply(2, "b");
+  Written("a", apply_status::Applied, Row(2, "a"));
+  BOOST_TEST(Take<write_configuration>().size() == 1U);
+  const auto answers = Take<answer_operator>();
+  BOOST_REQUIRE(answers.size() == 2U);
+  BOOST_TEST((answers.at(0).mResult.mStatus == apply_status::Applied));
+  BOOST_TEST((answers.at(1).mResult.mStatus == apply_status::Conflict));
+  BOOST_TEST(answers.at(1).mResult.mGeneration == 2U);
+  BOOST_TEST(mControl.mRow.mConfiguration.mText == Named("a"));
+}
+
+BOOST_AUTO_TEST_CASE(rival_heard_before_the_conflict_is_not_overwritten)
+{
+  Apply(1, "a");
+  Hear(Row(2, "rival"));
+  Written("a", apply_status::Conflict, Row(2, "rival"));
+  BOOST_TEST(Take<write_configuration>().size() == 1U);
+  const auto answers = Take<answer_operator>();
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST((answers.front().mResult.mStatus == apply_status::Conflict));
+  BOOST_TEST(answers.front().mResult.mBy == "entry-9");
+}
+
+BOOST_AUTO_TEST_CASE(version_that_was_not_known_is_learnt_and_tried_again)
+{
+  Hear(Row(2, "rival"));
+  mExpected = 2;
+  Apply(1, "a");
+  Written("a", apply_status::Conflict, Row(2, "rival"));
+  const auto writes = Take<write_configuration>();
+  BOOST_REQUIRE(writes.size() == 2U);
+  BOOST_TEST(writes.at(1).mRow.mRowVersion == 2U);
+  BOOST_TEST(writes.at(1).mRow.mConfiguration.mGeneration == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(row_that_cannot_be_read_ends_the_change)
+{
+  Apply(1, "a");
+  Written("a", apply_status::Conflict, {});
+  BOOST_TEST(Take<write_configuration>().size() == 1U);
+  BOOST_TEST(Take<answer_operator>().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(heard_configuration_has_no_known_author)
+{
+  Hear(Row(2, "rival"));
+  BOOST_TEST(mControl.mRow.mConfiguration.mGeneration == 2U);
+  BOOST_TEST(mControl.mRow.mRequest.empty());
+  BOOST_TEST(mControl.mRow.mBy.empty());
+  OnConfigurationRead(mControl, Row(2, "rival"), mNow, mNow, mEffects);
+  BOOST_TEST(mControl.mRow.mRequest == "rival");
+  BOOST_TEST(mControl.mRow.mBy == "entry-9");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
