--- a/tests/libgooseberryio/test_peers.cpp
+++ b/tests/libgooseberryio/test_peers.cpp
@@ -329,11 +329,12 @@
 BOOST_AUTO_TEST_CASE(a_stuck_lane_is_bounded_and_leaves_the_other_free)
 {
   test_agent agent;
-  io::peer_pool<io::agent_client> pool(
-    { .mDeadline = kDeadline, .mQueueLimit = 3, .mBulkConnections = 1 });
   std::promise<void> release;
   const auto released = release.get_future().share();
   std::promise<void> running;
+  std::promise<bool> answer;
+  io::peer_pool<io::agent_client> pool(
+    { .mDeadline = kDeadline, .mQueueLimit = 3, .mBulkConnections = 1 });
   BOOST_TEST(
     pool.Post(agent.Address(), io::lane::Bulk, [&](const io::agent_client&) {
       running.set_value();
@@ -345,7 +346,6 @@
     BOOST_TEST(pool.Post(agent.Address(), io::lane::Bulk, nothing));
   }
   BOOST_TEST(!pool.Post(agent.Address(), io::lane::Bulk, nothing));
-  std::promise<bool> answer;
   BOOST_TEST(pool.Post(
     agent.Address(), io::lane::Control, [&](io::agent_client& aClient) {
       answer.set_value(IsReply(aClient.Cancel({})));
