--- a/scripts/bench/scenarios.py
+++ b/scripts/bench/scenarios.py
@@ -124,12 +124,15 @@
               [(out_at, in_at)])
     parts = [w / a for w, a in zip(work, allowed) if a > 0]
     share = min(parts[out_at:in_at])
+    full = min(part for part, a in zip(parts[out_at:in_at],
+                                       allowed[out_at:in_at]) if a > 55.5)
     low = [s for s in range(out_at, in_at + 10) if parts[s] < 0.95]
     total = sum(work[out_at:in_at]) / sum(allowed[out_at:in_at])
     back = sum(work[in_at + 5:75]) / sum(allowed[in_at + 5:75])
     return _checks(report) + _responses(report) + [
         ("work over allowed, while out", total, "", None),
         ("work over allowed, worst second", share, ">= 0.95", share >= 0.95),
+        ("the same, of seconds that need all slots left", full, "", None),
         ("seconds under 95%, out and 10 s after", len(low), "0", not low),
         ("work over allowed, from 5 s after return", back, ">= 0.95",
          back >= 0.95)]
--- a/tools/load/checks.cpp
+++ b/tools/load/checks.cpp
@@ -72,7 +72,8 @@
 {
   const timeline& times = aChecker.mInput.mTimeline;
   for (const run_record& record : aChecker.mInput.mRecords) {
-    const std::string example = record.mTask + " on " + record.mTarget;
+    const std::string example = record.mTask + " on " + record.mTarget +
+                                " at " + std::to_string(record.mStartUs);
     if (IsAbsent(
           times.mDomains, record.mFailureDomain, record.mStartUs, kBoundUs)) {
       Note(aChecker, check::StartInOutDomain, example);
