--- a/src/libgooseberry/agent/joining.cpp
+++ b/src/libgooseberry/agent/joining.cpp
@@ -10,9 +10,6 @@
          const core::peer_ref& aSelf,
          const std::vector<membership::member_row>& aRows)
 {
-  if (!aJoin.mRegisteredAt) {
-    return;
-  }
   std::map<core::peer_ref, join_peer> peers;
   for (const auto& row : aRows) {
     if (row.mRole != membership::role::Agent || row.mPeer == aSelf) {
--- a/tests/libgooseberry/test_agent_start.cpp
+++ b/tests/libgooseberry/test_agent_start.cpp
@@ -217,8 +217,12 @@
   BOOST_TEST((world.Start(Task(3)) == start_verdict::Fenced));
   BOOST_TEST((world.Start(Task(4)) == start_verdict::Fenced));
   BOOST_TEST((world.Start(Task(4, { 2, 2 })) == start_verdict::Accepted));
-  BOOST_TEST(
-    (world.Fence("tabcraft/job", { 1, 9 }).mBallot == core::ballot{ 2, 2 }));
+  const core::fence_request lower{
+    { "c", 9 }, "10.0.0.3:9000", "tabcraft/job", { 1, 9 }
+  };
+  const auto refused = OnFence(world.mControl, lower, world.mNow, world.mOut);
+  BOOST_TEST((refused.mBallot == core::ballot{ 2, 2 }));
+  BOOST_TEST(refused.mHolder == kEntryA); // Of the last start.
 }
 
 BOOST_AUTO_TEST_CASE(later_placement_takes_the_place_of_one_that_waits)
--- a/tests/libgooseberryio/test_convert.cpp
+++ b/tests/libgooseberryio/test_convert.cpp
@@ -150,11 +150,13 @@
     result.ending = static_cast<std::int8_t>(value);
     BOOST_CHECK_THROW(io::FromWire(result), io::wire_value_error);
   }
+  constexpr auto kNoVerdict =
+    static_cast<std::int8_t>(core::kStartVerdictNames.mNames.size());
   result = io::ToWire(SampleResult());
-  result.why = 10;
+  result.why = kNoVerdict;
   BOOST_CHECK_THROW(io::FromWire(result), io::wire_value_error);
   auto reply = io::ToWire(core::start_reply{ SampleState(), {} });
-  reply.verdicts = { 10 };
+  reply.verdicts = { kNoVerdict };
   BOOST_CHECK_THROW(io::FromWire(reply), io::wire_value_error);
   wire::LocateReply locate;
   locate.verdict = 4;
