--- a/src/libgooseberry/agent/admission.cpp
+++ b/src/libgooseberry/agent/admission.cpp
@@ -162,10 +162,13 @@
     return Refused(verdict);
   }
   const auto& target = aControl.mTargets.at(aStart.mTarget);
-  if (target.mRunning < target.mSlots) {
+  if (target.mRunning +
+        CountForOthers(target.mGrants, aBatch.mEntryAddress, aNow) <
+      target.mSlots) {
     return { admission_action::Start, start_verdict::Accepted };
   }
-  if (target.mQueue.mTasks.size() < settings.mQueuePerTarget) {
+  if (aStart.mMayQueue &&
+      target.mQueue.mTasks.size() < settings.mQueuePerTarget) {
     return { admission_action::Queue, start_verdict::Accepted };
   }
   return Refused(start_verdict::Busy);
--- a/src/libgooseberry/agent/agent_control.cpp
+++ b/src/libgooseberry/agent/agent_control.cpp
@@ -93,6 +93,8 @@
   ReturnSuperseded(aControl, aStart, aNow, aOut);
   switch (aAdmission.mAction) {
     case admission_action::Start:
+      UseGrant(aControl.mTargets.at(aStart.mTarget).mGrants,
+               aBatch.mEntryAddress);
       RunTask(aControl, aStart, aNow, aOut);
       break;
     case admission_action::Queue:
@@ -152,11 +154,10 @@
       { name,
         target.mServices,
         target.mSlots,
-        target.mRunning,
+        target.mRunning + CountForOthers(target.mGrants, aReceiver, aNow),
         static_cast<std::uint32_t>(target.mQueue.mTasks.size()),
         target.mConsecutiveFailures,
-        isGoing,
-        CountFrom(target.mQueue, aReceiver) });
+        isGoing });
   }
   return state;
 }
@@ -172,6 +173,8 @@
   auto& entry = LearnEntry(
     aControl.mEntries, aBatch.mEntry.mName, aBatch.mEntryAddress, aNow);
   entry.mBacklog = aBatch.mBacklog;
+  entry.mBacklogPriority = aBatch.mBacklogPriority;
+  entry.mBacklogAt = aNow;
   for (const auto& start : aBatch.mStarts) {
     const auto decided = Decide(aControl, aBatch, start, aNow);
     LogAdmission(aBatch, start, decided, aOut);
--- a/src/libgooseberry/agent/agent_control.h
+++ b/src/libgooseberry/agent/agent_control.h
@@ -4,6 +4,7 @@
 #include "libgooseberry/agent/delivery.h"
 #include "libgooseberry/agent/effects.h"
 #include "libgooseberry/agent/freshness.h"
+#include "libgooseberry/agent/grant.h"
 #include "libgooseberry/agent/joining.h"
 #include "libgooseberry/agent/known_entries.h"
 #include "libgooseberry/agent/record.h"
@@ -40,6 +41,7 @@
   bool mSuspect = false;
   core::instant mLeaseEnd{};
   target_queue mQueue;
+  slot_grants mGrants;
 };
 
 struct agent_control
--- a/src/libgooseberry/agent/known_entries.cpp
+++ b/src/libgooseberry/agent/known_entries.cpp
@@ -19,6 +19,13 @@
   return at->second;
 }
 
+bool
+HasBacklog(const known_entry& aEntry, core::instant aNow)
+{
+  constexpr core::duration kBacklogTime = std::chrono::seconds(1);
+  return aEntry.mBacklog && aNow - aEntry.mBacklogAt < kBacklogTime;
+}
+
 void
 WantAnnounces(known_entries& aEntries)
 {
--- a/src/libgooseberry/agent/known_entries.h
+++ b/src/libgooseberry/agent/known_entries.h
@@ -13,8 +13,10 @@
 struct known_entry
 {
   std::string mName;
-  bool mBacklog = false; ///< Has tasks that found no free slot.
-  bool mWanted = false;  ///< Announce as soon as the gap allows.
+  bool mBacklog = false;             ///< Has tasks that found no free slot.
+  std::int64_t mBacklogPriority = 0; ///< Of the first of these.
+  core::instant mBacklogAt{};        ///< When it said so.
+  bool mWanted = false;              ///< Announce as soon as the gap allows.
   bool mInFlight = false;
   std::uint32_t mFailures = 0; ///< In a row.
   core::instant mLastSent{};
@@ -33,6 +35,10 @@
            const std::string& aAddress,
            core::instant aNow);
 
+/** Whether the entry has said lately that it has a backlog. */
+bool
+HasBacklog(const known_entry& aEntry, core::instant aNow);
+
 /** Every entry that has a backlog is to hear of the grown capacity. */
 void
 WantAnnounces(known_entries& aEntries);
--- a/src/libgooseberry/agent/target_inputs.cpp
+++ b/src/libgooseberry/agent/target_inputs.cpp
@@ -152,9 +152,7 @@
     Record(aControl, record, std::move(aReport), aNow);
   }
   FillSlots(aControl, name, aNow, aOut);
-  if (target.mRunning < target.mSlots) {
-    WantAnnounces(aControl.mEntries);
-  }
+  OfferFreeSlots(aControl, target, aNow);
   Settle(aControl, aNow, aOut);
 }
 
--- a/src/libgooseberry/agent/target_queue.cpp
+++ b/src/libgooseberry/agent/target_queue.cpp
@@ -45,15 +45,4 @@
   return taken;
 }
 
-std::uint32_t
-CountFrom(const target_queue& aQueue, std::string_view aEntryAddress)
-{
-  return static_cast<std::uint32_t>(
-    std::count_if(aQueue.mTasks.begin(),
-                  aQueue.mTasks.end(),
-                  [aEntryAddress](const auto& aQueued) {
-                    return aQueued.second.mEntryAddress == aEntryAddress;
-                  }));
-}
-
 } // namespace gooseberry::agent
--- a/src/libgooseberry/agent/target_queue.h
+++ b/src/libgooseberry/agent/target_queue.h
@@ -9,7 +9,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace gooseberry::agent {
@@ -47,10 +46,6 @@
 const queued_task*
 Find(const target_queue& aQueue, const core::task_ref& aTask);
 
-/** How many of the waiting tasks the entry at that address has sent. */
-std::uint32_t
-CountFrom(const target_queue& aQueue, std::string_view aEntryAddress);
-
 using queued_predicate = std::function<bool(const queued_task&)>;
 
 /** Takes out every task for which `aPredicate` holds. */
--- a/src/libgooseberry/agent/target_run.cpp
+++ b/src/libgooseberry/agent/target_run.cpp
@@ -2,6 +2,7 @@
 
 #include "libgooseberry/agent/admission.h"
 
+#include <limits>
 #include <utility>
 
 namespace gooseberry::agent {
@@ -122,11 +123,20 @@
           effects& aOut)
 {
   auto& target = aControl.mTargets.at(aTarget);
-  while (target.mRunning < target.mSlots) {
-    const auto next = PopFirst(target.mQueue);
-    if (!next) {
+  while (target.mRunning < target.mSlots && !target.mQueue.mTasks.empty()) {
+    const auto& first = target.mQueue.mTasks.begin()->second;
+    GrantFreeSlots(target.mGrants,
+                   aControl.mEntries,
+                   target.mSlots - target.mRunning,
+                   first.mStart.mPriority,
+                   aNow);
+    if (target.mRunning +
+          CountForOthers(target.mGrants, first.mEntryAddress, aNow) >=
+        target.mSlots) {
       return;
     }
+    const auto next = PopFirst(target.mQueue);
+    UseGrant(target.mGrants, next->mEntryAddress);
     const auto& start = next->mStart;
     aControl.mQueuedAt.erase(start.mTask);
     if (const auto verdict = CheckStart(aControl, start, aNow);
@@ -143,6 +153,45 @@
   }
 }
 
+void
+OfferFreeSlots(agent_control& aControl,
+               agent_target& aTarget,
+               core::instant aNow)
+{
+  if (aTarget.mRunning >= aTarget.mSlots) {
+    return;
+  }
+  const std::uint32_t free = aTarget.mSlots - aTarget.mRunning;
+  GrantFreeSlots(aTarget.mGrants,
+                 aControl.mEntries,
+                 free,
+                 std::numeric_limits<std::int64_t>::max(),
+                 aNow);
+  if (aTarget.mGrants.mGrants.size() < free) {
+    WantAnnounces(aControl.mEntries);
+  }
+}
+
+void
+EndGrants(agent_control& aControl, core::instant aNow, effects& aOut)
+{
+  for (auto& [name, target] : aControl.mTargets) {
+    if (target.mGrants.mGrants.empty()) {
+      continue;
+    }
+    for (const slot_grant& grant : target.mGrants.mGrants) {
+      const auto entry = aControl.mEntries.mByAddress.find(grant.mEntryAddress);
+      if (grant.mUntil <= aNow && entry != aControl.mEntries.mByAddress.end()) {
+        entry->second.mBacklog = false; // It had nothing to send after all.
+      }
+    }
+    if (DropExpired(target.mGrants, aNow)) {
+      FillSlots(aControl, name, aNow, aOut);
+      OfferFreeSlots(aControl, target, aNow);
+    }
+  }
+}
+
 job_record&
 RaiseBallot(agent_control& aControl,
             const std::string& aJob,
--- a/src/libgooseberry/agent/target_run.h
+++ b/src/libgooseberry/agent/target_run.h
@@ -55,4 +55,17 @@
 core::duration
 RefusalRetention(const control_settings& aSettings);
 
+/**
+ * Holds the free slots of a target for the entries whose waiting tasks go
+ * first, and tells them; all that have a backlog hear of what is left.
+ */
+void
+OfferFreeSlots(agent_control& aControl,
+               agent_target& aTarget,
+               core::instant aNow);
+
+/** Frees the slots that were held for entries that did not use them. */
+void
+EndGrants(agent_control& aControl, core::instant aNow, effects& aOut);
+
 } // namespace gooseberry::agent
--- a/src/libgooseberry/agent/upkeep.cpp
+++ b/src/libgooseberry/agent/upkeep.cpp
@@ -162,6 +162,7 @@
   OpenIfJoined(aControl, aNow, aOut);
   UseTable(aControl, aNow, aOut);
   AskPeers(aControl, aNow, aOut);
+  EndGrants(aControl, aNow, aOut);
   Settle(aControl, aNow, aOut);
 }
 
--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -28,8 +28,6 @@
   /** Failures that the target reported since its last success. */
   std::uint32_t mConsecutiveFailures = 0;
   bool mLeaving = false;
-  /** Of the queued tasks, those that the receiver of the message has sent. */
-  std::uint32_t mQueuedByReceiver = 0;
 
   bool operator==(const target_load&) const = default;
 };
@@ -71,6 +69,8 @@
   std::string mPayload;
   /** Smaller starts first where a target has a queue. */
   std::int64_t mPriority = 0;
+  /** May wait at the target; else it is refused where no slot is free. */
+  bool mMayQueue = true;
 };
 
 /** Entry to agent: start these. */
@@ -82,6 +82,8 @@
   instant mAgentStamp{}; ///< The agent's own, last heard by the entry.
   generation mGeneration = 0;
   bool mBacklog = false; ///< The entry has tasks that found no free slot.
+  /** Of the first of these; comparable with `task_start::mPriority`. */
+  std::int64_t mBacklogPriority = 0;
   std::vector<task_start> mStarts;
 };
 
--- a/src/libgooseberry/entry/dispatch.cpp
+++ b/src/libgooseberry/entry/dispatch.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/** Waiting tasks above which a job takes whatever slot comes first. */
+constexpr std::size_t kWideJob = 32;
+
 /** The starts of one pass, by name of the agent. */
 using batches = std::map<std::string, core::start_batch>;
 
@@ -105,8 +108,12 @@
     batch->second = MakeBatch(aControl, agent);
   }
   batch->second.mStarts.push_back(MakeStart(aJob, aIndex, view.mName));
-  batch->second.mStarts.back().mPriority =
-    RelativePriority(aControl, aJob, aNow);
+  core::task_start& start = batch->second.mStarts.back();
+  start.mPriority = RelativePriority(aControl, aJob, aNow);
+  // Where another entry has taken the slot meanwhile, a job that has more
+  // tasks than slots are free loses nothing by waiting there.
+  start.mMayQueue = aChoice.mReason != target::placement_reason::FreeSlot ||
+                    aJob.mWaiting.size() > kWideJob;
   LogPlacement(aControl, aJob, aIndex, aChoice, aEffects);
 }
 
@@ -152,8 +159,11 @@
   return true;
 }
 
-/** Gives one service's free slots to its jobs in order. */
-bool
+/**
+ * Gives one service's free slots to its jobs in order. Returns the priority
+ * of the first job that found none.
+ */
+std::optional<std::int64_t>
 DispatchService(entry_control& aControl,
                 const std::set<job::ready_key>& aJobs,
                 std::vector<std::string>& aEmptied,
@@ -168,27 +178,89 @@
       aEmptied.push_back(key.mJob);
     }
     if (!more) {
-      return true;
+      return ready.mPriority;
     }
   }
-  return false;
+  return std::nullopt;
+}
+
+/** Whether an agent need not hear of the backlog now. */
+bool
+IsTold(const entry_control& aControl,
+       const std::string& aAgent,
+       std::int64_t aPriority,
+       core::instant aNow)
+{
+  constexpr core::duration kTellAgainAfter = std::chrono::milliseconds(500);
+  constexpr core::duration kTellBetterAfter = std::chrono::milliseconds(50);
+  const auto told = aControl.mTold.find(aAgent);
+  if (told == aControl.mTold.end()) {
+    return false;
+  }
+  const core::duration age = aNow - told->second.mAt;
+  return age < kTellBetterAfter ||
+         (told->second.mPriority <= aPriority && age < kTellAgainAfter);
+}
+
+/** Adds empty batches for a few agents that are to hear of the backlog. */
+void
+AddDemand(entry_control& aControl,
+          std::int64_t aPriority,
+          batches& aBatches,
+          core::instant aNow)
+{
+  constexpr std::size_t kMaxDemands = 4;
+  if (aControl.mMembers.mEntries.empty()) {
+    return; // Its own results tell it of every slot that gets free.
+  }
+  std::size_t told = 0;
+  std::vector<const membership::agent_view*> untold;
+  for (const auto& [name, view] : aControl.mMembers.mAgents) {
+    const bool usable = view.mState.mOpen && !view.mState.mLeaving &&
+                        aNow - view.mHeardAt <= aControl.mOptions.mPeerSuspect;
+    if (IsTold(aControl, name, aPriority, aNow) || aBatches.contains(name)) {
+      ++told;
+    } else if (usable) {
+      untold.push_back(&view);
+    }
+  }
+  std::shuffle(untold.begin(), untold.end(), aControl.mRandom);
+  for (const membership::agent_view* view : untold) {
+    if (told++ >= kMaxDemands) {
+      return;
+    }
+    aBatches.emplace(view->mState.mAgent.mName, MakeBatch(aControl, *view));
+    ++aControl.mCounters.mDemands;
+  }
 }
 
 void
 SendBatches(entry_control& aControl,
             batches& aBatches,
-            bool aBacklog,
+            std::optional<std::int64_t> aBacklog,
+            core::instant aNow,
             effects& aEffects)
 {
   for (auto& [name, batch] : aBatches) {
-    batch.mBacklog = aBacklog;
+    batch.mBacklog = aBacklog.has_value();
+    if (aBacklog) {
+      batch.mBacklogPriority =
+        *aBacklog - job::Priority(aControl.mOptions.mOrder, {}, aNow);
+      aControl.mTold[name] = { *aBacklog, aNow };
+    } else {
+      aControl.mTold.erase(name);
+    }
     const membership::agent_view& agent = aControl.mMembers.mAgents.at(name);
     start_call call;
     call.mAgent = agent.mState.mAgent;
     call.mAddress = agent.mState.mAddress;
     call.mBatch = std::move(batch);
+    const auto firstTries = std::count_if(
+      call.mBatch.mStarts.begin(),
+      call.mBatch.mStarts.end(),
+      [](const core::task_start& aStart) { return aStart.mTry == 1; });
     quota::EarnRetries(aControl.mRetryBudget,
-                       static_cast<std::uint32_t>(call.mBatch.mStarts.size()));
+                       static_cast<std::uint32_t>(firstTries));
     const std::uint64_t id = aControl.mNextCall++;
     aEffects.emplace_back(
       send_start{ id, call.mAgent, call.mAddress, call.mBatch });
@@ -206,15 +278,21 @@
   }
   batches batches;
   std::vector<std::string> emptied;
-  bool backlog = false;
+  std::optional<std::int64_t> backlog;
   for (const auto& [service, jobs] : aControl.mReady.mServices) {
-    backlog |=
+    const auto blocked =
       DispatchService(aControl, jobs, emptied, batches, aNow, aEffects);
+    if (blocked && (!backlog || *blocked < *backlog)) {
+      backlog = blocked;
+    }
   }
   for (const std::string& key : emptied) {
     job::Unqueue(aControl.mReady, *job::Find(aControl.mLedger, key));
   }
-  SendBatches(aControl, batches, backlog, aEffects);
+  if (backlog) {
+    AddDemand(aControl, *backlog, batches, aNow);
+  }
+  SendBatches(aControl, batches, backlog, aNow, aEffects);
 }
 
 void
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -73,6 +73,13 @@
   core::instant mSince{};
 };
 
+/** What an agent was told of this entry's backlog. */
+struct told_backlog
+{
+  std::int64_t mPriority = 0; ///< Of the first waiting task.
+  core::instant mAt{};
+};
+
 /** Stage of joining; see docs/PROTOCOL.md, R6. */
 enum class join_stage : std::uint8_t
 {
@@ -106,6 +113,7 @@
   std::uint64_t mFinishes = 0;       ///< Results taken in.
   std::uint64_t mRepeatedFinishes = 0;
   std::uint64_t mRetries = 0;
+  std::uint64_t mDemands = 0; ///< Calls that only tell of a backlog.
   std::uint64_t mLocates = 0;
   std::uint64_t mFences = 0;
   std::uint64_t mCancels = 0;
@@ -150,6 +158,7 @@
   std::unordered_map<std::uint64_t, start_call> mCalls;
   std::uint64_t mNextCall = 1;
   std::uint32_t mNextPlacement = 1;
+  std::map<std::string, told_backlog> mTold; ///< By name of the agent.
   /** Open tasks by agent, to fail them when its run has ended. */
   std::unordered_map<std::string, std::set<core::task_ref>> mAgentTasks;
   std::set<std::string> mInquiring; ///< Jobs that locate or recover.
--- a/src/libgooseberry/target/capacity.cpp
+++ b/src/libgooseberry/target/capacity.cpp
@@ -91,17 +91,6 @@
   return std::max(reported + aTarget.mSentSinceReport, aTarget.mOwnOutstanding);
 }
 
-std::uint32_t
-OwnQueued(const target_view& aTarget)
-{
-  const std::uint32_t reported = aTarget.mLoad.mRunning + aTarget.mLoad.mQueued;
-  const std::uint32_t free =
-    aTarget.mLoad.mSlots > reported ? aTarget.mLoad.mSlots - reported : 0;
-  const std::uint32_t beyond =
-    aTarget.mSentSinceReport > free ? aTarget.mSentSinceReport - free : 0;
-  return aTarget.mLoad.mQueuedByReceiver + beyond;
-}
-
 std::uint32_t
 AllowedSlots(const target_table& aTable, const target_view& aTarget)
 {
@@ -125,7 +114,7 @@
     target.mStartable ? AllowedSlots(aTable, target) : 0;
   target.mFree = allowed > used ? allowed - used : 0;
   target.mRoom = target.mStartable && !target.mRampStart &&
-                 OwnQueued(target) < aTable.mSettings.mPrefetch;
+                 used < target.mLoad.mSlots + aTable.mSettings.mPrefetch;
   const std::uint32_t before = target.mCounted;
   target.mCounted = target.mStartable ? target.mLoad.mSlots : 0;
   for (const auto& [service, position] : target.mMemberships) {
--- a/src/libgooseberry/target/capacity.h
+++ b/src/libgooseberry/target/capacity.h
@@ -25,14 +25,6 @@
 std::uint32_t
 UsedSlots(const target_view& aTarget);
 
-/**
- * Tasks of this entry that wait at the target: those reported, and those sent
- * since that met no free slot of the report. Other entries' tasks do not
- * count, so that one with a long queue cannot shut out the others.
- */
-std::uint32_t
-OwnQueued(const target_view& aTarget);
-
 /** Slots that may be used now; fewer while the target is coming back. */
 std::uint32_t
 AllowedSlots(const target_table& aTable, const target_view& aTarget);
--- a/src/libgooseberryio/entry_settings.cpp
+++ b/src/libgooseberryio/entry_settings.cpp
@@ -158,7 +158,7 @@
   { NumberSetting("policy",
                   "prefetch",
                   "tasks",
-                  "1",
+                  "0",
                   { 0, 1'000 },
                   "Tasks that may wait at one target beyond its slots"),
     [](const setting_value& aValue, entry_settings& aSettings) {
--- a/src/libgooseberryio/protocol/from_wire.cpp
+++ b/src/libgooseberryio/protocol/from_wire.cpp
@@ -81,8 +81,7 @@
            .mQueued = Count(aLoad.queued, "queued"),
            .mConsecutiveFailures =
              Count(aLoad.consecutiveFailures, "consecutive failures"),
-           .mLeaving = aLoad.leaving,
-           .mQueuedByReceiver = Count(aLoad.queuedByReceiver, "queued") };
+           .mLeaving = aLoad.leaving };
 }
 
 core::agent_state
@@ -118,7 +117,8 @@
            .mKind = aStart.kind,
            .mTarget = aStart.target,
            .mPayload = aStart.payload,
-           .mPriority = aStart.priority };
+           .mPriority = aStart.priority,
+           .mMayQueue = aStart.mayQueue };
 }
 
 core::start_batch
@@ -130,6 +130,7 @@
            .mAgentStamp = Instant(aBatch.agentStamp),
            .mGeneration = GenerationFromWire(aBatch.generation),
            .mBacklog = aBatch.backlog,
+           .mBacklogPriority = aBatch.backlogPriority,
            .mStarts = ListFromWire(aBatch.starts) };
 }
 
--- a/src/libgooseberryio/protocol/gooseberry.thrift
+++ b/src/libgooseberryio/protocol/gooseberry.thrift
@@ -11,8 +11,7 @@
 
 struct TargetLoad {
   1: string name; 2: list<string> services; 3: i32 slots; 4: i32 running;
-  5: i32 queued; 6: i32 consecutiveFailures; 7: bool leaving;
-  8: i32 queuedByReceiver
+  5: i32 queued; 6: i32 consecutiveFailures; 7: bool leaving
 }
 struct AgentState {
   1: PeerRef agent; 2: string address; 3: string failureDomain;
@@ -24,12 +23,12 @@
 struct TaskStart {
   1: string job; 2: i32 index; 3: i32 attempt; 4: Ballot ballot;
   5: i32 placement; 6: string serviceName; 7: string kind; 8: string target;
-  9: binary payload; 10: i64 priority
+  9: binary payload; 10: i64 priority; 11: bool mayQueue
 }
 struct StartBatch {
   1: PeerRef entry; 2: string entryAddress; 3: i64 agentIncarnation;
   4: i64 agentStamp; 5: i64 generation; 6: bool backlog;
-  7: list<TaskStart> starts
+  7: list<TaskStart> starts; 8: i64 backlogPriority
 }
 struct StartReply { 1: AgentState state; 2: list<i8> verdicts }
 
--- a/src/libgooseberryio/protocol/to_wire.cpp
+++ b/src/libgooseberryio/protocol/to_wire.cpp
@@ -67,7 +67,6 @@
   load.queued = Bits(aLoad.mQueued);
   load.consecutiveFailures = Bits(aLoad.mConsecutiveFailures);
   load.leaving = aLoad.mLeaving;
-  load.queuedByReceiver = Bits(aLoad.mQueuedByReceiver);
   return load;
 }
 
@@ -110,6 +109,7 @@
   start.target = aStart.mTarget;
   start.payload = aStart.mPayload;
   start.priority = aStart.mPriority;
+  start.mayQueue = aStart.mMayQueue;
   return start;
 }
 
@@ -123,6 +123,7 @@
   batch.agentStamp = aBatch.mAgentStamp.time_since_epoch().count();
   batch.generation = Bits(aBatch.mGeneration);
   batch.backlog = aBatch.mBacklog;
+  batch.backlogPriority = aBatch.mBacklogPriority;
   batch.starts = ListToWire(aBatch.mStarts);
   return batch;
 }
