--- a/src/agent/daemon_settings.h
+++ b/src/agent/daemon_settings.h
@@ -19,7 +19,7 @@
   /** Largest answer of a target; a larger one is an unknown end. */
   std::size_t mMaxResult = std::size_t{ 4 } << 20U;   // bytes
   core::duration mMaxLease = std::chrono::seconds(3); ///< Of a target.
-  bool mLogDecisions = false; ///< One line for each start that is decided.
+  bool mLogDecisions = false;                         ///< Lines for each task.
   std::size_t mMaxTargetThreads = 1024;
   std::size_t mEventQueue = 65536; ///< Events that wait for control.
 };
--- a/src/agent/effect_performer.cpp
+++ b/src/agent/effect_performer.cpp
@@ -160,8 +160,7 @@
   followup operator()(agent::log_event& aEffect) const
   {
     Count(mParts, aEffect);
-    if (aEffect.mEvent != agent::agent_event::Admission ||
-        mParts.mSettings.mLogDecisions) {
+    if (mParts.mSettings.mLogDecisions || !IsPerTask(aEffect.mEvent)) {
       WriteLine(aEffect);
     }
     return std::nullopt;
--- a/src/agent/event_line.cpp
+++ b/src/agent/event_line.cpp
@@ -53,6 +53,15 @@
 
 } // namespace
 
+bool
+IsPerTask(agent_event aEvent)
+{
+  return aEvent == agent_event::Admission ||
+         aEvent == agent_event::TaskStarted ||
+         aEvent == agent_event::TaskEnded ||
+         aEvent == agent_event::TaskReturned;
+}
+
 void
 WriteLine(const agent::log_event& aEvent)
 {
--- a/src/libgooseberry/agent/target_run.cpp
+++ b/src/libgooseberry/agent/target_run.cpp
@@ -91,6 +91,9 @@
              effects& aOut,
              const queued_predicate& aPredicate)
 {
+  if (aControl.mQueuedAt.empty()) {
+    return;
+  }
   for (auto& [name, target] : aControl.mTargets) {
     for (const auto& task : TakeIf(target.mQueue, aPredicate)) {
       aControl.mQueuedAt.erase(task.mStart.mTask);
@@ -105,9 +108,6 @@
   constexpr start_verdict kReasons[] = { start_verdict::DomainOut,
                                          start_verdict::Leaving,
                                          start_verdict::NoTarget };
-  if (aControl.mQueuedAt.empty()) {
-    return;
-  }
   for (const auto reason : kReasons) {
     ReturnQueued(aControl, reason, aNow, aOut, [&](const queued_task& aTask) {
       return CheckPlace(aControl, aTask.mStart, aNow) == reason;
