--- a/tests/libgooseberryio/test_convert.cpp
+++ b/tests/libgooseberryio/test_convert.cpp
@@ -145,16 +145,18 @@
 
 BOOST_AUTO_TEST_CASE(values_out_of_range_are_refused)
 {
+  constexpr auto kVerdicts =
+    static_cast<std::int8_t>(core::kStartVerdictNames.mNames.size());
   auto result = io::ToWire(SampleResult());
   for (const int value : { -1, 4, 127 }) {
     result.ending = static_cast<std::int8_t>(value);
     BOOST_CHECK_THROW(io::FromWire(result), io::wire_value_error);
   }
   result = io::ToWire(SampleResult());
-  result.why = 10;
+  result.why = kVerdicts;
   BOOST_CHECK_THROW(io::FromWire(result), io::wire_value_error);
   auto reply = io::ToWire(core::start_reply{ SampleState(), {} });
-  reply.verdicts = { 10 };
+  reply.verdicts = { kVerdicts };
   BOOST_CHECK_THROW(io::FromWire(reply), io::wire_value_error);
   wire::LocateReply locate;
   locate.verdict = 4;
