--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -243,9 +243,10 @@
   Home,      ///< Has it; will deliver the outcome.
   Noted,     ///< Knows of a higher ballot; see `mHolder`.
   Different, ///< Has it with other content.
+  Started,   ///< Has lost it, and may have started tasks of it.
 };
-inline constexpr enum_names<locate_verdict, 4> kLocateVerdictNames{
-  { "unknown", "home", "noted", "different" }
+inline constexpr enum_names<locate_verdict, 5> kLocateVerdictNames{
+  { "unknown", "home", "noted", "different", "started" }
 };
 
 struct locate_reply
@@ -253,8 +254,9 @@
   peer_ref mEntry;
   std::string mJob;
   locate_verdict mVerdict = locate_verdict::Unknown;
-  ballot mBallot;      ///< The highest known here.
-  std::string mHolder; ///< Name of the entry behind it.
+  /** The asked one with `Unknown` and `Started`; else the highest known. */
+  ballot mBallot;
+  std::string mHolder; ///< Name of the entry behind the highest.
 };
 
 struct copy_notes_reply
--- a/src/libgooseberry/entry/entry_control.cpp
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -56,6 +56,7 @@
       GiveUp(aControl,
              *late,
              { "locate job", late->mHome.mName, "undecided at the deadline" },
+             kStatusUnavailable,
              aEffects);
     } else if (job::MayHaveStarted(*late)) {
       FailJob(aControl,
--- a/src/libgooseberry/entry/internal.h
+++ b/src/libgooseberry/entry/internal.h
@@ -49,6 +49,7 @@
 GiveUp(entry_control& aControl,
        job::job& aJob,
        const core::error& aError,
+       std::uint32_t aStatus,
        effects& aEffects);
 
 /** Sends an answer to an entry that waits for it. */
--- a/src/libgooseberry/entry/locate.cpp
+++ b/src/libgooseberry/entry/locate.cpp
@@ -69,8 +69,11 @@
     aJob.mAttachedEntries.insert(aRequest.mEntry.mName);
     return reply;
   }
-  // Two entries look for the same job: the lower ballot yields.
-  reply.mVerdict = core::locate_verdict::Unknown;
+  // Two entries look for the same job: the lower ballot yields. One that may
+  // have started tasks, and was fenced since, must not pass for ignorant.
+  reply.mVerdict = job::MayHaveStarted(aJob) ? core::locate_verdict::Started
+                                             : core::locate_verdict::Unknown;
+  reply.mBallot = aRequest.mBallot;
   aJob.mBallot = aRequest.mBallot;
   job::TakeNote(aControl.mLedger,
                 aRequest.mJob,
@@ -151,6 +154,12 @@
                 core::instant aNow,
                 effects& aEffects)
 {
+  const bool isLate = aReply.mVerdict != core::locate_verdict::Home &&
+                      aReply.mVerdict != core::locate_verdict::Different &&
+                      aReply.mBallot < aJob.mBallot;
+  if (isLate) {
+    return; // It answers an earlier ballot, and promises nothing for this one.
+  }
   switch (aReply.mVerdict) {
     case core::locate_verdict::Unknown:
       if (aJob.mInquiry.mPending.erase(aAsked) > 0) {
@@ -158,6 +167,10 @@
         NoteAllAnswered(aControl, aJob, aNow, aEffects);
       }
       break;
+    case core::locate_verdict::Started:
+      aJob.mInquiry.mPending.erase(aAsked);
+      aJob.mInquiry.mMissing.insert(aAsked); // The agents are to be asked.
+      break;
     case core::locate_verdict::Home:
       AttachTo(aControl, aJob, aAsked.mName, aNow, aEffects);
       break;
@@ -169,12 +182,11 @@
       }
       break;
     case core::locate_verdict::Different:
-      FailJob(
+      GiveUp(
         aControl,
         aJob,
         { "submit job", aAsked.mName, "a job of this name has other content" },
         kStatusConflict,
-        aNow,
         aEffects);
       break;
   }
@@ -334,9 +346,9 @@
 {
   for (const core::job_answer& answer : aRequest.mAnswers) {
     job::job* found = job::Find(aControl.mLedger, answer.mJob);
-    if (found == nullptr || (found->mPhase != job::phase::Attached &&
-                             found->mPhase != job::phase::Locating)) {
-      continue;
+    if (found == nullptr || found->mPhase != job::phase::Attached ||
+        found->mHome.mName != aRequest.mEntry.mName) {
+      continue; // Not from the home: it may be about an earlier attempt.
     }
     if (answer.mOutcome == core::job_outcome::NotRun) {
       RefuseJob(aControl,
--- a/src/libgooseberry/entry/recover.cpp
+++ b/src/libgooseberry/entry/recover.cpp
@@ -143,6 +143,20 @@
   EndJob(aControl, aJob, std::move(answer), aNow, aEffects);
 }
 
+/** Whether an agent is missing whose run may still be alive. */
+bool
+IsAnySilent(const entry_control& aControl, const job::inquiry& aInquiry)
+{
+  return std::any_of(
+    aInquiry.mMissing.begin(),
+    aInquiry.mMissing.end(),
+    [&](const core::peer_ref& aPeer) {
+      return !membership::HasEnded(
+        aControl.mMembers,
+        { membership::role::Agent, aPeer, std::string(), std::string() });
+    });
+}
+
 std::string
 MissingNames(const job::inquiry& aInquiry)
 {
@@ -196,6 +210,9 @@
       }
       continue;
     }
+    if (reply.mBallot < found->mBallot) {
+      continue; // A late answer to an earlier fence.
+    }
     if (found->mInquiry.mPending.erase(aAsked) == 0 &&
         found->mInquiry.mMissing.erase(aAsked) == 0) {
       continue;
@@ -276,6 +293,20 @@
   }
   aJob.mTasks.assign(aJob.mSubmission.mTasks.size(), {});
   aJob.mEnded = 0;
+  const bool anyUnknown =
+    std::any_of(last.begin(), last.end(), [](const auto* aRecord) {
+      return aRecord == nullptr;
+    });
+  if (anyUnknown && IsAnySilent(aControl, aJob.mInquiry)) {
+    GiveUp(aControl,
+           aJob,
+           { "recover job",
+             MissingNames(aJob.mInquiry),
+             "undecided: an agent that may have started tasks is silent" },
+           kStatusUnavailable,
+           aEffects);
+    return;
+  }
   core::error failure;
   for (std::uint32_t i = 0; i < last.size() && failure.mReason.empty(); ++i) {
     if (last[i] != nullptr) {
--- a/src/libgooseberry/entry/start_calls.cpp
+++ b/src/libgooseberry/entry/start_calls.cpp
@@ -92,6 +92,9 @@
     FailUnknown(aControl, *found, aCall.mAgent, aNow, aEffects);
     return;
   }
+  if (aVerdict == core::start_verdict::Busy && task.mTarget) {
+    target::NoteFull(aControl.mTargets, *task.mTarget);
+  }
   ReturnTask(aControl, *found, aStart.mTask.mIndex);
 }
 
--- a/src/libgooseberry/entry/submit.cpp
+++ b/src/libgooseberry/entry/submit.cpp
@@ -144,11 +144,14 @@
 GiveUp(entry_control& aControl,
        job::job& aJob,
        const core::error& aError,
+       std::uint32_t aStatus,
        effects& aEffects)
 {
   const std::string key = aJob.mSubmission.mKey;
   const core::job_answer answer =
-    ErrorAnswer(key, core::job_outcome::Failed, aError, kStatusUnavailable);
+    ErrorAnswer(key, core::job_outcome::Failed, aError, aStatus);
+  // Attached entries go on asking: this is no outcome of the job.
+  aJob.mAttachedEntries.clear();
   StopJob(aControl, aJob, aEffects);
   ++aControl.mCounters
       .mOutcomes[static_cast<std::size_t>(core::job_outcome::Failed)];
--- a/src/libgooseberry/target/target_table.cpp
+++ b/src/libgooseberry/target/target_table.cpp
@@ -205,6 +205,15 @@
   Refresh(aTable, aTarget);
 }
 
+void
+NoteFull(target_table& aTable, target_index aTarget)
+{
+  target_view& target = aTable.mTargets[aTarget];
+  target.mLoad.mRunning =
+    std::max(target.mLoad.mRunning, target.mLoad.mSlots);
+  Refresh(aTable, aTarget);
+}
+
 void
 Release(target_table& aTable, target_index aTarget)
 {
--- a/src/libgooseberry/target/target_table.h
+++ b/src/libgooseberry/target/target_table.h
@@ -121,6 +121,10 @@
 void
 Reserve(target_table& aTable, target_index aTarget);
 
+/** The target has refused for want of a slot: full until its next report. */
+void
+NoteFull(target_table& aTable, target_index aTarget);
+
 /** Counts out a task that was refused, returned or has ended. */
 void
 Release(target_table& aTable, target_index aTarget);
--- a/tests/libgooseberryio/test_convert.cpp
+++ b/tests/libgooseberryio/test_convert.cpp
@@ -159,7 +159,8 @@
   reply.verdicts = { kVerdicts };
   BOOST_CHECK_THROW(io::FromWire(reply), io::wire_value_error);
   wire::LocateReply locate;
-  locate.verdict = 4;
+  locate.verdict =
+    static_cast<std::int8_t>(core::kLocateVerdictNames.mNames.size());
   BOOST_CHECK_THROW(io::FromWire(locate), io::wire_value_error);
   wire::StartedTask started;
   started.state = 3;
