--- a/scripts/bench/scenarios.py
+++ b/scripts/bench/scenarios.py
@@ -104,7 +104,9 @@
     report = bench.run("policy", load=0.7,
                        changes=[(15, fail), (bench.seconds - 1, look)])
     failed = outcome_share(report, "failed")
+    idempotent = failed - outcome_share(report, "failed (non-idempotent)")
     return _checks(report) + _responses(report) + [
+        ("idempotent jobs that failed, share", idempotent, "0", idempotent == 0),
         ("tasks that the worker failed", seen["failed"], "", None),
         ("starts there later than 2 s", seen["late"], "probes only", None),
         ("jobs that failed, share", failed, "< 0.01", failed < 0.01)]
--- a/tools/load/report.cpp
+++ b/tools/load/report.cpp
@@ -55,7 +55,7 @@
 }
 
 std::string
-OutcomeText(const answer* aAnswer)
+OutcomeText(const job_plan& aJob, const answer* aAnswer)
 {
   if (aAnswer == nullptr) {
     return "unanswered";
@@ -67,16 +67,17 @@
     aAnswer->mOutcome
       ? std::string(core::kJobOutcomeNames.NameOf(*aAnswer->mOutcome))
       : "no outcome";
-  return outcome + " " + std::to_string(aAnswer->mStatus) + ": " +
-         aAnswer->mReason;
+  return outcome + (aJob.mIdempotent ? " " : " (non-idempotent) ") +
+         std::to_string(aAnswer->mStatus) + ": " + aAnswer->mReason;
 }
 
 void
 CountOutcomes(const report_input& aInput, report& aReport)
 {
   std::vector<double> refusals;
-  for (const job_run& run : aInput.mResult.mRuns) {
-    ++aReport.mOutcomes[OutcomeText(FinalAnswer(run))];
+  for (std::size_t i = 0; i < aInput.mJobs.size(); ++i) {
+    const job_run& run = aInput.mResult.mRuns[i];
+    ++aReport.mOutcomes[OutcomeText(aInput.mJobs[i], FinalAnswer(run))];
     aReport.mSubmissions += run.mSubmissions;
     for (const answer& one : run.mAnswers) {
       if (one.mOutcome == core::job_outcome::NotRun) {
