--- a/scripts/bench/scenarios.py
+++ b/scripts/bench/scenarios.py
@@ -49,7 +49,7 @@
 def idle(bench):
     """One task at a time on an idle cluster."""
     report = bench.run("idle", "--jobs-per-s", 2, mix="single")
-    over = report["responses"]["all"]["ms"]["p50"] - 50
+    over = report["overhead_ms"]["p50"]
     return _checks(report) + [("median over the run time, ms", over, "<= 1",
                                over <= 1)]
 
@@ -104,7 +104,9 @@
     report = bench.run("policy", load=0.7,
                        changes=[(15, fail), (bench.seconds - 1, look)])
     failed = outcome_share(report, "failed")
+    idempotent = failed - outcome_share(report, "failed (non-idempotent)")
     return _checks(report) + _responses(report) + [
+        ("idempotent jobs that failed, share", idempotent, "0", idempotent == 0),
         ("tasks that the worker failed", seen["failed"], "", None),
         ("starts there later than 2 s", seen["late"], "probes only", None),
         ("jobs that failed, share", failed, "< 0.01", failed < 0.01)]
--- a/tools/load/report.cpp
+++ b/tools/load/report.cpp
@@ -54,8 +54,29 @@
   }
 }
 
+void
+MeasureOverhead(const report_input& aInput, report& aReport)
+{
+  std::map<std::string, std::int64_t, std::less<>> runTimes;
+  for (const run_record& record : aInput.mRecords) {
+    runTimes[record.mTask] += record.mEndUs - record.mStartUs;
+  }
+  std::vector<double> overheads;
+  for (std::size_t i = 0; i < aInput.mJobs.size(); ++i) {
+    const job_plan& job = aInput.mJobs[i];
+    const job_run& run = aInput.mResult.mRuns[i];
+    const auto found = runTimes.find(KeyOf(job) + ":0");
+    if (run.mResponse && job.mTasks.size() == 1 && found != runTimes.end() &&
+        IsMeasured(aInput.mSettings, job)) {
+      overheads.push_back(
+        static_cast<double>(run.mResponse->count() - found->second) / 1000);
+    }
+  }
+  aReport.mOverheadMs = PercentilesOf(std::move(overheads));
+}
+
 std::string
-OutcomeText(const answer* aAnswer)
+OutcomeText(const job_plan& aJob, const answer* aAnswer)
 {
   if (aAnswer == nullptr) {
     return "unanswered";
@@ -67,16 +88,17 @@
     aAnswer->mOutcome
       ? std::string(core::kJobOutcomeNames.NameOf(*aAnswer->mOutcome))
       : "no outcome";
-  return outcome + " " + std::to_string(aAnswer->mStatus) + ": " +
-         aAnswer->mReason;
+  return outcome + (aJob.mIdempotent ? " " : " (non-idempotent) ") +
+         std::to_string(aAnswer->mStatus) + ": " + aAnswer->mReason;
 }
 
 void
 CountOutcomes(const report_input& aInput, report& aReport)
 {
   std::vector<double> refusals;
-  for (const job_run& run : aInput.mResult.mRuns) {
-    ++aReport.mOutcomes[OutcomeText(FinalAnswer(run))];
+  for (std::size_t i = 0; i < aInput.mJobs.size(); ++i) {
+    const job_run& run = aInput.mResult.mRuns[i];
+    ++aReport.mOutcomes[OutcomeText(aInput.mJobs[i], FinalAnswer(run))];
     aReport.mSubmissions += run.mSubmissions;
     for (const answer& one : run.mAnswers) {
       if (one.mOutcome == core::job_outcome::NotRun) {
@@ -181,6 +203,7 @@
   made.mMessages = aInput.mMessages;
   made.mRecords = aInput.mRecords.size();
   SummariseResponses(aInput, made);
+  MeasureOverhead(aInput, made);
   CountOutcomes(aInput, made);
   MeasureGoodput(aInput, made);
   MeasureWork(aInput, made);
