Holes that the models found: fenced homes, late answers, majorities

Cause, from the traces of spec/ (docs/decisions/exactly-once.md): an entry that was fenced answered 'unknown' and a rival started its task again; answers to an earlier ballot counted; two entries cut off together kept each other fresh; a delivery from another than the home ended a job; the conflict of a rival's content was kept as a job's outcome.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -71,6 +71,12 @@
   return std::nullopt;
 }
 
+void
+entry_process::AnnounceLeaving()
+{
+  mReady = false;
+}
+
 void
 entry_process::Leave()
 {
@@ -143,11 +149,12 @@
   });
   mHttp.Route("GET", "/readyz", [this](const io::http_request&) {
     constexpr unsigned kUnavailable = 503;
-    const bool ready = mLoop.Ask([](auto& aControl, auto aNow, auto& aEffects) {
-      static_cast<void>(aEffects);
-      return aControl.mJoining.mStage == entry::join_stage::Open &&
-             !aControl.mLeaving && entry::IsFresh(aControl, aNow);
-    });
+    const bool ready =
+      mReady && mLoop.Ask([](auto& aControl, auto aNow, auto& aEffects) {
+        static_cast<void>(aEffects);
+        return aControl.mJoining.mStage == entry::join_stage::Open &&
+               !aControl.mLeaving && entry::IsFresh(aControl, aNow);
+      });
     io::http_response response;
     response.mStatus = ready ? response.mStatus : kUnavailable;
     return response;
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -9,6 +9,7 @@
 #include "libgooseberryio/peer_server.h"
 #include "libgooseberryio/platform_client.h"
 
+#include <atomic>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -35,6 +36,8 @@
   entry_process& operator=(const entry_process&) = delete;
 
   std::optional<core::error> Start();
+  /** Turns /readyz, so that the balancer sends no more callers here. */
+  void AnnounceLeaving();
   /** Takes nothing new from now on. */
   void Leave();
   /** All that was taken has been answered. */
@@ -46,6 +49,7 @@
   void AddHealthRoutes();
 
   process_options mOptions;
+  std::atomic<bool> mReady{ true };
   io::metrics mMetrics;
   metrics_publisher mPublisher;
   caller_waiters mCallers;
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -52,12 +52,13 @@
 Serve(entry_program::entry_process& aProcess, io::stop_signals& aSignals)
 {
   constexpr core::duration kPoll = std::chrono::milliseconds(50);
-  // The balancer is to see /readyz turn before connections are refused.
+  // The balancer is to see /readyz turn before callers are refused.
   constexpr core::duration kBalancerNotice = std::chrono::seconds(1);
   while (!aSignals.WaitFor(kPoll)) {
   }
-  aProcess.Leave();
+  aProcess.AnnounceLeaving();
   std::this_thread::sleep_for(kBalancerNotice);
+  aProcess.Leave();
   while (!aProcess.IsDrained()) {
     std::this_thread::sleep_for(kPoll);
   }
--- a/src/libgooseberry/entry/configure.cpp
+++ b/src/libgooseberry/entry/configure.cpp
@@ -94,6 +94,24 @@
   }
 }
 
+/**
+ * Whether this entry and others, a majority of the registered entries, have
+ * the generation. Entries that are cut off from these stop (R11).
+ */
+bool
+IsKnownToMajority(const entry_control& aControl, core::generation aGeneration)
+{
+  const auto rows = membership::LiveEntryRows(aControl.mMembers);
+  const auto known = static_cast<std::size_t>(std::count_if(
+    rows.begin(), rows.end(), [&](const membership::member_row& aRow) {
+      const auto found = aControl.mMembers.mEntries.find(aRow.mPeer.mName);
+      return found != aControl.mMembers.mEntries.end() &&
+             found->second.mPeer == aRow.mPeer &&
+             found->second.mGeneration >= aGeneration;
+    }));
+  return 2 * (known + 1) > rows.size() + 1;
+}
+
 std::vector<std::string>
 WaitingFor(const entry_control& aControl,
            core::generation aGeneration,
@@ -277,6 +295,12 @@
         aNow - aApply.mSince < aControl.mOptions.mApplyTimeout) {
       return false;
     }
+    if (!IsKnownToMajority(aControl, aApply.mGeneration)) {
+      result.mStatus = apply_status::Unsettled;
+      result.mError = { "apply configuration",
+                        "entries",
+                        "stored, but most entries have not confirmed it" };
+    }
     aEffects.emplace_back(answer_operator{ aApply.mToken, result });
     return true;
   });
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -110,7 +110,17 @@
                  effects& aEffects)
 {
   membership::HearEntry(aControl.mMembers, aReply, aNow);
-  aControl.mEvidence = std::max(aControl.mEvidence.value_or(aSentAt), aSentAt);
+  const auto view = aControl.mMembers.mEntries.find(aReply.mEntry.mName);
+  // A peer that has no configuration yet cannot tell whether there is a newer.
+  if (view != aControl.mMembers.mEntries.end() &&
+      view->second.mPeer == aReply.mEntry && aReply.mGeneration > 0) {
+    view->second.mAnsweredAt =
+      std::max(view->second.mAnsweredAt.value_or(aSentAt), aSentAt);
+  }
+  if (const auto heardAt = membership::MajorityHeardAt(aControl.mMembers)) {
+    aControl.mEvidence =
+      std::max(aControl.mEvidence.value_or(*heardAt), *heardAt);
+  }
   if (aReply.mConfiguration) {
     AdoptConfiguration(aControl, *aReply.mConfiguration, aNow, aEffects);
   }
--- a/src/libgooseberry/membership/members.cpp
+++ b/src/libgooseberry/membership/members.cpp
@@ -1,6 +1,7 @@
 #include "libgooseberry/membership/members.h"
 
 #include <algorithm>
+#include <functional>
 #include <set>
 
 namespace gooseberry::membership {
@@ -75,6 +76,36 @@
          aNow - found->second.mHeardAt <= aWithin;
 }
 
+std::vector<member_row>
+LiveEntryRows(const members& aMembers)
+{
+  std::vector<member_row> rows = OtherRows(aMembers, role::Entry);
+  std::erase_if(rows, [&aMembers](const member_row& aRow) {
+    return HasEnded(aMembers, aRow);
+  });
+  return rows;
+}
+
+std::optional<core::instant>
+MajorityHeardAt(const members& aMembers)
+{
+  const std::vector<member_row> rows = LiveEntryRows(aMembers);
+  const std::size_t needed = (rows.size() + 1) / 2; // Besides itself.
+  std::vector<core::instant> heard;
+  for (const member_row& row : rows) {
+    const auto found = aMembers.mEntries.find(row.mPeer.mName);
+    if (found != aMembers.mEntries.end() && found->second.mAnsweredAt &&
+        found->second.mPeer == row.mPeer) {
+      heard.push_back(*found->second.mAnsweredAt);
+    }
+  }
+  if (needed == 0 || heard.size() < needed) {
+    return std::nullopt;
+  }
+  std::sort(heard.begin(), heard.end(), std::greater<>());
+  return heard[needed - 1];
+}
+
 std::string
 EntryAddress(const members& aMembers, const std::string& aName)
 {
--- a/src/libgooseberry/membership/members.h
+++ b/src/libgooseberry/membership/members.h
@@ -36,6 +36,8 @@
   std::string mAddress;
   core::instant mHeardAt{}; ///< Send time of the last answered call, or of
                             ///< the arrival of a call from it.
+  /** Send time of the last heartbeat to it that it has answered. */
+  std::optional<core::instant> mAnsweredAt;
   core::generation mGeneration = 0;
   std::map<std::string, core::team_use> mTeams;
   std::map<std::string, core::generation> mAgents;
@@ -83,6 +85,18 @@
         core::instant aNow,
         core::duration aWithin);
 
+/** Rows of the other entries whose runs are not known to be over. */
+std::vector<member_row>
+LiveEntryRows(const members& aMembers);
+
+/**
+ * The latest time at which this entry and others, a majority of the registered
+ * entries together, were in touch: since then no configuration can have been
+ * accepted without it. Nothing where it is the only one.
+ */
+std::optional<core::instant>
+MajorityHeardAt(const members& aMembers);
+
 /** Address of an entry by name; empty where unknown. */
 std::string
 EntryAddress(const members& aMembers, const std::string& aName);
--- a/src/libgooseberry/target/target_table.cpp
+++ b/src/libgooseberry/target/target_table.cpp
@@ -209,8 +209,7 @@
 NoteFull(target_table& aTable, target_index aTarget)
 {
   target_view& target = aTable.mTargets[aTarget];
-  target.mLoad.mRunning =
-    std::max(target.mLoad.mRunning, target.mLoad.mSlots);
+  target.mLoad.mRunning = std::max(target.mLoad.mRunning, target.mLoad.mSlots);
   Refresh(aTable, aTarget);
 }
 
--- a/src/libgooseberryio/http_client.cpp
+++ b/src/libgooseberryio/http_client.cpp
@@ -9,6 +9,8 @@
 namespace gooseberry::io {
 namespace {
 
+constexpr long kKeepAliveSeconds = 1;
+
 /** Calls `curl_global_init` before the first handle. */
 void
 SetUpCurl()
@@ -145,6 +147,11 @@
   }
   curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(curl, CURLOPT_TCP_NODELAY, 1L);
+  // A connection that the network has lost track of is found while a long
+  // call waits for its answer.
+  curl_easy_setopt(curl, CURLOPT_TCP_KEEPALIVE, 1L);
+  curl_easy_setopt(curl, CURLOPT_TCP_KEEPIDLE, kKeepAliveSeconds);
+  curl_easy_setopt(curl, CURLOPT_TCP_KEEPINTVL, kKeepAliveSeconds);
   curl_easy_setopt(curl, CURLOPT_PROXY, "");
   curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
   curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, Milliseconds(aCall.mDeadline));
--- a/tests/libgooseberry/test_world.cpp
+++ b/tests/libgooseberry/test_world.cpp
@@ -139,3 +139,146 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(partitions)
+
+BOOST_AUTO_TEST_CASE(two_entries_cut_off_together_get_no_domain_past_the_bound)
+{
+  world::options options;
+  options.mEntries = 5;
+  world::cluster cluster(options);
+  cluster.RunFor(3s);
+  for (const std::size_t cut : { 3U, 4U }) {
+    cluster.CutFromStore(cut, true);
+    for (std::size_t other = 0; other < 3; ++other) {
+      cluster.CutEntries(cut, other, true);
+    }
+  }
+  cluster.RunFor(10ms);
+  cluster.SetDomain(0, "brasov", false);
+  for (int i = 0; i < 60; ++i) {
+    cluster.Submit(3 + i % 2, "job-" + std::to_string(i), 1, 4, false);
+    cluster.RunFor(100ms);
+  }
+  cluster.RunFor(25s);
+  BOOST_TEST(cluster.Check() == "");
+  BOOST_TEST(cluster.CountAnswers(job_outcome::NotRun) > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_change_that_most_entries_lack_is_not_called_accepted)
+{
+  world::cluster cluster({});
+  cluster.RunFor(3s);
+  cluster.CutEntries(0, 1, true);
+  cluster.CutEntries(0, 2, true);
+  cluster.CutFromStore(1, true);
+  cluster.CutFromStore(2, true);
+  cluster.SetDomain(0, "brasov", false);
+  cluster.RunFor(10s);
+  BOOST_TEST(cluster.AcceptedChanges() == 0U);
+  BOOST_TEST(cluster.Check() == "");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(locating)
+
+namespace {
+
+/** One entry that has joined, with two registered peers that are silent. */
+struct lone_fixture
+{
+  core::instant mNow{ 1000s };
+  entry::effects mEffects;
+  entry::entry_control mControl;
+
+  lone_fixture()
+    : mControl(entry::MakeEntry(Options(), 5, 1, mNow, mEffects))
+  {
+    entry::OnMemberWritten(mControl, true, mNow, mEffects);
+    entry::OnMembers(mControl, Rows(), mNow, mNow, mEffects);
+    entry::OnNotesCopied(mControl, { { "b", 6 }, true, {} }, mNow, mEffects);
+    entry::OnConfigurationRead(
+      mControl,
+      { { 1, "[state]\nformat = 1\nname = x\n[service plans]\ntargets = *\n" },
+        "",
+        "",
+        1 },
+      mNow,
+      mNow,
+      mEffects);
+  }
+
+  static entry::entry_options Options()
+  {
+    entry::entry_options options;
+    options.mName = "a";
+    options.mAddress = "a:1";
+    return options;
+  }
+
+  static std::vector<membership::member_row> Rows()
+  {
+    return { { membership::role::Entry, { "a", 5 }, "a:1", "" },
+             { membership::role::Entry, { "b", 6 }, "b:1", "" },
+             { membership::role::Entry, { "c", 7 }, "c:1", "" } };
+  }
+
+  job::job& SubmitResubmission()
+  {
+    job::submission submission;
+    submission.mKey = "t/j";
+    submission.mService = "plans";
+    submission.mTeam = "t";
+    submission.mAttempt = 2;
+    submission.mDeadline = 20s;
+    submission.mTasks.assign(1, { "kind", 100ms, "" });
+    entry::OnSubmit(mControl, 1, submission, mNow, mEffects);
+    return *job::Find(mControl.mLedger, "t/j");
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(an_entry_that_may_have_started_tasks_says_so,
+                        lone_fixture)
+{
+  job::job& fenced = SubmitResubmission();
+  BOOST_REQUIRE((fenced.mPhase == job::phase::Locating));
+  fenced.mTasks[0].mEverStarted = true; // As a home that was fenced.
+  const auto replies = entry::OnLocate(
+    mControl, { { { "b", 6 }, "b:1", "t/j", 0, { 9, 6 } } }, mNow, mEffects);
+  BOOST_TEST((replies[0].mVerdict == core::locate_verdict::Started));
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_to_an_earlier_ballot_does_not_count,
+                        lone_fixture)
+{
+  job::job& asked = SubmitResubmission();
+  const core::ballot present = asked.mBallot;
+  const core::ballot earlier{ present.mRound - 1, present.mEntry };
+  const auto answer = [&](const core::ballot& aBallot) {
+    return core::locate_reply{
+      { "b", 6 }, "t/j", core::locate_verdict::Unknown, aBallot, {}
+    };
+  };
+  entry::OnLocateReplies(
+    mControl, { "b", 6 }, { answer(earlier) }, mNow, mEffects);
+  BOOST_TEST(asked.mInquiry.mPending.size() == 2U);
+  entry::OnLocateReplies(
+    mControl, { "b", 6 }, { answer(present) }, mNow, mEffects);
+  BOOST_TEST(asked.mInquiry.mPending.size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_that_is_not_from_the_home_is_not_taken,
+                        lone_fixture)
+{
+  job::job& asked = SubmitResubmission();
+  core::job_answer late;
+  late.mJob = "t/j";
+  late.mOutcome = core::job_outcome::NotRun;
+  entry::OnDeliver(mControl, { { "b", 6 }, { late } }, mNow, mEffects);
+  BOOST_TEST((asked.mPhase == job::phase::Locating));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgooseberry/world.cpp
+++ b/tests/libgooseberry/world.cpp
@@ -503,6 +503,9 @@
 {
   static_cast<void>(aFrom);
   const change made = mChanges.at(aEffect.mToken);
+  if (aEffect.mResult.mStatus == entry::apply_status::Applied) {
+    ++mAccepted;
+  }
   if (aEffect.mResult.mStatus == entry::apply_status::Applied && !made.mIn) {
     mOut.push_back({ made.mDomain, mNow, instant::max() });
   }
--- a/tests/libgooseberry/world.h
+++ b/tests/libgooseberry/world.h
@@ -130,6 +130,8 @@
   const std::vector<started>& Starts() const { return mStarts; }
   const std::vector<answered>& Answers() const { return mAnswers; }
   std::size_t CountAnswers(core::job_outcome aOutcome) const;
+  /** Changes that operators were told to be in force. */
+  std::size_t AcceptedChanges() const { return mAccepted; }
   entry_process& Entry(std::size_t aIndex) { return mEntries[aIndex]; }
   agent_process& Agent(std::size_t aIndex) { return mAgents[aIndex]; }
 
@@ -231,6 +233,7 @@
     bool mIn = true;
   };
   std::map<std::uint64_t, change> mChanges; ///< By token.
+  std::size_t mAccepted = 0;
   std::vector<domain_out> mOut;
   std::vector<started> mStarts;
   std::vector<answered> mAnswers;
