--- a/tests/libgooseberry/world.cpp
+++ b/tests/libgooseberry/world.cpp
@@ -488,8 +488,8 @@
 void
 cluster::Trace(const std::string& aProcess, const entry::log_line& aLine) const
 {
-  static const bool sTraced = std::getenv("GOOSEBERRY_TRACE") != nullptr;
-  if (!sTraced) {
+  static const bool kTraced = std::getenv("GOOSEBERRY_TRACE") != nullptr;
+  if (!kTraced) {
     return;
   }
   std::cout << core::ToMilliseconds(mNow.time_since_epoch()) << ' ' << aProcess
--- a/tests/libgooseberryio/test_event_queue.cpp
+++ b/tests/libgooseberryio/test_event_queue.cpp
@@ -40,6 +40,7 @@
   constexpr int kEvents = 1000;
   event_queue<int> queue(64);
   std::vector<std::thread> writers;
+  writers.reserve(kWriters);
   for (int i = 0; i < kWriters; ++i) {
     writers.emplace_back([&queue] {
       for (int j = 0; j < kEvents; ++j) {
--- a/tests/libgooseberryio/test_log.cpp
+++ b/tests/libgooseberryio/test_log.cpp
@@ -78,10 +78,12 @@
   metrics.SetQueueLength(7);
   metrics.SetGeneration(12);
   const auto text = metrics.Text();
+  constexpr const char* kOverIdealLine =
+    "gooseberry_response_over_ideal_ratio_bucket"
+    "{process=\"entry-1\",le=\"1.05\"} 1";
   for (const auto* const line :
        { "gooseberry_response_seconds_count{process=\"entry-1\"} 1",
-         "gooseberry_response_over_ideal_ratio_bucket{process=\"entry-1\","
-         "le=\"1.05\"} 1",
+         kOverIdealLine,
          "gooseberry_refusals_total{process=\"entry-1\",reason=\"busy\"} 2",
          "gooseberry_jobs_total{process=\"entry-1\",outcome=\"complete\"} 1",
          "gooseberry_starts_total{process=\"entry-1\"} 5",
--- a/tests/libgooseberryio/test_peers.cpp
+++ b/tests/libgooseberryio/test_peers.cpp
@@ -31,7 +31,7 @@
   {
     return {
       .mStart =
-        [this](core::start_batch aBatch) {
+        [this](const core::start_batch& aBatch) {
           ++mStarts;
           if (aBatch.mGeneration == 666) {
             throw std::runtime_error("handler failed");
@@ -45,6 +45,7 @@
       .mFence =
         [](const std::vector<core::fence_request>& aRequests) {
           std::vector<core::fence_reply> replies;
+          replies.reserve(aRequests.size());
           for (const auto& request : aRequests) {
             replies.push_back({ .mAgent = {},
                                 .mJob = request.mJob,
@@ -219,10 +220,11 @@
 
 BOOST_AUTO_TEST_CASE(a_kept_connection_carries_more_than_one_message_may)
 {
-  constexpr std::size_t kPayload = 4 << 20;
+  constexpr std::size_t kPayload = std::size_t{ 4 } << 20U;
   test_agent agent;
   io::agent_client client(agent.Address(), kDeadline);
-  for (std::size_t sent = 0; sent < 2 * io::kMaxFrameBytes; sent += kPayload) {
+  for (std::size_t sent = 0; sent < std::size_t{ 2 } * io::kMaxFrameBytes;
+       sent += kPayload) {
     const auto result = client.Start(BatchOf(1, kPayload));
     BOOST_REQUIRE(IsReply(result));
   }
--- a/tests/libgooseberryio/test_platform.cpp
+++ b/tests/libgooseberryio/test_platform.cpp
@@ -95,6 +95,7 @@
   constexpr int kWriters = 4;
   test_platform platform;
   std::vector<std::future<io::write_result>> results;
+  results.reserve(kWriters);
   for (int i = 0; i < kWriters; ++i) {
     results.push_back(std::async(std::launch::async, [&platform, i] {
       return platform.Write("writer " + std::to_string(i), io::kAbsent);
@@ -149,6 +150,7 @@
   platform.mService.SetFaults({ .mLoseAnswers = 0.4, .mReset = 0.3 });
   for (io::row_version version = 0; version < kRounds; ++version) {
     std::vector<std::future<io::write_result>> results;
+    results.reserve(kWriters);
     for (int i = 0; i < kWriters; ++i) {
       results.push_back(std::async(std::launch::async, [&platform, i, version] {
         return platform.Write(std::to_string(i), version);
--- a/tools/bench/bench_peers.cpp
+++ b/tools/bench/bench_peers.cpp
@@ -65,7 +65,7 @@
   start.mPayload.assign(kPayloadBytes, 'x');
   core::start_batch batch;
   batch.mStarts.assign(static_cast<std::size_t>(aState.range(0)), start);
-  for (auto _ : aState) {
+  for (auto _ : aState) { // NOLINT(clang-analyzer-deadcode.DeadStores)
     const auto result = client.Start(batch);
     if (!std::holds_alternative<core::start_reply>(result)) {
       aState.SkipWithError("the call failed");
