--- a/src/libgooseberry/entry/internal.h
+++ b/src/libgooseberry/entry/internal.h
@@ -16,6 +16,13 @@
 inline constexpr std::uint32_t kStatusUnavailable = 503;
 inline constexpr std::uint32_t kStatusDeadline = 504;
 
+/** An answer that is not `complete`; `aStatus` is of HTTP. */
+core::job_answer
+ErrorAnswer(const std::string& aJob,
+            core::job_outcome aOutcome,
+            const core::error& aError,
+            std::uint32_t aStatus);
+
 /** Ends a job with this answer, tells all who wait, and starts its window. */
 void
 EndJob(entry_control& aControl,
@@ -97,6 +104,12 @@
                 core::instant aNow,
                 effects& aEffects);
 
+/** Whether the entry of that name was heard lately. */
+bool
+IsEntryHeard(const entry_control& aControl,
+             const std::string& aName,
+             core::instant aNow);
+
 /** Waits for the outcome from another entry. */
 void
 AttachTo(entry_control& aControl,
--- /dev/null
+++ b/src/libgooseberry/entry/job_end.cpp
@@ -0,0 +1,160 @@
+#include "libgooseberry/entry/entry_control.h"
+#include "libgooseberry/entry/internal.h"
+
+/** How jobs end at an entry, and who is told. */
+namespace gooseberry::entry {
+
+core::job_answer
+ErrorAnswer(const std::string& aJob,
+            core::job_outcome aOutcome,
+            const core::error& aError,
+            std::uint32_t aStatus)
+{
+  constexpr core::duration kRetryAfterOutage = std::chrono::seconds(1);
+  core::job_answer answer;
+  answer.mJob = aJob;
+  answer.mOutcome = aOutcome;
+  answer.mReason = aError.mReason;
+  answer.mStep = aError.mStep;
+  answer.mPeer = aError.mPeer;
+  answer.mStatus = aStatus;
+  if (aStatus == kStatusUnavailable || aStatus == kStatusTooMany) {
+    answer.mRetryAfter = kRetryAfterOutage;
+  }
+  return answer;
+}
+
+namespace {
+
+/** Tells all who wait for the job, here and at other entries. */
+void
+TellWaiters(entry_control& aControl,
+            job::job& aJob,
+            const core::job_answer& aAnswer,
+            effects& aEffects)
+{
+  for (const std::uint64_t token : aJob.mWaiters) {
+    aEffects.emplace_back(answer_caller{ token, aAnswer });
+  }
+  aJob.mWaiters.clear();
+  for (const std::string& name : aJob.mAttachedEntries) {
+    Deliver(aControl, name, aAnswer, aEffects);
+  }
+  aJob.mAttachedEntries.clear();
+}
+
+void
+LogOutcome(const job::job& aJob,
+           const core::job_answer& aAnswer,
+           core::instant aNow,
+           effects& aEffects)
+{
+  Log(aEffects,
+      "job_ended",
+      { { "job", aJob.mSubmission.mKey },
+        { "outcome",
+          std::string(core::kJobOutcomeNames.NameOf(aAnswer.mOutcome)) },
+        { "reason", aAnswer.mReason },
+        { "step", aAnswer.mStep },
+        { "peer", aAnswer.mPeer },
+        { "ms", std::to_string(core::ToMilliseconds(aNow - aJob.mArrived)) } });
+}
+
+/** Takes a job out of all that is under way; it stays in the ledger. */
+void
+StopJob(entry_control& aControl, job::job& aJob, effects& aEffects)
+{
+  const std::set<std::string> agents = ReleaseJob(aControl, aJob);
+  for (const std::string& name : agents) {
+    const auto view = aControl.mMembers.mAgents.find(name);
+    if (view != aControl.mMembers.mAgents.end()) {
+      aControl.mCancelOutbox[view->second.mState.mAddress].push_back(
+        aJob.mSubmission.mKey);
+    }
+  }
+  aControl.mInquiring.erase(aJob.mSubmission.mKey);
+  aControl.mAttached.erase(aJob.mSubmission.mKey);
+  --aControl.mOpenJobs;
+  static_cast<void>(aEffects);
+}
+
+} // namespace
+
+void
+EndJob(entry_control& aControl,
+       job::job& aJob,
+       core::job_answer aAnswer,
+       core::instant aNow,
+       effects& aEffects)
+{
+  StopJob(aControl, aJob, aEffects);
+  aJob.mPhase = job::phase::Ended;
+  aJob.mEndedAt = aNow;
+  aJob.mAnswer = std::move(aAnswer);
+  aJob.mSubmission.mTasks.clear();
+  aJob.mInquiry = {};
+  ++aControl.mCounters
+      .mOutcomes[static_cast<std::size_t>(aJob.mAnswer.mOutcome)];
+  aControl.mSamples.push_back(
+    { aNow - aJob.mArrived, aJob.mIdeal, aJob.mAnswer.mOutcome });
+  LogOutcome(aJob, aJob.mAnswer, aNow, aEffects);
+  TellWaiters(aControl, aJob, aJob.mAnswer, aEffects);
+  job::KeepEnded(aControl.mLedger, aJob, aNow);
+}
+
+void
+FailJob(entry_control& aControl,
+        job::job& aJob,
+        const core::error& aError,
+        std::uint32_t aStatus,
+        core::instant aNow,
+        effects& aEffects)
+{
+  EndJob(aControl,
+         aJob,
+         ErrorAnswer(
+           aJob.mSubmission.mKey, core::job_outcome::Failed, aError, aStatus),
+         aNow,
+         aEffects);
+}
+
+void
+RefuseJob(entry_control& aControl,
+          job::job& aJob,
+          const core::error& aError,
+          std::uint32_t aStatus,
+          core::instant aNow,
+          effects& aEffects)
+{
+  const std::string key = aJob.mSubmission.mKey;
+  const core::job_answer answer =
+    ErrorAnswer(key, core::job_outcome::NotRun, aError, aStatus);
+  StopJob(aControl, aJob, aEffects);
+  ++aControl.mCounters
+      .mOutcomes[static_cast<std::size_t>(core::job_outcome::NotRun)];
+  LogOutcome(aJob, answer, aNow, aEffects);
+  TellWaiters(aControl, aJob, answer, aEffects);
+  job::Refuse(aControl.mLedger, key, aJob.mSubmission.mAttempt, answer, aNow);
+  job::Remove(aControl.mLedger, key);
+}
+
+void
+GiveUp(entry_control& aControl,
+       job::job& aJob,
+       const core::error& aError,
+       std::uint32_t aStatus,
+       effects& aEffects)
+{
+  const std::string key = aJob.mSubmission.mKey;
+  const core::job_answer answer =
+    ErrorAnswer(key, core::job_outcome::Failed, aError, aStatus);
+  // Attached entries go on asking: this is no outcome of the job.
+  aJob.mAttachedEntries.clear();
+  StopJob(aControl, aJob, aEffects);
+  ++aControl.mCounters
+      .mOutcomes[static_cast<std::size_t>(core::job_outcome::Failed)];
+  TellWaiters(aControl, aJob, answer, aEffects);
+  job::Remove(aControl.mLedger, key);
+}
+
+} // namespace gooseberry::entry
--- a/src/libgooseberry/entry/locate.cpp
+++ b/src/libgooseberry/entry/locate.cpp
@@ -19,100 +19,6 @@
            aJob.mBallot };
 }
 
-/** Whether the entry of that name was heard lately. */
-bool
-IsEntryHeard(const entry_control& aControl,
-             const std::string& aName,
-             core::instant aNow)
-{
-  const auto found = aControl.mMembers.mEntries.find(aName);
-  return found != aControl.mMembers.mEntries.end() &&
-         aNow - found->second.mHeardAt <= aControl.mOptions.mPeerSuspect;
-}
-
-/** Answer to a locate request about a job that is in the ledger. */
-core::locate_reply
-AnswerKnown(entry_control& aControl,
-            job::job& aJob,
-            const core::locate_request& aRequest,
-            core::instant aNow,
-            effects& aEffects)
-{
-  core::locate_reply reply{ aControl.mSelf,
-                            aRequest.mJob,
-                            core::locate_verdict::Home,
-                            aJob.mBallot,
-                            aControl.mSelf.mName };
-  if (aJob.mSubmission.mContentHash != aRequest.mContentHash) {
-    reply.mVerdict = core::locate_verdict::Different;
-    return reply;
-  }
-  if (aJob.mPhase == job::phase::Ended) {
-    Deliver(aControl, aRequest.mEntry.mName, aJob.mAnswer, aEffects);
-    return reply;
-  }
-  if (aJob.mPhase == job::phase::Running ||
-      aJob.mPhase == job::phase::Recovering) {
-    aJob.mAttachedEntries.insert(aRequest.mEntry.mName);
-    return reply;
-  }
-  const bool homeHeard = aJob.mPhase == job::phase::Attached &&
-                         aJob.mHome.mName != aRequest.mEntry.mName &&
-                         IsEntryHeard(aControl, aJob.mHome.mName, aNow);
-  if (homeHeard) {
-    reply.mVerdict = core::locate_verdict::Noted;
-    reply.mHolder = aJob.mHome.mName;
-    return reply;
-  }
-  if (aRequest.mBallot < aJob.mBallot) {
-    reply.mVerdict = core::locate_verdict::Noted;
-    aJob.mAttachedEntries.insert(aRequest.mEntry.mName);
-    return reply;
-  }
-  // Two entries look for the same job: the lower ballot yields. One that may
-  // have started tasks, and was fenced since, must not pass for ignorant.
-  reply.mVerdict = job::MayHaveStarted(aJob) ? core::locate_verdict::Started
-                                             : core::locate_verdict::Unknown;
-  reply.mBallot = aRequest.mBallot;
-  aJob.mBallot = aRequest.mBallot;
-  job::TakeNote(aControl.mLedger,
-                aRequest.mJob,
-                aRequest.mBallot,
-                aRequest.mEntry.mName,
-                aNow);
-  if (aJob.mHome.mName != aRequest.mEntry.mName ||
-      aJob.mPhase != job::phase::Attached) {
-    AttachTo(aControl, aJob, aRequest.mEntry.mName, aNow, aEffects);
-  }
-  return reply;
-}
-
-/** Answer to a locate request about a job that is not in the ledger. */
-core::locate_reply
-AnswerUnknown(entry_control& aControl,
-              const core::locate_request& aRequest,
-              core::instant aNow)
-{
-  core::locate_reply reply{ aControl.mSelf,
-                            aRequest.mJob,
-                            core::locate_verdict::Unknown,
-                            aRequest.mBallot,
-                            {} };
-  if (const job::note* known = job::FindNote(aControl.mLedger, aRequest.mJob);
-      known != nullptr && aRequest.mBallot < known->mBallot) {
-    reply.mVerdict = core::locate_verdict::Noted;
-    reply.mBallot = known->mBallot;
-    reply.mHolder = known->mHolder;
-    return reply;
-  }
-  job::TakeNote(aControl.mLedger,
-                aRequest.mJob,
-                aRequest.mBallot,
-                aRequest.mEntry.mName,
-                aNow);
-  return reply;
-}
-
 /** Asks every registered entry that has not answered. */
 void
 AskEntries(entry_control& aControl, job::job& aJob)
@@ -268,24 +174,6 @@
       { { "job", aJob.mSubmission.mKey }, { "home", aEntryName } });
 }
 
-std::vector<core::locate_reply>
-OnLocate(entry_control& aControl,
-         const std::vector<core::locate_request>& aRequests,
-         core::instant aNow,
-         effects& aEffects)
-{
-  std::vector<core::locate_reply> replies;
-  replies.reserve(aRequests.size());
-  for (const core::locate_request& request : aRequests) {
-    job::job* known = job::Find(aControl.mLedger, request.mJob);
-    replies.push_back(
-      known == nullptr
-        ? AnswerUnknown(aControl, request, aNow)
-        : AnswerKnown(aControl, *known, request, aNow, aEffects));
-  }
-  return replies;
-}
-
 void
 OnLocateReplies(entry_control& aControl,
                 const core::peer_ref& aAsked,
@@ -365,6 +253,8 @@
 
 namespace {
 
+/** The outcome is delivered unasked; asking finds a delivery that was lost. */
+constexpr core::duration kAskHomeAfter = std::chrono::seconds(5);
 constexpr core::duration kAskAgainAfter = std::chrono::milliseconds(250);
 
 /** Asks those again that have not answered, or gives them up. */
@@ -399,7 +289,8 @@
              core::instant aNow,
              effects& aEffects)
 {
-  if (aNow - aJob.mAskedHome < aControl.mOptions.mPeerSuspect) {
+  const core::duration asked = aNow - aJob.mAskedHome;
+  if (asked < aControl.mOptions.mPeerSuspect) {
     return;
   }
   const std::string& name = aJob.mHome.mName;
@@ -411,6 +302,9 @@
     StartLocating(aControl, aJob, {}, aNow, aEffects);
     return;
   }
+  if (asked < kAskHomeAfter) {
+    return;
+  }
   aJob.mAskedHome = aNow;
   aControl.mLocateOutbox[found->second.mPeer].push_back(
     MakeRequest(aControl, aJob));
--- a/tests/libgooseberry/test_world_schedules.cpp
+++ b/tests/libgooseberry/test_world_schedules.cpp
@@ -28,7 +28,6 @@
   Wait,
 };
 constexpr std::uint64_t kDeeds = 13;
-constexpr const char* kDomains[] = { "cluj", "brasov", "iasi" };
 
 /** One schedule of deeds and faults, all from one seed. */
 class schedule
@@ -131,10 +130,10 @@
         Resubmit(Any());
         break;
       case deed::TakeOut:
-        mCluster.SetDomain(Any(), kDomains[Any()], false);
+        mCluster.SetDomain(Any(), world::kDomains[Any()], false);
         break;
       case deed::BringIn:
-        mCluster.SetDomain(Any(), kDomains[Any()], true);
+        mCluster.SetDomain(Any(), world::kDomains[Any()], true);
         break;
       case deed::KillEntry:
         Toggle(true);
--- a/tests/libgooseberry/world.cpp
+++ b/tests/libgooseberry/world.cpp
@@ -1,8 +1,6 @@
 #include "world.h"
 
 #include <algorithm>
-#include <cstdlib>
-#include <iostream>
 #include <utility>
 
 namespace gooseberry::world {
@@ -14,19 +12,6 @@
 constexpr duration kTick = 5ms;
 constexpr duration kCallDeadline = 300ms;
 constexpr duration kLease = 3s;
-constexpr const char* kDomains[] = { "cluj", "brasov", "iasi" };
-
-std::string
-Text(const std::set<std::string>& aOut)
-{
-  std::string text = "[state]\nformat = 1\nname = test\n";
-  for (const char* domain : kDomains) {
-    text += std::string("[failure_domain ") + domain + "]\nregion = ro\n" +
-            "state = " + (aOut.contains(domain) ? "out" : "in") + "\n";
-  }
-  return text + "[service plans]\ntargets = *\nmax_tries = 3\n" +
-         "[team office]\nquota_slots = 0\n";
-}
 
 std::string
 ResultOf(const core::task_ref& aTask)
@@ -177,72 +162,6 @@
   });
 }
 
-void
-cluster::Submit(std::size_t aEntry,
-                const std::string& aJob,
-                std::uint32_t aAttempt,
-                std::size_t aTasks,
-                bool aIdempotent,
-                duration aDeadline)
-{
-  job::submission submission;
-  submission.mKey = "office/" + aJob;
-  submission.mService = "plans";
-  submission.mTeam = "office";
-  submission.mAttempt = aAttempt;
-  submission.mIdempotent = aIdempotent;
-  submission.mDeadline = aDeadline;
-  submission.mTasks.assign(aTasks, { "plan", 100ms, "payload" });
-  submission.mContentHash = aTasks;
-  entry_process& entry = mEntries[aEntry];
-  if (!entry.mAlive) {
-    return;
-  }
-  const std::uint64_t token = mNextToken++;
-  const answered attempt{ submission.mKey, aAttempt, mNow, {} };
-  mSubmitted[token] = attempt;
-  mAttempts.push_back(attempt);
-  Deliver(entry, entry.mIncarnation, [this, &entry, token, submission] {
-    WithEntry(entry, [&](entry::effects& aEffects) {
-      entry::OnSubmit(*entry.mControl, token, submission, mNow, aEffects);
-    });
-  });
-}
-
-void
-cluster::SetDomain(std::size_t aEntry, const std::string& aDomain, bool aIn)
-{
-  entry_process& entry = mEntries[aEntry];
-  if (!entry.mAlive) {
-    return;
-  }
-  std::set<std::string> out;
-  const auto& desired = entry.mControl->mDesired;
-  for (const auto& [name, domain] : desired.mFailureDomains) {
-    if (domain.mState == configuration::domain_state::Out) {
-      out.insert(name);
-    }
-  }
-  if (aIn) {
-    out.erase(aDomain);
-  } else {
-    out.insert(aDomain);
-  }
-  const std::uint64_t token = mNextToken++;
-  mChanges[token] = { aDomain, aIn };
-  Deliver(entry, entry.mIncarnation, [this, &entry, token, out] {
-    WithEntry(entry, [&](entry::effects& aEffects) {
-      entry::OnApply(*entry.mControl,
-                     token,
-                     Text(out),
-                     "change-" + std::to_string(token),
-                     entry.mControl->mRow.mConfiguration.mGeneration,
-                     mNow,
-                     aEffects);
-    });
-  });
-}
-
 void
 cluster::KillEntry(std::size_t aIndex)
 {
@@ -485,100 +404,4 @@
   });
 }
 
-void
-cluster::Trace(const std::string& aProcess, const entry::log_line& aLine) const
-{
-  static const bool kTraced = std::getenv("GOOSEBERRY_TRACE") != nullptr;
-  if (!kTraced) {
-    return;
-  }
-  std::cout << core::ToMilliseconds(mNow.time_since_epoch()) << ' ' << aProcess
-            << ' ' << aLine.mEvent;
-  for (const entry::log_field& field : aLine.mFields) {
-    std::cout << ' ' << field.mKey << '=' << field.mValue;
-  }
-  std::cout << '\n';
-}
-
-void
-cluster::Do(entry_process& aFrom, const entry::answer_caller& aEffect)
-{
-  Trace(aFrom.mName,
-        { "answer",
-          { { "job", aEffect.mAnswer.mJob },
-            { "outcome",
-              std::string(
-                core::kJobOutcomeNames.NameOf(aEffect.mAnswer.mOutcome)) },
-            { "reason", aEffect.mAnswer.mReason } } });
-
-  const auto found = mSubmitted.find(aEffect.mToken);
-  if (found == mSubmitted.end()) {
-    mBroken = "answered twice, or nobody: " + aEffect.mAnswer.mJob;
-    return;
-  }
-  answered answer = found->second;
-  mSubmitted.erase(found);
-  answer.mAt = mNow;
-  answer.mAnswer = aEffect.mAnswer;
-  mAnswers.push_back(std::move(answer));
-  static_cast<void>(aFrom);
-}
-
-void
-cluster::Do(entry_process& aFrom, const entry::answer_operator& aEffect)
-{
-  const change made = mChanges.at(aEffect.mToken);
-  Trace(aFrom.mName,
-        { "applied",
-          { { "domain", made.mDomain },
-            { "in", made.mIn ? "yes" : "no" },
-            { "generation", std::to_string(aEffect.mResult.mGeneration) },
-            { "status",
-              std::string(entry::kApplyStatusNames.NameOf(
-                aEffect.mResult.mStatus)) } } });
-  if (aEffect.mResult.mStatus == entry::apply_status::Applied) {
-    ++mAccepted;
-  }
-  // A change that was stored later may have brought the domain in again
-  // before this answer was given.
-  if (aEffect.mResult.mStatus == entry::apply_status::Applied && !made.mIn &&
-      mLastIn[made.mDomain] < aEffect.mResult.mGeneration) {
-    mOut.push_back({ made.mDomain, mNow, instant::max() });
-  }
-}
-
-void
-cluster::NoteStored()
-{
-  const auto parsed =
-    configuration::Parse(mStored.mConfiguration.mText, "stored");
-  const auto& desired = std::get<configuration::desired_state>(parsed);
-  for (const char* domain : kDomains) {
-    if (!configuration::IsDomainIn(desired, domain)) {
-      continue;
-    }
-    mLastIn[domain] = mStored.mConfiguration.mGeneration;
-    for (domain_out& known : mOut) {
-      if (known.mDomain == domain && known.mUntil == instant::max()) {
-        known.mUntil = mNow;
-      }
-    }
-  }
-}
-
-void
-cluster::Do(entry_process& aFrom, const entry::log_line& aEffect)
-{
-  Trace(aFrom.mName, aEffect);
-}
-
-std::size_t
-cluster::CountAnswers(core::job_outcome aOutcome) const
-{
-  return static_cast<std::size_t>(std::count_if(
-    mAnswers.begin(), mAnswers.end(), [aOutcome](const answered& aAnswer) {
-      return aAnswer.mAnswer.mOutcome == aOutcome;
-    }));
-}
-
 } // namespace gooseberry::world
--- a/tests/libgooseberry/world.h
+++ b/tests/libgooseberry/world.h
@@ -23,6 +23,12 @@
 using core::duration;
 using core::instant;
 
+inline constexpr const char* kDomains[] = { "cluj", "brasov", "iasi" };
+
+/** Operator file with these failure domains out. */
+std::string
+Text(const std::set<std::string>& aOut);
+
 /** How often what goes wrong; probabilities for each message. */
 struct faults
 {
