Targets may ask for copies of calls over connections that went silent

Cause: a call from agent to target over a connection that went silent waited out max_task_ms (30 s), its slot was lost meanwhile and its end was unknown. Ruled out: keepalive alone, which ends the wait but leaves the end unknown; a second start, which the promise forbids. A target that announces ask_again_ms answers copies with the run that it has, so that one interval finds it.

--- a/src/agent/target_api.cpp
+++ b/src/agent/target_api.cpp
@@ -89,7 +89,7 @@
 ReadObject(const std::string& aName, const nlohmann::json& aObject)
 {
   constexpr const char* kKeys[] = {
-    "address", "services", "slots", "lease_ms"
+    "address", "services", "slots", "lease_ms", "ask_again_ms"
   };
   for (const auto& [key, value] : aObject.items()) {
     if (std::find(std::begin(kKeys), std::end(kKeys), key) == std::end(kKeys)) {
@@ -112,11 +112,20 @@
   if (!lease) {
     return Expected("lease_ms", "milliseconds from 100 to 60000");
   }
-  return agent::target_announcement{ aName,
-                                     *address,
-                                     std::move(*services),
-                                     static_cast<std::uint32_t>(*slots),
-                                     std::chrono::milliseconds(*lease) };
+  agent::target_announcement announcement{ aName,
+                                           *address,
+                                           std::move(*services),
+                                           static_cast<std::uint32_t>(*slots),
+                                           std::chrono::milliseconds(*lease) };
+  if (aObject.contains("ask_again_ms")) {
+    const auto again =
+      ReadNumber(aObject, "ask_again_ms", kMinLeaseMs, kMaxLeaseMs);
+    if (!again) {
+      return Expected("ask_again_ms", "milliseconds from 100 to 60000");
+    }
+    announcement.mAskAgain = std::chrono::milliseconds(*again);
+  }
+  return announcement;
 }
 
 io::http_response
--- a/src/agent/target_call.cpp
+++ b/src/agent/target_call.cpp
@@ -2,6 +2,8 @@
 
 #include "libgooseberryio/clock.h"
 
+#include <algorithm>
+#include <thread>
 #include <utility>
 #include <variant>
 
@@ -43,6 +45,44 @@
                                       : core::task_end::Unknown;
 }
 
+/** Whether the call, or an earlier copy of it, may have reached the target. */
+bool
+MayHaveArrived(const io::call_result<io::http_reply>& aResult)
+{
+  const auto* failure = std::get_if<io::call_error>(&aResult);
+  return failure != nullptr && failure->mDelivered;
+}
+
+/**
+ * Sends the call, and sends it again over a new connection while a target that
+ * allows it gives no answer: a connection that went silent costs one interval.
+ */
+io::call_result<io::http_reply>
+SendUntilAnswered(io::http_client& aClient,
+                  const agent::run_task& aTask,
+                  std::size_t aMaxResult)
+{
+  io::http_call call = MakeCall(aTask, aMaxResult);
+  if (!aTask.mAskAgain) {
+    return aClient.Send(call);
+  }
+  const core::instant end = io::Now() + aTask.mMaxTime;
+  call.mDeadline = std::min(*aTask.mAskAgain, aTask.mMaxTime);
+  auto result = aClient.Send(call);
+  for (int copy = 1; MayHaveArrived(result) && io::Now() < end; ++copy) {
+    call.mHeaders["X-Gooseberry-Copy"] = std::to_string(copy);
+    call.mDeadline = std::min(*aTask.mAskAgain, end - io::Now());
+    if (auto again = aClient.Send(call);
+        MayHaveArrived(again) ||
+        std::holds_alternative<io::http_reply>(again)) {
+      result = std::move(again);
+    } else {
+      std::this_thread::sleep_for(call.mDeadline);
+    }
+  }
+  return result;
+}
+
 } // namespace
 
 agent::task_report
@@ -54,7 +94,7 @@
   report.mTask = aTask.mStart.mTask;
   report.mTry = aTask.mStart.mTry;
   const auto before = io::Now();
-  auto result = aClient.Send(MakeCall(aTask, aMaxResult));
+  auto result = SendUntilAnswered(aClient, aTask, aMaxResult);
   report.mRunTime = io::Now() - before;
   if (auto* reply = std::get_if<io::http_reply>(&result)) {
     report.mEnd = EndOf(reply->mStatus);
--- a/src/libgooseberry/agent/agent_control.h
+++ b/src/libgooseberry/agent/agent_control.h
@@ -36,6 +36,8 @@
   std::uint32_t mSlots = 0;
   std::uint32_t mRunning = 0;
   std::uint32_t mConsecutiveFailures = 0;
+  /** See `target_announcement::mAskAgain`. */
+  std::optional<core::duration> mAskAgain;
   bool mLeaving = false;
   /** It refused a connection, and has not renewed its lease since. */
   bool mSuspect = false;
@@ -71,6 +73,12 @@
   std::vector<std::string> mServices;
   std::uint32_t mSlots = 0;
   core::duration mLease{};
+  /**
+   * Time after which a call that was not answered is sent again over a new
+   * connection. Only for targets that run a task and try once, and answer
+   * each copy of the call with that run's result.
+   */
+  std::optional<core::duration> mAskAgain = std::nullopt;
 };
 
 /** A target's call has ended. */
--- a/src/libgooseberry/agent/effects.h
+++ b/src/libgooseberry/agent/effects.h
@@ -5,6 +5,7 @@
 #include "libgooseberry/core/time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -18,6 +19,8 @@
   std::string mTargetAddress;
   core::task_start mStart;
   core::duration mMaxTime{}; ///< After it the end is `Unknown`.
+  /** Send the call again after each such time without an answer. */
+  std::optional<core::duration> mAskAgain;
 };
 
 /** Report with `OnFinishAnswered` or `OnFinishFailed`. */
--- a/src/libgooseberry/agent/target_inputs.cpp
+++ b/src/libgooseberry/agent/target_inputs.cpp
@@ -91,6 +91,7 @@
   target.mAddress = aAnnouncement.mAddress;
   target.mServices = aAnnouncement.mServices;
   target.mSlots = aAnnouncement.mSlots;
+  target.mAskAgain = aAnnouncement.mAskAgain;
   target.mLeaseEnd = aNow + aAnnouncement.mLease;
   target.mLeaving = false;
   target.mSuspect = false;
--- a/src/libgooseberry/agent/target_run.cpp
+++ b/src/libgooseberry/agent/target_run.cpp
@@ -73,7 +73,8 @@
   event.mTarget = aStart.mTarget;
   event.mCount = target.mRunning;
   aOut.emplace_back(std::move(event));
-  aOut.emplace_back(run_task{ target.mAddress, aStart, service.mMaxTaskTime });
+  aOut.emplace_back(run_task{
+    target.mAddress, aStart, service.mMaxTaskTime, target.mAskAgain });
 }
 
 void
--- a/tools/target/announcer.cpp
+++ b/tools/target/announcer.cpp
@@ -15,6 +15,7 @@
 constexpr std::chrono::milliseconds kLease{ 3000 };
 constexpr std::chrono::milliseconds kRenewal = kLease / 3;
 constexpr std::chrono::milliseconds kRetry{ 200 };
+constexpr std::chrono::milliseconds kAskAgain{ 2000 };
 constexpr std::chrono::milliseconds kCallTimeout{ 1000 };
 
 std::string
@@ -46,7 +47,8 @@
     { "address", aSettings.mAddress },
     { "services", aSettings.mServices },
     { "slots", aSettings.mSlots },
-    { "lease_ms", kLease.count() }
+    { "lease_ms", kLease.count() },
+    { "ask_again_ms", kAskAgain.count() }
   }.dump();
 }
 
--- a/tools/target/server.cpp
+++ b/tools/target/server.cpp
@@ -70,6 +70,7 @@
     static_cast<std::uint32_t>(std::strtoul(number.c_str(), nullptr, 10));
   request.mPayload = BodyOf(aRequest);
   request.mConnection = CallerPort(aRequest);
+  request.mIsCopy = !HeaderOf(aRequest, "X-Gooseberry-Copy").empty();
   if (request.mTask.empty() || request.mTry == 0) {
     return Answer(aResponse, 400, "expected X-Gooseberry-Task and -Try");
   }
--- a/tools/target/target.cpp
+++ b/tools/target/target.cpp
@@ -62,6 +62,23 @@
   return aTarget.mSilenced.count(aConnection) > 0;
 }
 
+/** A copy of a call gets the result of the run that the first one began. */
+task_answer
+AnswerOfRun(target_state& aTarget,
+            const task_request& aRequest,
+            const std::string& aKey,
+            lock& aLock)
+{
+  aTarget.mWake.wait(aLock, [&] {
+    return aTarget.mStopping || aTarget.mRuns.at(aKey).has_value();
+  });
+  if (!aTarget.mRuns.at(aKey) || aTarget.mFaults.mSilent ||
+      IsSilenced(aTarget, aRequest.mConnection)) {
+    return Hang(aTarget, aLock);
+  }
+  return *aTarget.mRuns.at(aKey);
+}
+
 } // namespace
 
 task_answer
@@ -79,6 +96,11 @@
     return Hang(aTarget, guard);
   }
   aTarget.mConnections.insert(aRequest.mConnection);
+  const std::string key = aRequest.mTask + '#' + std::to_string(aRequest.mTry);
+  if (aRequest.mIsCopy && aTarget.mRuns.count(key) > 0) {
+    return AnswerOfRun(aTarget, aRequest, key, guard);
+  }
+  aTarget.mRuns[key] = std::nullopt;
   const run_plan plan =
     PlanRun(aTarget.mFaults,
             aRequest.mKind,
@@ -88,13 +110,16 @@
   aTarget.mWake.wait_until(
     guard, begin + plan.mRunTime, [&] { return aTarget.mStopping; });
   RecordEnd(aTarget, record, plan.mFails);
+  const task_answer answer =
+    plan.mFails
+      ? task_answer{ 500, "made to fail on " + aTarget.mSettings.mName }
+      : task_answer{ 200, ResultOf(aTarget, aRequest, payload) };
+  aTarget.mRuns[key] = answer;
+  aTarget.mWake.notify_all();
   if (aTarget.mFaults.mSilent || IsSilenced(aTarget, aRequest.mConnection)) {
     return Hang(aTarget, guard);
   }
-  if (plan.mFails) {
-    return { 500, "made to fail on " + aTarget.mSettings.mName };
-  }
-  return { 200, ResultOf(aTarget, aRequest, payload) };
+  return answer;
 }
 
 void
--- a/tools/target/target.h
+++ b/tools/target/target.h
@@ -4,7 +4,9 @@
 #include "target/faults.h"
 
 #include <condition_variable>
+#include <map>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,6 +24,13 @@
   std::vector<std::string> mServices;
 };
 
+/** What a target answers to one task. */
+struct task_answer
+{
+  long mStatus = 200;
+  std::string mBody;
+};
+
 /** One stand-in target. Shared by connection threads and the announcer. */
 struct target_state
 {
@@ -31,6 +40,8 @@
   faults mFaults;
   std::mt19937_64 mRandom;
   std::vector<common::run_record> mRecords;
+  /** By task and try; without a value while it runs. */
+  std::map<std::string, std::optional<task_answer>> mRuns;
   std::uint32_t mRunning = 0;
   bool mLeaving = false;
   bool mStopping = false;
@@ -46,12 +57,7 @@
   std::string mKind;
   std::string mPayload;
   std::uint16_t mConnection = 0; ///< The caller's port.
-};
-
-struct task_answer
-{
-  long mStatus = 200;
-  std::string mBody;
+  bool mIsCopy = false;          ///< Of a call that was not answered.
 };
 
 /**
