--- a/tools/target/target.cpp
+++ b/tools/target/target.cpp
@@ -110,7 +110,7 @@
   aTarget.mWake.wait_until(
     guard, begin + plan.mRunTime, [&] { return aTarget.mStopping; });
   RecordEnd(aTarget, record, plan.mFails);
-  const task_answer answer =
+  task_answer answer =
     plan.mFails
       ? task_answer{ 500, "made to fail on " + aTarget.mSettings.mName }
       : task_answer{ 200, ResultOf(aTarget, aRequest, payload) };
@@ -119,7 +119,6 @@
   if (aTarget.mFaults.mSilent || IsSilenced(aTarget, aRequest.mConnection)) {
     return Hang(aTarget, guard);
   }
-  return answer;
 }
 
 void
