--- a/tools/target/target.cpp
+++ b/tools/target/target.cpp
@@ -119,6 +119,7 @@
   if (aTarget.mFaults.mSilent || IsSilenced(aTarget, aRequest.mConnection)) {
     return Hang(aTarget, guard);
   }
+  return answer;
 }
 
 void
