One function completes a job, wherever its last result came from

Cause: the answer of a complete job was put together twice, after a last result (finish.cpp) and after a recovery (recover.cpp). CompleteJob in job_end.cpp serves both. Deliver and StopJob no longer take effects that they did not use.

--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -66,14 +66,7 @@
     UpdateOrder(aControl, aJob);
     return;
   }
-  core::job_answer answer;
-  answer.mJob = aJob.mSubmission.mKey;
-  answer.mOutcome = core::job_outcome::Complete;
-  answer.mResults.reserve(aJob.mTasks.size());
-  for (job::task& ended : aJob.mTasks) {
-    answer.mResults.push_back(std::move(ended.mResult));
-  }
-  EndJob(aControl, aJob, std::move(answer), aNow, aEffects);
+  CompleteJob(aControl, aJob, aNow, aEffects);
 }
 
 /** Whether the result is about what the task is doing now. */
--- a/src/libgooseberry/entry/internal.h
+++ b/src/libgooseberry/entry/internal.h
@@ -31,6 +31,13 @@
        core::instant aNow,
        effects& aEffects);
 
+/** Ends a job all of whose tasks have succeeded. */
+void
+CompleteJob(entry_control& aControl,
+            job::job& aJob,
+            core::instant aNow,
+            effects& aEffects);
+
 /** Ends a job as failed; `aStatus` is of HTTP. */
 void
 FailJob(entry_control& aControl,
@@ -63,8 +70,7 @@
 void
 Deliver(entry_control& aControl,
         const std::string& aEntryName,
-        const core::job_answer& aAnswer,
-        effects& aEffects);
+        const core::job_answer& aAnswer);
 
 /** Sends a heartbeat to every other entry. */
 void
--- a/src/libgooseberry/entry/job_end.cpp
+++ b/src/libgooseberry/entry/job_end.cpp
@@ -38,7 +38,7 @@
   }
   aJob.mWaiters.clear();
   for (const std::string& name : aJob.mAttachedEntries) {
-    Deliver(aControl, name, aAnswer, aEffects);
+    Deliver(aControl, name, aAnswer);
   }
   aJob.mAttachedEntries.clear();
 }
@@ -62,7 +62,7 @@
 
 /** Takes a job out of all that is under way; it stays in the ledger. */
 void
-StopJob(entry_control& aControl, job::job& aJob, effects& aEffects)
+StopJob(entry_control& aControl, job::job& aJob)
 {
   const std::set<std::string> agents = ReleaseJob(aControl, aJob);
   for (const std::string& name : agents) {
@@ -75,7 +75,6 @@
   aControl.mInquiring.erase(aJob.mSubmission.mKey);
   aControl.mAttached.erase(aJob.mSubmission.mKey);
   --aControl.mOpenJobs;
-  static_cast<void>(aEffects);
 }
 
 } // namespace
@@ -87,7 +86,7 @@
        core::instant aNow,
        effects& aEffects)
 {
-  StopJob(aControl, aJob, aEffects);
+  StopJob(aControl, aJob);
   aJob.mPhase = job::phase::Ended;
   aJob.mEndedAt = aNow;
   aJob.mAnswer = std::move(aAnswer);
@@ -102,6 +101,22 @@
   job::KeepEnded(aControl.mLedger, aJob, aNow);
 }
 
+void
+CompleteJob(entry_control& aControl,
+            job::job& aJob,
+            core::instant aNow,
+            effects& aEffects)
+{
+  core::job_answer answer;
+  answer.mJob = aJob.mSubmission.mKey;
+  answer.mOutcome = core::job_outcome::Complete;
+  answer.mResults.reserve(aJob.mTasks.size());
+  for (job::task& ended : aJob.mTasks) {
+    answer.mResults.push_back(std::move(ended.mResult));
+  }
+  EndJob(aControl, aJob, std::move(answer), aNow, aEffects);
+}
+
 void
 FailJob(entry_control& aControl,
         job::job& aJob,
@@ -129,7 +144,7 @@
   const std::string key = aJob.mSubmission.mKey;
   const core::job_answer answer =
     ErrorAnswer(key, core::job_outcome::NotRun, aError, aStatus);
-  StopJob(aControl, aJob, aEffects);
+  StopJob(aControl, aJob);
   ++aControl.mCounters
       .mOutcomes[static_cast<std::size_t>(core::job_outcome::NotRun)];
   LogOutcome(aJob, answer, aNow, aEffects);
@@ -150,7 +165,7 @@
     ErrorAnswer(key, core::job_outcome::Failed, aError, aStatus);
   // Attached entries go on asking: this is no outcome of the job.
   aJob.mAttachedEntries.clear();
-  StopJob(aControl, aJob, aEffects);
+  StopJob(aControl, aJob);
   ++aControl.mCounters
       .mOutcomes[static_cast<std::size_t>(core::job_outcome::Failed)];
   TellWaiters(aControl, aJob, answer, aEffects);
--- a/src/libgooseberry/entry/locate.cpp
+++ b/src/libgooseberry/entry/locate.cpp
@@ -214,10 +214,8 @@
 void
 Deliver(entry_control& aControl,
         const std::string& aEntryName,
-        const core::job_answer& aAnswer,
-        effects& aEffects)
+        const core::job_answer& aAnswer)
 {
-  static_cast<void>(aEffects);
   if (const std::string address =
         membership::EntryAddress(aControl.mMembers, aEntryName);
       !address.empty()) {
--- a/src/libgooseberry/entry/locate_answer.cpp
+++ b/src/libgooseberry/entry/locate_answer.cpp
@@ -34,7 +34,7 @@
     return reply;
   }
   if (aJob.mPhase == job::phase::Ended) {
-    Deliver(aControl, aRequest.mEntry.mName, aJob.mAnswer, aEffects);
+    Deliver(aControl, aRequest.mEntry.mName, aJob.mAnswer);
     return reply;
   }
   if (aJob.mPhase == job::phase::Running ||
--- a/src/libgooseberry/entry/recover.cpp
+++ b/src/libgooseberry/entry/recover.cpp
@@ -139,22 +139,6 @@
            result.mPayload.empty() ? "task failed" : result.mPayload };
 }
 
-/** Ends a recovered job all of whose tasks have succeeded. */
-void
-CompleteRecovered(entry_control& aControl,
-                  job::job& aJob,
-                  core::instant aNow,
-                  effects& aEffects)
-{
-  core::job_answer answer;
-  answer.mJob = aJob.mSubmission.mKey;
-  answer.mOutcome = core::job_outcome::Complete;
-  for (job::task& ended : aJob.mTasks) {
-    answer.mResults.push_back(std::move(ended.mResult));
-  }
-  EndJob(aControl, aJob, std::move(answer), aNow, aEffects);
-}
-
 /** Whether an agent is missing whose run may still be alive. */
 bool
 IsAnySilent(const entry_control& aControl, const job::inquiry& aInquiry)
@@ -333,7 +317,7 @@
   if (!failure.mReason.empty()) {
     FailJob(aControl, aJob, failure, kStatusFailed, aNow, aEffects);
   } else if (aJob.mEnded == aJob.mTasks.size()) {
-    CompleteRecovered(aControl, aJob, aNow, aEffects);
+    CompleteJob(aControl, aJob, aNow, aEffects);
   }
 }
 
