--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -3,6 +3,7 @@
 #include "agent/target_api.h"
 
 #include <algorithm>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -127,10 +128,11 @@
   , mControl(agent::MakeControl(mSettings.mControl), mSettings.mEventQueue)
   , mRunner({ mSettings.mMaxResult, mSettings.mMaxTargetThreads },
             MakeReportHandler(mControl))
-  , mMembers(mSettings.mPlatform, MakeMemberHandlers(mControl))
+  , mLink(mSettings.mMakeLink ? mSettings.mMakeLink(mControl) : nullptr)
+  , mMembers(mSettings.mMakeStore(), MakeMemberHandlers(mControl))
   , mEntries(PoolSettings(mSettings))
   , mAgents(PoolSettings(mSettings))
-  , mParts{ mSettings, mControl, mRunner,  mMembers,
+  , mParts{ mSettings, mControl, mRunner, mLink.get(), mMembers,
             mEntries,  mAgents,  mMetrics, [this] { mHasLeft = true; } }
   , mPeerServer(mSettings.mListen, MakeHandlers(mControl))
   , mHttpServer(HttpSettings(mSettings))
@@ -181,6 +183,9 @@
   mPeerServer.Stop();
   mMembers.Stop();
   mRunner.Stop();
+  if (mLink) {
+    mLink->Stop();
+  }
   mEntries.Stop();
   mAgents.Stop();
   mControl.Stop();
@@ -210,4 +215,20 @@
   });
 }
 
+void
+Serve(agent_daemon& aDaemon,
+      io::stop_signals& aSignals,
+      const std::function<void()>& aBeforeStop)
+{
+  constexpr core::duration kSignalPoll = std::chrono::milliseconds(50);
+  while (!aSignals.WaitFor(kSignalPoll)) {
+  }
+  aDaemon.Leave();
+  while (!aDaemon.HasLeft()) {
+    std::this_thread::sleep_for(kSignalPoll);
+  }
+  aBeforeStop();
+  aDaemon.Stop();
+}
+
 } // namespace gooseberry::agentd
--- a/src/agent/agent_daemon.h
+++ b/src/agent/agent_daemon.h
@@ -6,8 +6,11 @@
 #include "libgooseberry/core/error.h"
 #include "libgooseberryio/http_server.h"
 #include "libgooseberryio/peer_server.h"
+#include "libgooseberryio/stop_signals.h"
 
 #include <atomic>
+#include <functional>
+#include <memory>
 #include <optional>
 
 namespace gooseberry::agentd {
@@ -33,6 +36,8 @@
 
   void Stop();
 
+  control_thread& Control() { return mControl; }
+
 private:
   void RouteHealth();
 
@@ -41,6 +46,7 @@
   std::atomic<bool> mHasLeft = false;
   control_thread mControl;
   target_runner mRunner;
+  std::unique_ptr<target_link> mLink;
   member_table mMembers;
   io::peer_pool<io::entry_client> mEntries;
   io::peer_pool<io::agent_client> mAgents;
@@ -49,4 +55,13 @@
   io::http_server mHttpServer;
 };
 
+/**
+ * Serves until a signal, and then until the agent has left; runs `aBeforeStop`
+ * before the process stops.
+ */
+void
+Serve(agent_daemon& aDaemon,
+      io::stop_signals& aSignals,
+      const std::function<void()>& aBeforeStop = [] {});
+
 } // namespace gooseberry::agentd
--- /dev/null
+++ b/src/agent/daemon_settings.cpp
@@ -0,0 +1,49 @@
+#include "agent/daemon_settings.h"
+
+#include <random>
+
+namespace gooseberry::agentd {
+
+namespace {
+
+std::uint64_t
+RandomIncarnation()
+{
+  constexpr unsigned kWordBits = 31; // Leaves the sign bit of the wire clear.
+  std::random_device device;
+  return (std::uint64_t{ device() } << kWordBits) ^ device();
+}
+
+} // namespace
+
+daemon_settings
+MakeDaemonSettings(const io::agent_settings& aSettings)
+{
+  daemon_settings daemon;
+  daemon.mListen = aSettings.mPeerAddress;
+  daemon.mHttp = aSettings.mHttpAddress;
+  daemon.mMakeStore = [platform = aSettings.mPlatform] {
+    return std::make_unique<io::platform_client>(platform);
+  };
+  daemon.mCallDeadline = aSettings.mProtocol.mPeerDeadline;
+  daemon.mMaxResult = aSettings.mLimits.mMaxAnswerBytes;
+  daemon.mMaxLease = aSettings.mLimits.mTargetLease;
+  daemon.mLogDecisions = aSettings.mLogDecisions;
+  auto& control = daemon.mControl;
+  control.mAgent = { aSettings.mName, RandomIncarnation() };
+  control.mAddress = aSettings.mPeerAddress;
+  control.mFailureDomain = aSettings.mFailureDomain;
+  control.mRack = aSettings.mRack;
+  control.mFreshnessBound = aSettings.mProtocol.mFreshnessBound;
+  control.mDeduplicationWindow = aSettings.mProtocol.mDeduplicationWindow;
+  control.mAnnounceInterval = aSettings.mProtocol.mAnnounce;
+  control.mLeasedRuns = aSettings.mProtocol.mLeasedRuns;
+  control.mEntrySilence = aSettings.mProtocol.mEntrySilence;
+  control.mLease.mLease = aSettings.mProtocol.mLease;
+  control.mQueuePerTarget = aSettings.mLimits.mQueuePerTarget;
+  control.mMaxTargets = aSettings.mLimits.mMaxTargets;
+  control.mMaxResultBytes = aSettings.mLimits.mResultBytes;
+  return daemon;
+}
+
+} // namespace gooseberry::agentd
--- a/src/agent/daemon_settings.h
+++ b/src/agent/daemon_settings.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "libgooseberry/agent/control_settings.h"
+#include "agent/target_link.h"
+#include "libgooseberryio/agent_settings.h"
 #include "libgooseberryio/platform_client.h"
 
 #include <cstddef>
@@ -14,7 +16,9 @@
   agent::control_settings mControl;
   std::string mListen; ///< `IP:PORT` of calls from entries and agents.
   std::string mHttp;   ///< `IP:PORT` of targets, metrics and health.
-  io::platform_settings mPlatform;
+  io::store_factory mMakeStore;
+  /** For targets that run tasks under leases; may be empty. */
+  link_factory mMakeLink;
   core::duration mCallDeadline = std::chrono::milliseconds(500);
   /** Largest answer of a target; a larger one is an unknown end. */
   std::size_t mMaxResult = std::size_t{ 4 } << 20U;   // bytes
@@ -24,4 +28,8 @@
   std::size_t mEventQueue = 65536; ///< Events that wait for control.
 };
 
+/** What an agent needs, from its settings. */
+daemon_settings
+MakeDaemonSettings(const io::agent_settings& aSettings);
+
 } // namespace gooseberry::agentd
--- a/src/agent/effect_performer.cpp
+++ b/src/agent/effect_performer.cpp
@@ -56,6 +56,14 @@
     return std::nullopt;
   }
 
+  followup operator()(agent::call_target& aEffect) const
+  {
+    if (mParts.mLink != nullptr) {
+      mParts.mLink->Post(std::move(aEffect.mCall));
+    }
+    return std::nullopt;
+  }
+
   followup operator()(agent::send_finish& aEffect) const
   {
     mParts.mMetrics.CountMessages("finish", aEffect.mFinish.mResults.size());
--- a/src/agent/effect_performer.h
+++ b/src/agent/effect_performer.h
@@ -3,6 +3,7 @@
 #include "agent/control_thread.h"
 #include "agent/daemon_settings.h"
 #include "agent/member_table.h"
+#include "agent/target_link.h"
 #include "agent/target_runner.h"
 #include "libgooseberryio/metrics.h"
 #include "libgooseberryio/peer_pool.h"
@@ -17,6 +18,7 @@
   const daemon_settings& mSettings;
   control_thread& mControl;
   target_runner& mRunner;
+  target_link* mLink; ///< Null where no target runs tasks under leases.
   member_table& mMembers;
   io::peer_pool<io::entry_client>& mEntries;
   io::peer_pool<io::agent_client>& mAgents;
--- a/src/agent/event_line.cpp
+++ b/src/agent/event_line.cpp
@@ -77,6 +77,10 @@
       return AddTask(line, aEvent);
     case agent_event::TaskEnded:
       return AddEnd(line, aEvent);
+    case agent_event::TaskStopped:
+      AddTask(line, aEvent);
+      line.Add("why", aEvent.mDetail).Add("entry", aEvent.mPeer);
+      return;
     case agent_event::TaskReturned:
       AddTask(line, aEvent);
       line.Add("placement", aEvent.mPlacement)
@@ -93,6 +97,7 @@
     case agent_event::TargetJoined:
     case agent_event::TargetLeaving:
     case agent_event::TargetGone:
+    case agent_event::TargetChanged:
       line.Add("target", aEvent.mPeer).Add("detail", aEvent.mDetail);
       return;
     case agent_event::Configuration:
--- a/src/agent/member_table.cpp
+++ b/src/agent/member_table.cpp
@@ -35,9 +35,9 @@
 
 } // namespace
 
-member_table::member_table(const io::platform_settings& aPlatform,
+member_table::member_table(std::unique_ptr<io::table_store> aStore,
                            member_handlers aHandlers)
-  : mClient(aPlatform)
+  : mStore(std::move(aStore))
   , mHandlers(std::move(aHandlers))
   , mRequests(kMaxRequests)
   , mThread([this] { Run(); })
@@ -60,7 +60,7 @@
 member_table::Stop()
 {
   mRequests.Close();
-  mClient.Stop();
+  mStore->Stop();
   if (mThread.joinable()) {
     mThread.join();
   }
@@ -82,14 +82,14 @@
 member_table::Do(const member_request& aRequest)
 {
   if (std::holds_alternative<read_members>(aRequest)) {
-    const auto rows = mClient.ListRows(io::kMembersTable);
+    const auto rows = mStore->ListRows(io::kMembersTable);
     if (const auto* error = std::get_if<core::error>(&rows)) {
       LogFailure(*error);
     } else {
       mHandlers.mOnRows(Parse(std::get<std::vector<io::table_row>>(rows)));
     }
   } else if (const auto* write = std::get_if<write_member>(&aRequest)) {
-    const auto result = mClient.WriteRow(io::kMembersTable,
+    const auto result = mStore->WriteRow(io::kMembersTable,
                                          membership::RowKey(write->mRow),
                                          io::FormatMember(write->mRow),
                                          std::nullopt);
--- a/src/agent/member_table.h
+++ b/src/agent/member_table.h
@@ -5,6 +5,7 @@
 #include "libgooseberryio/platform_client.h"
 
 #include <functional>
+#include <memory>
 #include <thread>
 #include <variant>
 #include <vector>
@@ -30,7 +31,7 @@
 class member_table
 {
 public:
-  member_table(const io::platform_settings& aPlatform,
+  member_table(std::unique_ptr<io::table_store> aStore,
                member_handlers aHandlers);
   /** Stops. */
   ~member_table();
@@ -46,7 +47,7 @@
   void Run();
   void Do(const member_request& aRequest);
 
-  io::platform_client mClient;
+  const std::unique_ptr<io::table_store> mStore;
   const member_handlers mHandlers;
   io::event_queue<member_request> mRequests;
   std::thread mThread;
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -1,4 +1,4 @@
-#include "caller_api.h"
+#include "entry/caller_api.h"
 
 #include "libgooseberryio/json.h"
 
--- a/src/entry/control_loop.cpp
+++ b/src/entry/control_loop.cpp
@@ -1,4 +1,4 @@
-#include "control_loop.h"
+#include "entry/control_loop.h"
 
 #include "libgooseberryio/clock.h"
 
--- a/src/entry/effect_runner.cpp
+++ b/src/entry/effect_runner.cpp
@@ -1,4 +1,4 @@
-#include "effect_runner.h"
+#include "entry/effect_runner.h"
 
 #include "libgooseberryio/clock.h"
 #include "libgooseberryio/log.h"
@@ -6,14 +6,14 @@
 namespace gooseberry::entry_program {
 
 runner::runner(const io::peer_pool_settings& aPeers,
-               const io::platform_settings& aPlatform,
+               std::unique_ptr<io::table_store> aStore,
                caller_waiters& aCallers,
                operator_waiters& aOperators)
   : mCallers(aCallers)
   , mOperators(aOperators)
   , mAgents(aPeers)
   , mEntries(aPeers)
-  , mPlatform(aPlatform)
+  , mPlatform(std::move(aStore))
 {
 }
 
@@ -73,12 +73,23 @@
 void
 runner::Do(const entry::send_cancel& aEffect)
 {
-  static_cast<void>(
-    mAgents.Post(aEffect.mAddress,
-                 io::lane::Control,
-                 [batch = aEffect.mBatch](io::agent_client& aClient) {
-                   static_cast<void>(aClient.Cancel(batch));
-                 }));
+  const auto failed = [address = aEffect.mAddress, jobs = aEffect.mBatch.mJobs](
+                        auto& aControl, auto aNow, auto& aEffects) {
+    static_cast<void>(aEffects);
+    entry::OnCancelFailed(aControl, address, jobs, aNow);
+  };
+  const bool posted = mAgents.Post(
+    aEffect.mAddress,
+    io::lane::Control,
+    [this, failed, batch = aEffect.mBatch](io::agent_client& aClient) {
+      const auto result = aClient.Cancel(batch);
+      if (std::holds_alternative<io::call_error>(result)) {
+        Feed(failed);
+      }
+    });
+  if (!posted) {
+    Feed(failed);
+  }
 }
 
 void
--- a/src/entry/effect_runner.h
+++ b/src/entry/effect_runner.h
@@ -1,10 +1,10 @@
 #pragma once
 
-#include "control_loop.h"
+#include "entry/control_loop.h"
 #include "libgooseberry/entry/effects.h"
 #include "libgooseberryio/peer_pool.h"
-#include "platform_worker.h"
-#include "waiting_callers.h"
+#include "entry/platform_worker.h"
+#include "entry/waiting_callers.h"
 
 #include <atomic>
 
@@ -18,7 +18,7 @@
 {
 public:
   runner(const io::peer_pool_settings& aPeers,
-         const io::platform_settings& aPlatform,
+         std::unique_ptr<io::table_store> aStore,
          caller_waiters& aCallers,
          operator_waiters& aOperators);
 
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -1,4 +1,4 @@
-#include "entry_metrics.h"
+#include "entry/entry_metrics.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -1,10 +1,11 @@
-#include "entry_process.h"
+#include "entry/entry_process.h"
 
 #include "libgooseberryio/clock.h"
 #include "libgooseberryio/log.h"
-#include "operator_api.h"
+#include "entry/operator_api.h"
 
 #include <random>
+#include <thread>
 
 namespace gooseberry::entry_program {
 
@@ -31,7 +32,7 @@
   : mOptions(aOptions)
   , mMetrics(aOptions.mEntry.mName)
   , mRunner(PoolSettings(aOptions.mPeerDeadline),
-            aOptions.mPlatform,
+            aOptions.mMakeStore(),
             mCallers,
             mOperators)
   , mLoop(entry::MakeEntry(aOptions.mEntry,
@@ -141,6 +142,16 @@
   return handlers;
 }
 
+bool
+entry_process::IsReady()
+{
+  return mReady && mLoop.Ask([](auto& aControl, auto aNow, auto& aEffects) {
+    static_cast<void>(aEffects);
+    return aControl.mJoining.mStage == entry::join_stage::Open &&
+           !aControl.mLeaving && entry::IsFresh(aControl, aNow);
+  });
+}
+
 void
 entry_process::AddHealthRoutes()
 {
@@ -149,12 +160,7 @@
   });
   mHttp.Route("GET", "/readyz", [this](const io::http_request&) {
     constexpr unsigned kUnavailable = 503;
-    const bool ready =
-      mReady && mLoop.Ask([](auto& aControl, auto aNow, auto& aEffects) {
-        static_cast<void>(aEffects);
-        return aControl.mJoining.mStage == entry::join_stage::Open &&
-               !aControl.mLeaving && entry::IsFresh(aControl, aNow);
-      });
+    const bool ready = IsReady();
     io::http_response response;
     response.mStatus = ready ? response.mStatus : kUnavailable;
     return response;
@@ -173,4 +179,25 @@
   });
 }
 
+/** Serves until a signal, then until all that was taken is answered. */
+void
+Serve(entry_process& aProcess,
+      io::stop_signals& aSignals,
+      const std::function<void()>& aBeforeStop)
+{
+  constexpr core::duration kPoll = std::chrono::milliseconds(50);
+  // The balancer is to see /readyz turn before callers are refused.
+  constexpr core::duration kBalancerNotice = std::chrono::seconds(1);
+  while (!aSignals.WaitFor(kPoll)) {
+  }
+  aProcess.AnnounceLeaving();
+  std::this_thread::sleep_for(kBalancerNotice);
+  aProcess.Leave();
+  while (!aProcess.IsDrained()) {
+    std::this_thread::sleep_for(kPoll);
+  }
+  aBeforeStop();
+  aProcess.Stop();
+}
+
 } // namespace gooseberry::entry_program
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -1,13 +1,15 @@
 #pragma once
 
-#include "caller_api.h"
-#include "control_loop.h"
-#include "effect_runner.h"
-#include "entry_metrics.h"
+#include "entry/caller_api.h"
+#include "entry/control_loop.h"
+#include "entry/effect_runner.h"
+#include "entry/entry_metrics.h"
+#include "libgooseberryio/entry_settings.h"
 #include "libgooseberryio/http_server.h"
 #include "libgooseberryio/metrics.h"
 #include "libgooseberryio/peer_server.h"
 #include "libgooseberryio/platform_client.h"
+#include "libgooseberryio/stop_signals.h"
 
 #include <atomic>
 #include <functional>
@@ -22,10 +24,14 @@
   entry::entry_options mEntry;
   caller_limits mCallers;
   io::http_server_settings mHttp;
-  io::platform_settings mPlatform;
+  io::store_factory mMakeStore;
   core::duration mPeerDeadline = std::chrono::milliseconds(300);
 };
 
+/** What a process needs, from its settings. */
+process_options
+MakeProcessOptions(const io::entry_settings& aSettings);
+
 /** One running entry: servers, clients and the control thread. */
 class entry_process
 {
@@ -44,6 +50,11 @@
   bool IsDrained() const;
   void Stop();
 
+  /** Whether it takes jobs: joined, in touch, not leaving. */
+  bool IsReady();
+  control_loop& Loop() { return mLoop; }
+  caller_waiters& Callers() { return mCallers; }
+
 private:
   io::entry_handlers MakeHandlers();
   void AddHealthRoutes();
@@ -61,4 +72,13 @@
   io::http_server mHttp;
 };
 
+/**
+ * Serves until a signal, then until all that was taken is answered; runs
+ * `aBeforeStop` before the process stops.
+ */
+void
+Serve(entry_process& aProcess,
+      io::stop_signals& aSignals,
+      const std::function<void()>& aBeforeStop = [] {});
+
 } // namespace gooseberry::entry_program
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,75 +1,14 @@
-#include "entry_process.h"
+#include "entry/entry_process.h"
 
 #include "libgooseberryio/entry_settings.h"
 #include "libgooseberryio/log.h"
 #include "libgooseberryio/program.h"
 #include "libgooseberryio/stop_signals.h"
 
-namespace {
-
-using namespace gooseberry;
-
-entry::entry_options
-ToEntryOptions(const io::entry_settings& aSettings)
-{
-  entry::entry_options options;
-  options.mName = aSettings.mName;
-  options.mAddress = aSettings.mPeerAddress;
-  options.mFailureDomain = aSettings.mFailureDomain;
-  options.mTrustFirstAttempt = aSettings.mProtocol.mTrustFirstAttempt;
-  options.mWindow = aSettings.mProtocol.mDeduplicationWindow;
-  options.mFreshnessBound = aSettings.mProtocol.mFreshnessBound;
-  options.mHeartbeat = aSettings.mProtocol.mHeartbeat;
-  options.mOrder.mPolicy = aSettings.mOrder;
-  options.mPlacement = aSettings.mPlacement;
-  options.mPlacement.mAffinitySeed = std::hash<std::string>{}(aSettings.mName);
-  options.mAdmission.mMaxWait = aSettings.mLimits.mMaxQueueWait;
-  options.mRetry.mShare = aSettings.mRetryShare;
-  options.mLogDecisions = aSettings.mLogDecisions;
-  return options;
-}
-
-entry_program::process_options
-ToProcessOptions(const io::entry_settings& aSettings)
-{
-  entry_program::process_options options;
-  options.mEntry = ToEntryOptions(aSettings);
-  options.mCallers.mMaxTasks = aSettings.mLimits.mMaxTasks;
-  options.mCallers.mMaxPayloadBytes = aSettings.mLimits.mMaxPayloadBytes;
-  options.mCallers.mDefaultDeadline = aSettings.mLimits.mDefaultDeadline;
-  options.mCallers.mMaxDeadline = aSettings.mLimits.mMaxDeadline;
-  options.mHttp.mAddress = aSettings.mHttpAddress;
-  options.mHttp.mMaxBody = aSettings.mLimits.mMaxBodyBytes;
-  options.mHttp.mMaxConnections = aSettings.mLimits.mMaxCallers;
-  options.mHttp.mMaxRequests = aSettings.mLimits.mMaxCallers;
-  options.mPlatform = aSettings.mPlatform;
-  options.mPeerDeadline = aSettings.mProtocol.mPeerDeadline;
-  return options;
-}
-
-/** Serves until a signal, then until all that was taken is answered. */
-void
-Serve(entry_program::entry_process& aProcess, io::stop_signals& aSignals)
-{
-  constexpr core::duration kPoll = std::chrono::milliseconds(50);
-  // The balancer is to see /readyz turn before callers are refused.
-  constexpr core::duration kBalancerNotice = std::chrono::seconds(1);
-  while (!aSignals.WaitFor(kPoll)) {
-  }
-  aProcess.AnnounceLeaving();
-  std::this_thread::sleep_for(kBalancerNotice);
-  aProcess.Leave();
-  while (!aProcess.IsDrained()) {
-    std::this_thread::sleep_for(kPoll);
-  }
-  aProcess.Stop();
-}
-
-} // namespace
-
 int
 main(int aCount, char** aWords)
 {
+  using namespace gooseberry;
   const io::program program{ "gooseberry-entry",
                              "Takes jobs from callers and dispatches their "
                              "tasks",
@@ -85,12 +24,12 @@
     return static_cast<int>(io::exit_code::CannotStart);
   }
   io::stop_signals signals;
-  entry_program::entry_process process(ToProcessOptions(settings));
+  entry_program::entry_process process(entry_program::MakeProcessOptions(settings));
   if (const auto error = process.Start()) {
     io::PrintError(program, *error);
     return static_cast<int>(io::exit_code::CannotStart);
   }
-  Serve(process, signals);
+  entry_program::Serve(process, signals);
   const io::log_event stopped("entry_stopped");
   return static_cast<int>(io::exit_code::Ok);
 }
--- a/src/entry/operator_api.cpp
+++ b/src/entry/operator_api.cpp
@@ -1,4 +1,4 @@
-#include "operator_api.h"
+#include "entry/operator_api.h"
 
 #include "libgooseberryio/json.h"
 
--- a/src/entry/operator_api.h
+++ b/src/entry/operator_api.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "control_loop.h"
-#include "effect_runner.h"
+#include "entry/control_loop.h"
+#include "entry/effect_runner.h"
 #include "libgooseberryio/http_server.h"
 
 namespace gooseberry::entry_program {
--- a/src/entry/platform_effects.cpp
+++ b/src/entry/platform_effects.cpp
@@ -1,4 +1,4 @@
-#include "effect_runner.h"
+#include "entry/effect_runner.h"
 
 #include "libgooseberryio/clock.h"
 #include "libgooseberryio/log.h"
@@ -83,7 +83,7 @@
     entry::OnMembersFailed(aControl, aNow, aEffects);
   };
   PostPlatform(
-    [this, failed](io::platform_client& aClient) {
+    [this, failed](io::table_store& aClient) {
       const core::instant sentAt = io::Now();
       const auto result = aClient.ListRows(io::kMembersTable);
       const auto* rows = std::get_if<std::vector<io::table_row>>(&result);
@@ -103,7 +103,7 @@
 runner::Do(const entry::write_member& aEffect)
 {
   PostPlatform(
-    [this, row = aEffect.mRow](io::platform_client& aClient) {
+    [this, row = aEffect.mRow](io::table_store& aClient) {
       const auto result = aClient.WriteRow(io::kMembersTable,
                                            membership::RowKey(row),
                                            io::FormatMember(row),
@@ -122,9 +122,10 @@
 runner::Do(const entry::delete_member& aEffect)
 {
   static_cast<void>(
-    mPlatform.Post([row = aEffect.mRow](io::platform_client& aClient) {
+    mPlatform.Post([row = aEffect.mRow](io::table_store& aClient) {
       static_cast<void>(
-        aClient.DeleteRow(io::kMembersTable, membership::RowKey(row)));
+        aClient.DeleteRow(
+          io::kMembersTable, membership::RowKey(row), std::nullopt));
     }));
 }
 
@@ -132,7 +133,7 @@
 runner::Do(const entry::read_configuration& aEffect)
 {
   static_cast<void>(aEffect);
-  static_cast<void>(mPlatform.Post([this](io::platform_client& aClient) {
+  static_cast<void>(mPlatform.Post([this](io::table_store& aClient) {
     const core::instant sentAt = io::Now();
     const auto result =
       aClient.ReadRow(io::kConfigurationTable, io::kConfigurationKey);
@@ -159,7 +160,7 @@
 runner::Do(const entry::write_configuration& aEffect)
 {
   PostPlatform(
-    [this, row = aEffect.mRow](io::platform_client& aClient) {
+    [this, row = aEffect.mRow](io::table_store& aClient) {
       const auto result = aClient.WriteRow(io::kConfigurationTable,
                                            io::kConfigurationKey,
                                            io::FormatConfiguration(row),
--- a/src/entry/platform_worker.cpp
+++ b/src/entry/platform_worker.cpp
@@ -1,4 +1,4 @@
-#include "platform_worker.h"
+#include "entry/platform_worker.h"
 
 namespace gooseberry::entry_program {
 
@@ -11,8 +11,8 @@
 
 } // namespace
 
-platform_worker::platform_worker(const io::platform_settings& aSettings)
-  : mClient(aSettings)
+platform_worker::platform_worker(std::unique_ptr<io::table_store> aStore)
+  : mStore(std::move(aStore))
   , mQueue(kQueueLimit)
 {
   for (int i = 0; i < kThreads; ++i) {
@@ -34,7 +34,7 @@
 void
 platform_worker::Stop()
 {
-  mClient.Stop();
+  mStore->Stop();
   mQueue.Close();
   for (std::thread& thread : mThreads) {
     if (thread.joinable()) {
@@ -48,7 +48,7 @@
 {
   while (true) {
     if (const auto call = mQueue.Pop(kPopTimeout)) {
-      (*call)(mClient);
+      (*call)(*mStore);
     } else if (mQueue.IsClosed()) {
       return;
     }
--- a/src/entry/platform_worker.h
+++ b/src/entry/platform_worker.h
@@ -4,6 +4,7 @@
 #include "libgooseberryio/platform_client.h"
 
 #include <functional>
+#include <memory>
 #include <thread>
 #include <vector>
 
@@ -13,9 +14,9 @@
 class platform_worker
 {
 public:
-  using call = std::function<void(io::platform_client&)>;
+  using call = std::function<void(io::table_store&)>;
 
-  explicit platform_worker(const io::platform_settings& aSettings);
+  explicit platform_worker(std::unique_ptr<io::table_store> aStore);
   ~platform_worker();
   platform_worker(const platform_worker&) = delete;
   platform_worker& operator=(const platform_worker&) = delete;
@@ -27,7 +28,7 @@
 private:
   void Run();
 
-  io::platform_client mClient;
+  std::unique_ptr<io::table_store> mStore;
   io::event_queue<call> mQueue;
   std::vector<std::thread> mThreads;
 };
--- a/src/libgooseberry/agent/admission.cpp
+++ b/src/libgooseberry/agent/admission.cpp
@@ -37,6 +37,9 @@
   if (hasFailed && aStart.mTry > result.mTry) {
     return std::nullopt;
   }
+  if (hasFailed && aControl.mSettings.mLeasedRuns) {
+    return std::nullopt; // Submitted again, to another entry.
+  }
   const auto action = record->mStarted.mState == core::record_state::Running
                         ? admission_action::Repeat
                         : admission_action::Report;
@@ -69,7 +72,8 @@
     return Refused(*verdict);
   }
   if (const auto* job = FindJob(aControl.mBook, aStart.mTask.mJob);
-      job != nullptr && aStart.mBallot < job->mBallot) {
+      job != nullptr && aStart.mBallot < job->mBallot &&
+      !aControl.mSettings.mLeasedRuns) {
     return Refused(start_verdict::Fenced);
   }
   if (const auto byRecord = DecideByRecord(aControl, aStart); byRecord) {
@@ -78,6 +82,14 @@
   return DecideByQueue(aControl, aStart);
 }
 
+/** Whether the target has room for the task beside all that is there. */
+bool
+HasRoom(const agent_target& aTarget, const core::task_start& aStart)
+{
+  return aTarget.mCapacity == core::resources{} ||
+         core::Fits(aTarget.mUsed + aStart.mNeeds, aTarget.mCapacity);
+}
+
 bool
 Serves(const agent_control& aControl,
        const agent_target& aTarget,
@@ -121,6 +133,7 @@
     return start_verdict::Leaving;
   }
   if (target.mSuspect || target.mLeaseEnd <= aNow ||
+      (target.mLeased && !lease::IsReady(*target.mLeased, aNow)) ||
       !Serves(aControl, target, aStart)) {
     return start_verdict::NoTarget;
   }
@@ -132,8 +145,9 @@
            const core::task_start& aStart,
            core::instant aNow)
 {
-  const auto bound = aControl.mSettings.mFreshnessBound;
-  return IsFresh(aControl.mFreshness, aNow, bound)
+  const auto& settings = aControl.mSettings;
+  return settings.mLeasedRuns ||
+             IsFresh(aControl.mFreshness, aNow, settings.mFreshnessBound)
            ? CheckPlace(aControl, aStart, aNow)
            : start_verdict::Stale;
 }
@@ -162,6 +176,9 @@
     return Refused(verdict);
   }
   const auto& target = aControl.mTargets.at(aStart.mTarget);
+  if (!HasRoom(target, aStart)) {
+    return Refused(start_verdict::Busy);
+  }
   if (target.mRunning +
         CountForOthers(target.mGrants, aBatch.mEntryAddress, aNow) <
       target.mSlots) {
--- a/src/libgooseberry/agent/agent_control.cpp
+++ b/src/libgooseberry/agent/agent_control.cpp
@@ -1,6 +1,7 @@
 #include "libgooseberry/agent/agent_control.h"
 
 #include "libgooseberry/agent/admission.h"
+#include "libgooseberry/agent/leased_runs.h"
 #include "libgooseberry/agent/target_run.h"
 #include "libgooseberry/agent/upkeep.h"
 
@@ -128,6 +129,9 @@
 {
   agent_control control;
   control.mSettings = std::move(aSettings);
+  if (control.mSettings.mLeasedRuns) {
+    control.mJoin.mPhase = join_phase::Open;
+  }
   return control;
 }
 
@@ -149,7 +153,8 @@
   state.mTargets.reserve(aControl.mTargets.size());
   for (const auto& [name, target] : aControl.mTargets) {
     const bool isGoing =
-      target.mLeaving || target.mSuspect || target.mLeaseEnd <= aNow;
+      target.mLeaving || target.mSuspect || target.mLeaseEnd <= aNow ||
+      (target.mLeased && !lease::IsReady(*target.mLeased, aNow));
     state.mTargets.push_back(
       { name,
         target.mServices,
@@ -157,7 +162,9 @@
         target.mRunning + CountForOthers(target.mGrants, aReceiver, aNow),
         static_cast<std::uint32_t>(target.mQueue.mTasks.size()),
         target.mConsecutiveFailures,
-        isGoing });
+        isGoing,
+        target.mCapacity,
+        target.mUsed });
   }
   return state;
 }
@@ -172,6 +179,7 @@
   reply.mVerdicts.reserve(aBatch.mStarts.size());
   auto& entry = LearnEntry(
     aControl.mEntries, aBatch.mEntry.mName, aBatch.mEntryAddress, aNow);
+  entry.mLastHeard = aNow;
   entry.mBacklog = aBatch.mBacklog;
   entry.mBacklogPriority = aBatch.mBacklogPriority;
   entry.mBacklogAt = aNow;
@@ -206,6 +214,7 @@
                        aBatch.mJobs.end(),
                        aTask.mStart.mTask.mJob) != aBatch.mJobs.end();
     });
+  StopJobs(aControl, aBatch.mJobs, aBatch.mEntryAddress, aNow, aOut);
   Settle(aControl, aNow, aOut);
 }
 
--- a/src/libgooseberry/agent/agent_control.h
+++ b/src/libgooseberry/agent/agent_control.h
@@ -12,6 +12,7 @@
 #include "libgooseberry/configuration/desired_state.h"
 #include "libgooseberry/core/message.h"
 #include "libgooseberry/core/time.h"
+#include "libgooseberry/lease/leased_target.h"
 
 #include <cstdint>
 #include <map>
@@ -35,7 +36,13 @@
   std::vector<std::string> mServices;
   std::uint32_t mSlots = 0;
   std::uint32_t mRunning = 0;
+  core::resources mCapacity; ///< All zero: only the slots bound it.
+  core::resources mUsed;     ///< By what runs or is being stopped.
+  double mMeanCpu = 0;       ///< Of the tasks started lately; zero: none yet.
+  std::uint64_t mSequence = 0; ///< Of the latest registration.
   std::uint32_t mConsecutiveFailures = 0;
+  /** Set where the target runs tasks under leases. */
+  std::optional<lease::leased_target> mLeased;
   /** See `target_announcement::mAskAgain`. */
   std::optional<core::duration> mAskAgain;
   bool mLeaving = false;
@@ -79,6 +86,7 @@
    * each copy of the call with that run's result.
    */
   std::optional<core::duration> mAskAgain = std::nullopt;
+  core::resources mCapacity{};
 };
 
 /** A target's call has ended. */
@@ -89,6 +97,8 @@
   /** `Returned` only where the connection was refused before any byte was
    * sent; `Unknown` where the call ended without a definite answer. */
   core::task_end mEnd = core::task_end::Succeeded;
+  /** Of a `Returned` one: `NoTarget` where the target could not be reached. */
+  core::start_verdict mWhy = core::start_verdict::NoTarget;
   core::duration mRunTime{};
   std::string mPayload;
 };
--- a/src/libgooseberry/agent/agent_inputs.cpp
+++ b/src/libgooseberry/agent/agent_inputs.cpp
@@ -167,6 +167,10 @@
   event.mCount = static_cast<std::uint32_t>(
     Acknowledge(aControl.mDelivery, aControl.mBook, aBatch, refuseUntil));
   aOut.emplace_back(std::move(event));
+  if (const auto entry = aControl.mEntries.mByAddress.find(aAddress);
+      entry != aControl.mEntries.mByAddress.end()) {
+    entry->second.mLastHeard = aNow;
+  }
   TakeReply(aControl, aReply, aSentAt, aNow, aOut);
   Settle(aControl, aNow, aOut);
 }
--- a/src/libgooseberry/agent/control_settings.h
+++ b/src/libgooseberry/agent/control_settings.h
@@ -2,6 +2,7 @@
 
 #include "libgooseberry/core/identity.h"
 #include "libgooseberry/core/time.h"
+#include "libgooseberry/lease/settings.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -38,6 +39,15 @@
   core::duration mIdleRowsInterval = 30s;
   std::size_t mMaxResultsPerBatch = 256;
   std::uint32_t mMaxBatchesInFlight = 4; ///< Towards each entry.
+  /**
+   * Every target runs tasks under leases: what an agent or an entry that is
+   * gone has started is known to end, so that neither records of others
+   * (R1 to R4, R6) nor evidence (R11) are needed.
+   */
+  bool mLeasedRuns = false;
+  /** An entry not heard for longer is gone; what runs for it is stopped. */
+  core::duration mEntrySilence = 1s;
+  lease::lease_settings mLease;
 };
 
 } // namespace gooseberry::agent
--- a/src/libgooseberry/agent/effects.h
+++ b/src/libgooseberry/agent/effects.h
@@ -3,6 +3,7 @@
 #include "libgooseberry/core/enum_names.h"
 #include "libgooseberry/core/message.h"
 #include "libgooseberry/core/time.h"
+#include "libgooseberry/lease/call.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,6 +24,13 @@
   std::optional<core::duration> mAskAgain;
 };
 
+/** Call a target that runs tasks under leases; see `lease/call.h` for what is
+ * to be reported. */
+struct call_target
+{
+  lease::call mCall;
+};
+
 /** Report with `OnFinishAnswered` or `OnFinishFailed`. */
 struct send_finish
 {
@@ -63,29 +71,33 @@
   TaskStarted,
   TaskEnded,
   TaskReturned,
+  TaskStopped,
   ResultsAcknowledged,
   Fence,
   Cancel,
   TargetJoined,
   TargetLeaving,
   TargetGone,
+  TargetChanged,
   Configuration,
   ConfigurationRefused,
   Joining,
   Open,
   Leaving,
 };
-inline constexpr core::enum_names<agent_event, 15> kAgentEventNames{
+inline constexpr core::enum_names<agent_event, 17> kAgentEventNames{
   { "admission",
     "task_started",
     "task_ended",
     "task_returned",
+    "task_stopped",
     "results_acknowledged",
     "fence",
     "cancel",
     "target_joined",
     "target_leaving",
     "target_gone",
+    "target_changed",
     "configuration",
     "configuration_refused",
     "joining",
@@ -113,6 +125,7 @@
 };
 
 using effect = std::variant<run_task,
+                            call_target,
                             send_finish,
                             send_announce,
                             copy_fences_from,
--- /dev/null
+++ b/src/libgooseberry/agent/leased_runs.cpp
@@ -0,0 +1,293 @@
+#include "libgooseberry/agent/leased_runs.h"
+
+#include "libgooseberry/agent/target_run.h"
+#include "libgooseberry/agent/upkeep.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace gooseberry::agent {
+
+namespace {
+
+lease::leased_target*
+FindLeased(agent_control& aControl, const std::string& aName)
+{
+  const auto found = aControl.mTargets.find(aName);
+  return found != aControl.mTargets.end() && found->second.mLeased
+           ? &*found->second.mLeased
+           : nullptr;
+}
+
+task_report
+ToReport(const lease::run_end& aEnd)
+{
+  task_report report;
+  report.mTask = aEnd.mTask;
+  report.mTry = aEnd.mTry;
+  report.mEnd = aEnd.mEnd;
+  report.mWhy = aEnd.mWhy;
+  report.mRunTime = aEnd.mRunTime;
+  report.mPayload = aEnd.mDetail;
+  return report;
+}
+
+/** Carries out what the lease decisions ask for. */
+void
+Carry(agent_control& aControl,
+      const std::string& aTarget,
+      lease::effects& aLease,
+      core::instant aNow,
+      effects& aOut)
+{
+  for (lease::effect& effect : aLease) {
+    if (auto* call = std::get_if<lease::call>(&effect)) {
+      aOut.emplace_back(call_target{ std::move(*call) });
+    } else if (const auto* end = std::get_if<lease::run_end>(&effect)) {
+      OnTaskEnded(aControl, ToReport(*end), aNow, aOut);
+    } else {
+      const auto& change = std::get<lease::target_change>(effect);
+      LogEvent(
+        agent_event::TargetChanged, aTarget, change.mWhat, aOut);
+      WantAllAnnounces(aControl.mEntries);
+    }
+  }
+}
+
+/** A registration of an earlier life, or one that was overtaken. */
+bool
+IsOutdated(const agent_target& aTarget,
+           const lease::registration& aRegistration)
+{
+  if (!aTarget.mLeased || aRegistration.mLife == 0) {
+    return false;
+  }
+  return aRegistration.mLife < aTarget.mLeased->mLife ||
+         (aRegistration.mLife == aTarget.mLeased->mLife &&
+          aRegistration.mSequence < aTarget.mSequence);
+}
+
+bool
+IsSilent(const agent_control& aControl,
+         const std::string& aEntryAddress,
+         core::instant aNow)
+{
+  const auto& entries = aControl.mEntries.mByAddress;
+  const auto found = entries.find(aEntryAddress);
+  return found == entries.end() ||
+         aNow - found->second.mLastHeard > aControl.mSettings.mEntrySilence;
+}
+
+/** The entry that the result of a run goes to; empty where unknown. */
+std::string
+HolderOf(const agent_control& aControl, const core::task_ref& aTask)
+{
+  const auto* job = FindJob(aControl.mBook, aTask.mJob);
+  return job == nullptr ? std::string() : job->mHolder;
+}
+
+template<typename Predicate>
+void
+StopRuns(agent_control& aControl,
+         lease::leased_target& aTarget,
+         Predicate aPredicate,
+         const std::string& aReason,
+         core::instant aNow,
+         effects& aOut)
+{
+  lease::effects calls;
+  for (const auto& [task, run] : aTarget.mRuns) {
+    if (run.mStopWanted || !aPredicate(task)) {
+      continue;
+    }
+    log_event event;
+    event.mEvent = agent_event::TaskStopped;
+    event.mTask = task;
+    event.mTry = run.mTry;
+    event.mTarget = aTarget.mName;
+    event.mPeer = HolderOf(aControl, task);
+    event.mDetail = aReason;
+    aOut.emplace_back(std::move(event));
+    lease::StopRun(aTarget, task, aNow, calls);
+  }
+  Carry(aControl, aTarget.mName, calls, aNow, aOut);
+}
+
+} // namespace
+
+bool
+OnLeasedTarget(agent_control& aControl,
+               const target_announcement& aAnnouncement,
+               const lease::registration& aRegistration,
+               bool aIsDraining,
+               core::instant aNow,
+               effects& aOut)
+{
+  const auto known = aControl.mTargets.find(aAnnouncement.mName);
+  const bool isNew = known == aControl.mTargets.end();
+  if (!isNew && IsOutdated(known->second, aRegistration)) {
+    LogEvent(
+      agent_event::TargetChanged, known->first, "late_registration", aOut);
+    return true;
+  }
+  const bool wasDraining = !isNew && known->second.mLeaving &&
+                           known->second.mLeased &&
+                           known->second.mLeased->mLife == aRegistration.mLife;
+  if (!OnTargetAnnounced(aControl, aAnnouncement, aNow, aOut)) {
+    return false;
+  }
+  if (aIsDraining || wasDraining) {
+    OnTargetLeaving(aControl, aAnnouncement.mName, aNow, aOut);
+  }
+  auto& target = aControl.mTargets.at(aAnnouncement.mName);
+  if (!target.mLeased) {
+    target.mLeased.emplace();
+    target.mLeased->mSettings = aControl.mSettings.mLease;
+  }
+  target.mSequence = aRegistration.mSequence;
+  lease::effects calls;
+  lease::OnRegistration(*target.mLeased, aRegistration, aNow, calls);
+  Carry(aControl, aAnnouncement.mName, calls, aNow, aOut);
+  if (isNew) {
+    TickLeases(aControl, aNow, aOut);
+  }
+  return true;
+}
+
+void
+OnTargetLeft(agent_control& aControl,
+             const std::string& aName,
+             core::instant aNow,
+             effects& aOut)
+{
+  auto* const leased = FindLeased(aControl, aName);
+  if (leased == nullptr) {
+    return;
+  }
+  lease::effects calls;
+  lease::EndAll(*leased, "target left", aNow, calls);
+  Carry(aControl, aName, calls, aNow, aOut);
+  LogEvent(agent_event::TargetGone, aName, "left", aOut);
+  aControl.mTargets.erase(aName);
+  WantAllAnnounces(aControl.mEntries);
+  Settle(aControl, aNow, aOut);
+}
+
+void
+OnStartAnswered(agent_control& aControl,
+                const lease::start_call& aCall,
+                lease::start_answer aAnswer,
+                std::optional<lease::target_time> aClock,
+                core::instant aNow,
+                effects& aOut)
+{
+  const std::string target = aCall.mHeader.mTarget;
+  if (auto* const leased = FindLeased(aControl, target)) {
+    lease::effects calls;
+    lease::OnStartAnswer(*leased, aCall, aAnswer, aClock, aNow, calls);
+    Carry(aControl, target, calls, aNow, aOut);
+  }
+}
+
+void
+OnStopAnswered(agent_control& aControl,
+               const lease::stop_call& aCall,
+               core::instant aNow,
+               effects& aOut)
+{
+  static_cast<void>(aOut);
+  if (auto* const leased = FindLeased(aControl, aCall.mHeader.mTarget)) {
+    lease::OnStopAnswer(*leased, aCall, aNow);
+  }
+}
+
+void
+OnTargetReport(agent_control& aControl,
+               const std::string& aTarget,
+               const lease::target_report& aReport,
+               core::instant aAskedAt,
+               core::instant aNow,
+               effects& aOut)
+{
+  auto* const leased = FindLeased(aControl, aTarget);
+  if (leased == nullptr) {
+    return;
+  }
+  const bool wasReady = lease::IsReady(*leased, aNow);
+  lease::effects calls;
+  lease::OnReport(*leased, aReport, aAskedAt, aNow, calls);
+  const bool isReady = lease::IsReady(*leased, aNow);
+  lease::Tick(*leased, aNow, calls);
+  Carry(aControl, aTarget, calls, aNow, aOut);
+  if (isReady != wasReady) {
+    WantAllAnnounces(aControl.mEntries);
+    Settle(aControl, aNow, aOut);
+  }
+}
+
+void
+OnRenewalFailed(agent_control& aControl,
+                const std::string& aTarget,
+                lease::renewal_failure aFailure,
+                std::optional<lease::target_time> aClock,
+                core::instant aAskedAt,
+                core::instant aNow,
+                effects& aOut)
+{
+  if (auto* const leased = FindLeased(aControl, aTarget)) {
+    lease::effects calls;
+    lease::OnRenewalFailed(*leased, aFailure, aClock, aAskedAt, aNow, calls);
+    Carry(aControl, aTarget, calls, aNow, aOut);
+  }
+}
+
+void
+StartLeased(agent_control& aControl,
+            const core::task_start& aStart,
+            core::instant aNow,
+            effects& aOut)
+{
+  lease::effects calls;
+  lease::StartRun(
+    *aControl.mTargets.at(aStart.mTarget).mLeased, aStart, aNow, calls);
+  Carry(aControl, aStart.mTarget, calls, aNow, aOut);
+}
+
+void
+StopJobs(agent_control& aControl,
+         const std::vector<std::string>& aJobs,
+         const std::string& aEntryAddress,
+         core::instant aNow,
+         effects& aOut)
+{
+  const auto isCancelled = [&](const core::task_ref& aTask) {
+    return std::find(aJobs.begin(), aJobs.end(), aTask.mJob) != aJobs.end() &&
+           HolderOf(aControl, aTask) == aEntryAddress;
+  };
+  for (auto& [name, target] : aControl.mTargets) {
+    if (target.mLeased) {
+      StopRuns(
+        aControl, *target.mLeased, isCancelled, "cancelled", aNow, aOut);
+    }
+  }
+}
+
+void
+TickLeases(agent_control& aControl, core::instant aNow, effects& aOut)
+{
+  const auto isOrphan = [&](const core::task_ref& aTask) {
+    return IsSilent(aControl, HolderOf(aControl, aTask), aNow);
+  };
+  for (auto& [name, target] : aControl.mTargets) {
+    if (!target.mLeased) {
+      continue;
+    }
+    StopRuns(
+      aControl, *target.mLeased, isOrphan, "entry is silent", aNow, aOut);
+    lease::effects calls;
+    lease::Tick(*target.mLeased, aNow, calls);
+    Carry(aControl, name, calls, aNow, aOut);
+  }
+}
+
+} // namespace gooseberry::agent
--- /dev/null
+++ b/src/libgooseberry/agent/leased_runs.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "libgooseberry/agent/agent_control.h"
+
+#include <optional>
+#include <string>
+
+/**
+ * Targets that run tasks under leases: their runs are started, renewed and
+ * stopped by calls of their own, and end on their own when nobody renews.
+ */
+namespace gooseberry::agent {
+
+/** A target registers, or says that it drains; false where there are too many
+ * targets. */
+bool
+OnLeasedTarget(agent_control& aControl,
+               const target_announcement& aAnnouncement,
+               const lease::registration& aRegistration,
+               bool aIsDraining,
+               core::instant aNow,
+               effects& aOut);
+
+/** A target has left for good: what ran there is over. */
+void
+OnTargetLeft(agent_control& aControl,
+             const std::string& aName,
+             core::instant aNow,
+             effects& aOut);
+
+void
+OnStartAnswered(agent_control& aControl,
+                const lease::start_call& aCall,
+                lease::start_answer aAnswer,
+                std::optional<lease::target_time> aClock,
+                core::instant aNow,
+                effects& aOut);
+
+void
+OnStopAnswered(agent_control& aControl,
+               const lease::stop_call& aCall,
+               core::instant aNow,
+               effects& aOut);
+
+void
+OnTargetReport(agent_control& aControl,
+               const std::string& aTarget,
+               const lease::target_report& aReport,
+               core::instant aAskedAt,
+               core::instant aNow,
+               effects& aOut);
+
+void
+OnRenewalFailed(agent_control& aControl,
+                const std::string& aTarget,
+                lease::renewal_failure aFailure,
+                std::optional<lease::target_time> aClock,
+                core::instant aAskedAt,
+                core::instant aNow,
+                effects& aOut);
+
+/** Starts the run of a task that was admitted and recorded. */
+void
+StartLeased(agent_control& aControl,
+            const core::task_start& aStart,
+            core::instant aNow,
+            effects& aOut);
+
+/** Stops what runs for jobs that the entry at this address cancels. */
+void
+StopJobs(agent_control& aControl,
+         const std::vector<std::string>& aJobs,
+         const std::string& aEntryAddress,
+         core::instant aNow,
+         effects& aOut);
+
+/**
+ * Renewals that are due, and stops for entries that have gone silent: a caller
+ * of such an entry asks another one, which starts the same tasks elsewhere.
+ */
+void
+TickLeases(agent_control& aControl, core::instant aNow, effects& aOut);
+
+} // namespace gooseberry::agent
--- a/src/libgooseberry/agent/record.cpp
+++ b/src/libgooseberry/agent/record.cpp
@@ -151,7 +151,8 @@
   result.mKind = aStart.mKind;
   task = { { core::record_state::Running, std::move(result) },
            aStart.mBallot,
-           failedTry };
+           failedTry,
+           aStart.mNeeds };
 }
 
 void
--- a/src/libgooseberry/agent/record.h
+++ b/src/libgooseberry/agent/record.h
@@ -39,6 +39,7 @@
   core::started_task mStarted;
   core::ballot mBallot;         ///< Under which it was started.
   std::uint32_t mFailedTry = 0; ///< Last try that failed here; 0: none.
+  core::resources mNeeds{};
 };
 
 /** All that is known of one job. */
--- a/src/libgooseberry/agent/target_inputs.cpp
+++ b/src/libgooseberry/agent/target_inputs.cpp
@@ -10,9 +10,12 @@
 namespace {
 
 void
-CountEnd(agent_target& aTarget, core::task_end aEnd)
+CountEnd(agent_target& aTarget,
+         core::task_end aEnd,
+         const core::resources& aNeeds)
 {
   --aTarget.mRunning;
+  aTarget.mUsed -= aNeeds;
   if (aEnd == core::task_end::Succeeded) {
     aTarget.mConsecutiveFailures = 0;
   } else {
@@ -20,25 +23,25 @@
   }
 }
 
-/** The target refused the connection: nothing was started. */
+/** Nothing was started. */
 void
 TakeBack(agent_control& aControl,
          const task_record& aRecord,
+         core::start_verdict aWhy,
          core::instant aNow)
 {
   const auto& result = aRecord.mStarted.mResult;
   returned_task returned;
   returned.mResult = result;
   returned.mResult.mEnd = core::task_end::Returned;
-  returned.mResult.mWhy = core::start_verdict::NoTarget;
+  returned.mResult.mWhy = aWhy;
   returned.mBallot = aRecord.mBallot;
   returned.mEntryAddress = FindJob(aControl.mBook, result.mTask.mJob)->mHolder;
   returned.mReturnedAt = aNow;
   const placement_key key{
     result.mTask, aRecord.mBallot, result.mTry, result.mPlacement
   };
-  RecordRefusal(
-    aControl.mBook, key, core::start_verdict::NoTarget, std::nullopt);
+  RecordRefusal(aControl.mBook, key, aWhy, std::nullopt);
   RemoveStart(aControl.mBook, returned.mResult.mTask);
   QueueReturned(aControl.mDelivery, std::move(returned));
 }
@@ -90,7 +93,10 @@
   const bool wasUnavailable = target.mLeaving || target.mSuspect;
   target.mAddress = aAnnouncement.mAddress;
   target.mServices = aAnnouncement.mServices;
-  target.mSlots = aAnnouncement.mSlots;
+  if (target.mMeanCpu == 0) {
+    target.mSlots = aAnnouncement.mSlots;
+  }
+  target.mCapacity = aAnnouncement.mCapacity;
   target.mAskAgain = aAnnouncement.mAskAgain;
   target.mLeaseEnd = aNow + aAnnouncement.mLease;
   target.mLeaving = false;
@@ -143,11 +149,11 @@
   const task_record record = *found;
   const std::string name = record.mStarted.mResult.mTarget;
   auto& target = aControl.mTargets.at(name);
-  CountEnd(target, aReport.mEnd);
+  CountEnd(target, aReport.mEnd, record.mNeeds);
   LogEnd(aReport, name, aOut);
   if (aReport.mEnd == core::task_end::Returned) {
-    target.mSuspect = true;
-    TakeBack(aControl, record, aNow);
+    target.mSuspect |= aReport.mWhy == core::start_verdict::NoTarget;
+    TakeBack(aControl, record, aReport.mWhy, aNow);
     ReviewQueues(aControl, aNow, aOut);
   } else {
     Record(aControl, record, std::move(aReport), aNow);
--- a/src/libgooseberry/agent/target_run.cpp
+++ b/src/libgooseberry/agent/target_run.cpp
@@ -1,7 +1,9 @@
 #include "libgooseberry/agent/target_run.h"
 
 #include "libgooseberry/agent/admission.h"
+#include "libgooseberry/agent/leased_runs.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -46,6 +48,25 @@
   aOut.emplace_back(std::move(event));
 }
 
+/**
+ * Slots are how many tasks of the usual size fit; entries reckon with them,
+ * while `HasRoom` decides by what a task needs in fact.
+ */
+void
+CountSlots(agent_target& aTarget, const core::resources& aNeeds)
+{
+  constexpr double kWeight = 0.1; // Of one task in the running mean.
+  if (aTarget.mCapacity.mCpu == 0 || aNeeds.mCpu == 0) {
+    return;
+  }
+  const double cpu = aNeeds.mCpu;
+  aTarget.mMeanCpu = aTarget.mMeanCpu == 0
+                       ? cpu
+                       : aTarget.mMeanCpu + kWeight * (cpu - aTarget.mMeanCpu);
+  aTarget.mSlots = std::max(
+    1U, static_cast<std::uint32_t>(aTarget.mCapacity.mCpu / aTarget.mMeanCpu));
+}
+
 } // namespace
 
 core::duration
@@ -64,6 +85,8 @@
   const auto& service = aControl.mDesired.mServices.at(aStart.mService);
   RecordStart(aControl.mBook, aStart, aNow);
   ++target.mRunning;
+  target.mUsed += aStart.mNeeds;
+  CountSlots(target, aStart.mNeeds);
 
   log_event event;
   event.mEvent = agent_event::TaskStarted;
@@ -73,6 +96,10 @@
   event.mTarget = aStart.mTarget;
   event.mCount = target.mRunning;
   aOut.emplace_back(std::move(event));
+  if (target.mLeased) {
+    StartLeased(aControl, aStart, aNow, aOut);
+    return;
+  }
   aOut.emplace_back(run_task{
     target.mAddress, aStart, service.mMaxTaskTime, target.mAskAgain });
 }
--- a/src/libgooseberry/agent/upkeep.cpp
+++ b/src/libgooseberry/agent/upkeep.cpp
@@ -1,5 +1,6 @@
 #include "libgooseberry/agent/upkeep.h"
 
+#include "libgooseberry/agent/leased_runs.h"
 #include "libgooseberry/agent/target_run.h"
 
 #include <algorithm>
@@ -110,7 +111,9 @@
   }
   const bool isSettled =
     aControl.mJoin.mPhase == join_phase::Open &&
-    IsFresh(aControl.mFreshness, aNow, settings.mFreshnessBound);
+    (settings.mLeasedRuns
+       ? !aControl.mEntries.mByAddress.empty()
+       : IsFresh(aControl.mFreshness, aNow, settings.mFreshnessBound));
   const auto interval =
     isSettled ? settings.mIdleRowsInterval : settings.mRowsInterval;
   if (IsDue(aControl.mRowsAskedAt, aNow, interval)) {
@@ -163,6 +166,7 @@
   UseTable(aControl, aNow, aOut);
   AskPeers(aControl, aNow, aOut);
   EndGrants(aControl, aNow, aOut);
+  TickLeases(aControl, aNow, aOut);
   Settle(aControl, aNow, aOut);
 }
 
--- a/src/libgooseberry/configuration/desired_state.cpp
+++ b/src/libgooseberry/configuration/desired_state.cpp
@@ -17,11 +17,14 @@
 constexpr std::string_view kDomainKind = "failure_domain";
 constexpr std::string_view kServiceKind = "service";
 constexpr std::string_view kTeamKind = "team";
+constexpr std::string_view kQueueKind = "queue";
 constexpr std::string_view kDomainsKey = "failure_domains";
 
 constexpr std::uint64_t kMaxTries = 10;
 constexpr std::uint64_t kMaxTaskMs = 600'000;
 constexpr std::uint64_t kMaxQuotaSlots = 1'000'000;
+constexpr std::uint64_t kMaxPriority = 1'000;
+constexpr std::uint64_t kMaxSlackPercent = 100'000;
 /** `Format` breaks a list before this column. */
 constexpr std::size_t kFormatColumns = 80;
 
@@ -131,6 +134,66 @@
     } },
 } };
 
+bool
+ReadTimeTo(std::string_view aText, std::uint64_t aMin, core::duration& aTime)
+{
+  const auto time = ReadNumber(aText, aMin, kMaxTaskMs);
+  aTime = std::chrono::milliseconds(time.value_or(0));
+  return time.has_value();
+}
+
+const std::array<key_rule<queue>, 8> kQueueKeys{ {
+  { "host",
+    true,
+    "a name of 1 to 64 characters of [A-Za-z0-9._-]",
+    [](std::string_view aText, queue& aQueue) {
+      return ReadNameTo(aText, aQueue.mHost);
+    } },
+  { "path",
+    true,
+    "a path that begins and ends with /",
+    [](std::string_view aText, queue& aQueue) {
+      aQueue.mPath = aText;
+      return aText.starts_with('/') && aText.ends_with('/');
+    } },
+  { "service",
+    true,
+    "a name of 1 to 64 characters of [A-Za-z0-9._-]",
+    [](std::string_view aText, queue& aQueue) {
+      return ReadNameTo(aText, aQueue.mService);
+    } },
+  { "priority",
+    false,
+    "a whole number from 0 (first) to 1000",
+    [](std::string_view aText, queue& aQueue) {
+      return ReadNumberTo(aText, 0, kMaxPriority, aQueue.mPriority);
+    } },
+  { "max_tries",
+    false,
+    "a whole number from 1 to 10",
+    [](std::string_view aText, queue& aQueue) {
+      return ReadNumberTo(aText, 1, kMaxTries, aQueue.mMaxTries);
+    } },
+  { "timeout_ms",
+    false,
+    "a whole number of milliseconds from 1 to 600000",
+    [](std::string_view aText, queue& aQueue) {
+      return ReadTimeTo(aText, 1, aQueue.mTimeout);
+    } },
+  { "target_latency_ms",
+    false,
+    "a whole number of milliseconds from 0 to 600000",
+    [](std::string_view aText, queue& aQueue) {
+      return ReadTimeTo(aText, 0, aQueue.mTargetLatency);
+    } },
+  { "slack_percent",
+    false,
+    "a whole number of percent from 1 to 100000",
+    [](std::string_view aText, queue& aQueue) {
+      return ReadNumberTo(aText, 1, kMaxSlackPercent, aQueue.mSlackPercent);
+    } },
+} };
+
 /** Reads a section whose heading names what it declares. */
 template<typename Value, std::size_t Count>
 std::optional<core::error>
@@ -168,12 +231,15 @@
   if (aSection.mKind == kTeamKind) {
     return ReadNamed(aDocument, aSection, kTeamKeys, aState.mTeams);
   }
+  if (aSection.mKind == kQueueKind) {
+    return ReadNamed(aDocument, aSection, kQueueKeys, aState.mQueues);
+  }
   return ErrorAt(aDocument,
                  aSection.mLine,
                  aSection,
                  "",
                  "unknown section, expected [state], [failure_domain NAME], "
-                 "[service NAME] or [team NAME]");
+                 "[service NAME], [team NAME] or [queue NAME]");
 }
 
 /** Refuses failure domains that a service names and the file lacks. */
@@ -276,6 +342,22 @@
          found->second.mState == domain_state::In;
 }
 
+std::optional<named_queue>
+FindQueue(const desired_state& aState,
+          std::string_view aHost,
+          std::string_view aPath)
+{
+  std::optional<named_queue> best;
+  for (const auto& [name, queue] : aState.mQueues) {
+    const bool isLonger =
+      !best || queue.mPath.size() > best->mQueue.mPath.size();
+    if (queue.mHost == aHost && aPath.starts_with(queue.mPath) && isLonger) {
+      best = named_queue{ name, queue };
+    }
+  }
+  return best;
+}
+
 bool
 MayServe(const service& aService,
          std::string_view aTarget,
--- a/src/libgooseberry/configuration/desired_state.h
+++ b/src/libgooseberry/configuration/desired_state.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -57,6 +58,22 @@
   bool operator==(const team&) const = default;
 };
 
+/** `[queue NAME]`: where callers send jobs of one kind. */
+struct queue
+{
+  std::string mHost; ///< Name of the host that requests are sent to.
+  std::string mPath; ///< Requests whose path begins with it; ends in `/`.
+  std::string mService;
+  std::uint32_t mPriority = 0; ///< Lower ones go first.
+  std::uint32_t mMaxTries = 1; ///< Starts allowed for each task.
+  core::duration mTimeout = std::chrono::seconds(30); ///< Of a request.
+  /** A job is late after `mSlackPercent` of its own run time and this. */
+  core::duration mTargetLatency{};
+  std::uint32_t mSlackPercent = 100;
+
+  bool operator==(const queue&) const = default;
+};
+
 /** Everything that operators declare, as one value. */
 struct desired_state
 {
@@ -64,6 +81,7 @@
   std::map<std::string, failure_domain> mFailureDomains;
   std::map<std::string, service> mServices;
   std::map<std::string, team> mTeams;
+  std::map<std::string, queue> mQueues;
 
   bool operator==(const desired_state&) const = default;
 };
@@ -83,6 +101,20 @@
 bool
 IsDomainIn(const desired_state& aState, std::string_view aDomain);
 
+/** A queue with its name. */
+struct named_queue
+{
+  std::string mName;
+  queue mQueue;
+};
+
+/** The queue of a request: the one of the host with the longest path that the
+ * request's path begins with. */
+std::optional<named_queue>
+FindQueue(const desired_state& aState,
+          std::string_view aHost,
+          std::string_view aPath);
+
 /** Whether a target in a domain may take a service; states are not looked at.
  */
 bool
--- a/src/libgooseberry/configuration/section_text.cpp
+++ b/src/libgooseberry/configuration/section_text.cpp
@@ -41,6 +41,26 @@
   return { { "quota_slots", std::to_string(aTeam.mQuotaSlots) } };
 }
 
+std::string
+Milliseconds(core::duration aTime)
+{
+  return std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count());
+}
+
+std::vector<key_text>
+ToKeys(const queue& aQueue)
+{
+  return { { "host", aQueue.mHost },
+           { "path", aQueue.mPath },
+           { "service", aQueue.mService },
+           { "priority", std::to_string(aQueue.mPriority) },
+           { "max_tries", std::to_string(aQueue.mMaxTries) },
+           { "timeout_ms", Milliseconds(aQueue.mTimeout) },
+           { "target_latency_ms", Milliseconds(aQueue.mTargetLatency) },
+           { "slack_percent", std::to_string(aQueue.mSlackPercent) } };
+}
+
 template<typename Values>
 void
 Append(std::vector<section_text>& aSections,
@@ -66,6 +86,7 @@
   Append(sections, "failure_domain", aState.mFailureDomains);
   Append(sections, "service", aState.mServices);
   Append(sections, "team", aState.mTeams);
+  Append(sections, "queue", aState.mQueues);
   return sections;
 }
 
--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -2,6 +2,7 @@
 
 #include "libgooseberry/core/enum_names.h"
 #include "libgooseberry/core/identity.h"
+#include "libgooseberry/core/resources.h"
 #include "libgooseberry/core/time.h"
 
 #include <cstdint>
@@ -28,6 +29,10 @@
   /** Failures that the target reported since its last success. */
   std::uint32_t mConsecutiveFailures = 0;
   bool mLeaving = false;
+  /** All zero: only the slots bound what may run. */
+  resources mCapacity{};
+  /** Of the capacity, taken by what runs or is being stopped. */
+  resources mUsed{};
 
   bool operator==(const target_load&) const = default;
 };
@@ -71,6 +76,7 @@
   std::int64_t mPriority = 0;
   /** May wait at the target; else it is refused where no slot is free. */
   bool mMayQueue = true;
+  resources mNeeds{};
 };
 
 /** Entry to agent: start these. */
@@ -170,10 +176,12 @@
   std::map<std::string, std::string> mEntries;
 };
 
-/** Entry to agent: drop these jobs' queued tasks; running ones finish. */
+/** Entry to agent: drop these jobs' queued tasks; of the running ones, those
+ * under leases are stopped, and others finish. */
 struct cancel_batch
 {
   peer_ref mEntry;
+  std::string mEntryAddress;
   std::vector<std::string> mJobs;
 };
 
--- /dev/null
+++ b/src/libgooseberry/core/resources.cpp
@@ -0,0 +1,38 @@
+#include "libgooseberry/core/resources.h"
+
+#include <algorithm>
+
+namespace gooseberry::core {
+
+resources&
+resources::operator+=(const resources& aOther)
+{
+  mCpu += aOther.mCpu;
+  mMemory += aOther.mMemory;
+  mAccelerators += aOther.mAccelerators;
+  return *this;
+}
+
+resources&
+resources::operator-=(const resources& aOther)
+{
+  mCpu -= std::min(mCpu, aOther.mCpu);
+  mMemory -= std::min(mMemory, aOther.mMemory);
+  mAccelerators -= std::min(mAccelerators, aOther.mAccelerators);
+  return *this;
+}
+
+resources
+operator+(resources aLeft, const resources& aRight)
+{
+  return aLeft += aRight;
+}
+
+bool
+Fits(const resources& aNeeds, const resources& aRoom)
+{
+  return aNeeds.mCpu <= aRoom.mCpu && aNeeds.mMemory <= aRoom.mMemory &&
+         aNeeds.mAccelerators <= aRoom.mAccelerators;
+}
+
+} // namespace gooseberry::core
--- a/src/libgooseberry/entry/dispatch.cpp
+++ b/src/libgooseberry/entry/dispatch.cpp
@@ -51,6 +51,7 @@
   start.mKind = described.mKind;
   start.mTarget = aTargetName;
   start.mPayload = described.mPayload;
+  start.mNeeds = described.mNeeds;
   return start;
 }
 
--- a/src/libgooseberry/entry/entry_control.cpp
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -26,6 +26,9 @@
   control.mRetryBudget.mSettings = aOptions.mRetry;
   control.mOptions = std::move(aOptions);
   control.mJoining.mSince = aNow;
+  if (control.mOptions.mLeasedRuns) {
+    control.mJoining.mStage = join_stage::Open;
+  }
   Tick(control, aNow, aEffects);
   return control;
 }
@@ -33,6 +36,9 @@
 bool
 IsFresh(const entry_control& aControl, core::instant aNow)
 {
+  if (aControl.mOptions.mLeasedRuns) {
+    return aControl.mRow.mConfiguration.mGeneration > 0;
+  }
   return aControl.mEvidence.has_value() &&
          aNow - *aControl.mEvidence <= aControl.mOptions.mFreshnessBound;
 }
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -42,6 +42,12 @@
   /** Time in which peers are to confirm a configuration. */
   core::duration mApplyTimeout = std::chrono::seconds(3);
   core::duration mMembersPeriod = std::chrono::seconds(1);
+  /**
+   * Targets run tasks under leases, and agents stop what runs for an entry that
+   * is gone: a job that another entry had leaves nothing behind, so that each
+   * submission is a first one (R1 to R4, R6 and R11 are not needed).
+   */
+  bool mLeasedRuns = false;
   job::order_settings mOrder;
   target::placement_settings mPlacement;
   quota::admission_settings mAdmission;
@@ -203,6 +209,17 @@
          core::instant aNow,
          effects& aEffects);
 
+/**
+ * A caller's connection ended before its answer. A job under leases that nobody
+ * waits for any more is stopped and forgotten; others go on.
+ */
+void
+OnCallerLeft(entry_control& aControl,
+             std::uint64_t aToken,
+             const std::string& aKey,
+             core::instant aNow,
+             effects& aEffects);
+
 /** A caller cancels a job; false if this entry is not its home. */
 bool
 OnCancel(entry_control& aControl,
@@ -239,6 +256,13 @@
               core::instant aNow,
               effects& aEffects);
 
+/** A cancellation was not answered: it is sent again while the agent lives. */
+void
+OnCancelFailed(entry_control& aControl,
+               const std::string& aAgentAddress,
+               const std::vector<std::string>& aJobs,
+               core::instant aNow);
+
 void
 OnFenceReplies(entry_control& aControl,
                const core::peer_ref& aAsked,
--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -6,6 +6,9 @@
 std::uint32_t
 MaxTries(const entry_control& aControl, const job::job& aJob)
 {
+  if (aJob.mSubmission.mMaxTries > 0) {
+    return aJob.mSubmission.mMaxTries;
+  }
   const auto service =
     aControl.mDesired.mServices.find(aJob.mSubmission.mService);
   return service == aControl.mDesired.mServices.end()
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -134,7 +134,7 @@
   core::entry_reply reply;
   reply.mEntry = aControl.mSelf;
   reply.mGeneration = aControl.mRow.mConfiguration.mGeneration;
-  if (IsFresh(aControl, aNow)) {
+  if (aControl.mEvidence && IsFresh(aControl, aNow)) {
     reply.mEvidenceAge = aNow - *aControl.mEvidence;
   }
   reply.mConfiguration = NewerThan(aControl, aGeneration);
@@ -201,6 +201,22 @@
 
 } // namespace
 
+void
+OnCancelFailed(entry_control& aControl,
+               const std::string& aAgentAddress,
+               const std::vector<std::string>& aJobs,
+               core::instant aNow)
+{
+  for (const auto& [name, view] : aControl.mMembers.mAgents) {
+    if (view.mState.mAddress == aAgentAddress &&
+        aNow - view.mHeardAt <= aControl.mOptions.mAgentLost) {
+      auto& outbox = aControl.mCancelOutbox[aAgentAddress];
+      outbox.insert(outbox.end(), aJobs.begin(), aJobs.end());
+      return;
+    }
+  }
+}
+
 void
 FlushOutboxes(entry_control& aControl, effects& aEffects)
 {
@@ -223,7 +239,10 @@
   for (auto& [address, jobs] : aControl.mCancelOutbox) {
     aControl.mCounters.mCancels += jobs.size();
     aEffects.emplace_back(
-      send_cancel{ address, { aControl.mSelf, std::move(jobs) } });
+      send_cancel{ address,
+                   { aControl.mSelf,
+                     aControl.mOptions.mAddress,
+                     std::move(jobs) } });
   }
   aControl.mCancelOutbox.clear();
   for (auto& [address, answers] : aControl.mDeliverOutbox) {
--- a/src/libgooseberry/entry/joining.cpp
+++ b/src/libgooseberry/entry/joining.cpp
@@ -93,7 +93,9 @@
 TickJoining(entry_control& aControl, core::instant aNow, effects& aEffects)
 {
   joining& state = aControl.mJoining;
-  if (state.mStage == join_stage::Registering && aNow >= state.mNextRound) {
+  const bool isUnlisted =
+    aControl.mOptions.mLeasedRuns && !IsRegistered(aControl);
+  if ((state.mStage == join_stage::Registering || isUnlisted) && aNow >= state.mNextRound) {
     state.mNextRound = aNow + kWriteAgainAfter;
     aEffects.emplace_back(write_member{ OwnRow(aControl) });
   } else if (state.mStage == join_stage::Copying && aNow >= state.mNextRound) {
@@ -107,6 +109,10 @@
                 core::instant aNow,
                 effects& aEffects)
 {
+  if (aStands && aControl.mOptions.mLeasedRuns) {
+    ReadMembers(aControl, aEffects);
+    return;
+  }
   if (!aStands || aControl.mJoining.mStage != join_stage::Registering) {
     return;
   }
@@ -132,7 +138,8 @@
     state.mNextRound = aNow;
     TickJoining(aControl, aNow, aEffects);
     SendHeartbeats(aControl, aNow, aEffects);
-  } else if (state.mStage == join_stage::Open && !IsRegistered(aControl)) {
+  } else if (state.mStage == join_stage::Open && !IsRegistered(aControl) &&
+             !aControl.mOptions.mLeasedRuns) {
     // Others have taken this entry for dead; its jobs have ended since.
     state = {};
     state.mSince = aNow;
--- a/src/libgooseberry/entry/submit.cpp
+++ b/src/libgooseberry/entry/submit.cpp
@@ -76,6 +76,9 @@
                const job::submission& aSubmission,
                core::instant aNow)
 {
+  if (aControl.mOptions.mLeasedRuns) {
+    return true;
+  }
   const auto& blind = aControl.mJoining.mBlindUntil;
   return aSubmission.mAttempt == job::kFirstAttempt &&
          aControl.mOptions.mTrustFirstAttempt && !(blind && aNow < *blind) &&
@@ -249,6 +252,35 @@
   }
 }
 
+void
+OnCallerLeft(entry_control& aControl,
+             std::uint64_t aToken,
+             const std::string& aKey,
+             core::instant aNow,
+             effects& aEffects)
+{
+  job::job* const left = job::Find(aControl.mLedger, aKey);
+  if (left == nullptr || left->mPhase == job::phase::Ended) {
+    return;
+  }
+  std::erase(left->mWaiters, aToken);
+  if (!left->mWaiters.empty() || !aControl.mOptions.mLeasedRuns) {
+    return;
+  }
+  Log(aEffects,
+      "caller_left",
+      { { "job", aKey },
+        { "ended", std::to_string(left->mEnded) },
+        { "ms",
+          std::to_string(core::ToMilliseconds(aNow - left->mArrived)) } });
+  GiveUp(aControl,
+         *left,
+         { "run job", "", "the caller left" },
+         kStatusCancelled,
+         aEffects);
+  Dispatch(aControl, aNow, aEffects);
+}
+
 bool
 OnCancel(entry_control& aControl,
          const std::string& aKey,
--- a/src/libgooseberry/job/submission.h
+++ b/src/libgooseberry/job/submission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libgooseberry/core/resources.h"
 #include "libgooseberry/core/time.h"
 
 #include <cstdint>
@@ -14,6 +15,7 @@
   std::string mKind;
   core::duration mDeclared{}; ///< Caller's estimate; zero: none.
   std::string mPayload;
+  core::resources mNeeds{};
 };
 
 /** Attempt number of a submission that does not say which one it is. */
@@ -29,6 +31,7 @@
   std::string mTeam;
   std::uint32_t mAttempt = kAttemptUnknown;
   bool mIdempotent = false;
+  std::uint32_t mMaxTries = 0; ///< Starts of a task; 0: as its service says.
   core::duration mDeadline{}; ///< From arrival; always set.
   std::vector<task_description> mTasks;
   /** Of service, idempotence and tasks: the same name must mean the same. */
--- /dev/null
+++ b/src/libgooseberry/lease/settings.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "libgooseberry/core/time.h"
+
+namespace gooseberry::lease {
+
+using namespace std::chrono_literals;
+
+/** Bounds of the leases under which a target runs tasks. */
+struct lease_settings
+{
+  /** Longest lease that a target grants; it ends what runs when that lapses. */
+  core::duration mLease = 1s;
+  /** A renewal is answered after this time where no task has ended. */
+  core::duration mRenewWait = 250ms;
+  /** Pause after a renewal that was not answered. */
+  core::duration mRenewRetry = 50ms;
+  /** A start that reaches the target later than this is refused there. */
+  core::duration mStartValidity = 400ms;
+  /** Deadline of a call, beyond the time that a renewal may wait. */
+  core::duration mCallDeadline = 250ms;
+  /** Pause between two calls that stop the same run. */
+  core::duration mStopRetry = 150ms;
+  /** Added to the computed end of a lease: timers fire late. */
+  core::duration mLapseMargin = 30ms;
+};
+
+/** A target's clock may run this much slower than the agent's. */
+inline constexpr double kMaxClockDrift = 0.02;
+
+} // namespace gooseberry::lease
--- a/src/libgooseberryio/agent_settings.cpp
+++ b/src/libgooseberryio/agent_settings.cpp
@@ -33,7 +33,7 @@
     } },
 } };
 
-constexpr std::array<rule, 4> kProtocolRules{ {
+constexpr std::array<rule, 7> kProtocolRules{ {
   { MillisecondsSetting("protocol",
                         "freshness_bound_ms",
                         "2000",
@@ -66,6 +66,29 @@
     [](const setting_value& aValue, agent_settings& aSettings) {
       aSettings.mProtocol.mDeduplicationWindow = ToDuration(aValue);
     } },
+  { SwitchSetting("protocol",
+                  "leased_runs",
+                  "false",
+                  "Targets run tasks under leases; same everywhere"),
+    [](const setting_value& aValue, agent_settings& aSettings) {
+      aSettings.mProtocol.mLeasedRuns = aValue.mNumber != 0;
+    } },
+  { MillisecondsSetting("protocol",
+                        "lease_ms",
+                        "1000",
+                        kPeriodMs,
+                        "Longest lease that a target grants"),
+    [](const setting_value& aValue, agent_settings& aSettings) {
+      aSettings.mProtocol.mLease = ToDuration(aValue);
+    } },
+  { MillisecondsSetting("protocol",
+                        "entry_silence_ms",
+                        "1000",
+                        kPeriodMs,
+                        "What runs for an entry silent for longer is stopped"),
+    [](const setting_value& aValue, agent_settings& aSettings) {
+      aSettings.mProtocol.mEntrySilence = ToDuration(aValue);
+    } },
 } };
 
 constexpr std::array<rule, 5> kLimitRules{ {
@@ -128,7 +151,8 @@
                                    PlatformRules<agent_settings>(),
                                    kProtocolRules,
                                    kLimitRules,
-                                   LogRules<agent_settings>());
+                                   LogRules<agent_settings>(),
+                                   AdapterRules<agent_settings>());
 }
 
 } // namespace
--- a/src/libgooseberryio/agent_settings.h
+++ b/src/libgooseberryio/agent_settings.h
@@ -3,6 +3,7 @@
 #include "libgooseberry/core/error.h"
 #include "libgooseberry/core/time.h"
 #include "libgooseberryio/log.h"
+#include "libgooseberryio/platform_adapter.h"
 #include "libgooseberryio/platform_client.h"
 
 #include <cstddef>
@@ -19,6 +20,9 @@
   core::duration mPeerDeadline{}; ///< Of one call to a peer.
   core::duration mAnnounce{};     ///< Between two announces.
   core::duration mDeduplicationWindow{};
+  bool mLeasedRuns = false;       ///< Targets run tasks under leases.
+  core::duration mLease{};        ///< Longest lease that a target grants.
+  core::duration mEntrySilence{}; ///< An entry silent for longer is gone.
 };
 
 /** `[limits]` of an agent. */
@@ -44,6 +48,7 @@
   agent_limits mLimits;
   log_settings mLog;
   bool mLogDecisions = false;
+  platform_adapter mAdapter;
 };
 
 /** Reads the settings file of an agent. */
--- a/src/libgooseberryio/common_settings.h
+++ b/src/libgooseberryio/common_settings.h
@@ -14,6 +14,13 @@
 /** Longest time that a job is remembered, in milliseconds. */
 inline constexpr number_range kWindowMs{ 1'000, 3'600'000 };
 
+/** A text of which `-` stands for nothing. */
+inline std::string
+OrNothing(const setting_value& aValue)
+{
+  return aValue.mText == "-" ? std::string() : aValue.mText;
+}
+
 /** Rows of `[platform]`, stored in `mPlatform`. */
 template<typename Settings>
 constexpr std::array<setting_rule<Settings>, 3>
@@ -55,7 +62,7 @@
         aSettings.mLog.mLevel =
           kLogLevelNames.ValueOf(aValue.mText).value_or(log_level::Info);
       } },
-    { TextSetting("log", "file", "-", "Appended to; `-` is standard error"),
+    { TextSetting("log", "file", "-", "Appended to; `-` is standard output"),
       [](const setting_value& aValue, Settings& aSettings) {
         aSettings.mLog.mFile = aValue.mText == "-" ? "" : aValue.mText;
       } },
@@ -69,6 +76,35 @@
   } };
 }
 
+/** Rows of `[adapter]`, stored in `mAdapter`; `-` stands for nothing. */
+template<typename Settings>
+constexpr std::array<setting_rule<Settings>, 5>
+AdapterRules()
+{
+  return { {
+    { TextSetting("adapter", "caller_address", "-", "Listens for callers"),
+      [](const setting_value& aValue, Settings& aSettings) {
+        aSettings.mAdapter.mCallerAddress = OrNothing(aValue);
+      } },
+    { TextSetting("adapter", "ready_address", "-", "Answers a balancer"),
+      [](const setting_value& aValue, Settings& aSettings) {
+        aSettings.mAdapter.mReadyAddress = OrNothing(aValue);
+      } },
+    { TextSetting("adapter", "target_address", "-", "Targets register here"),
+      [](const setting_value& aValue, Settings& aSettings) {
+        aSettings.mAdapter.mTargetAddress = OrNothing(aValue);
+      } },
+    { TextSetting("adapter", "failure_domains", "-", "All of the platform"),
+      [](const setting_value& aValue, Settings& aSettings) {
+        aSettings.mAdapter.mDomains = OrNothing(aValue);
+      } },
+    { NameSetting("adapter", "region", "-", "Region of these domains"),
+      [](const setting_value& aValue, Settings& aSettings) {
+        aSettings.mAdapter.mRegion = OrNothing(aValue);
+      } },
+  } };
+}
+
 /** The rules of several tables as one table. */
 template<typename Settings, std::size_t... Counts>
 std::vector<setting_rule<Settings>>
--- a/src/libgooseberryio/entry_settings.cpp
+++ b/src/libgooseberryio/entry_settings.cpp
@@ -93,7 +93,7 @@
     } },
 } };
 
-constexpr std::array<rule, 5> kProtocolRules{ {
+constexpr std::array<rule, 8> kProtocolRules{ {
   { SwitchSetting("protocol",
                   "trust_first_attempt",
                   "true",
@@ -133,6 +133,29 @@
     [](const setting_value& aValue, entry_settings& aSettings) {
       aSettings.mProtocol.mHeartbeat = ToDuration(aValue);
     } },
+  { SwitchSetting("protocol",
+                  "leased_runs",
+                  "false",
+                  "Targets run tasks under leases; same everywhere"),
+    [](const setting_value& aValue, entry_settings& aSettings) {
+      aSettings.mProtocol.mLeasedRuns = aValue.mNumber != 0;
+    } },
+  { MillisecondsSetting("protocol",
+                        "agent_lost_ms",
+                        "10000",
+                        kPeriodMs,
+                        "What runs on an agent silent for longer is lost"),
+    [](const setting_value& aValue, entry_settings& aSettings) {
+      aSettings.mProtocol.mAgentLost = ToDuration(aValue);
+    } },
+  { MillisecondsSetting("protocol",
+                        "members_ms",
+                        "1000",
+                        kPeriodMs,
+                        "Time between two reads of the member rows"),
+    [](const setting_value& aValue, entry_settings& aSettings) {
+      aSettings.mProtocol.mMembersPeriod = ToDuration(aValue);
+    } },
 } };
 
 constexpr std::array<rule, 6> kPolicyRules{ {
@@ -207,7 +230,8 @@
                                    kLimitRules,
                                    kProtocolRules,
                                    kPolicyRules,
-                                   LogRules<entry_settings>());
+                                   LogRules<entry_settings>(),
+                                   AdapterRules<entry_settings>());
 }
 
 } // namespace
--- a/src/libgooseberryio/entry_settings.h
+++ b/src/libgooseberryio/entry_settings.h
@@ -5,6 +5,7 @@
 #include "libgooseberry/job/ready_queue.h"
 #include "libgooseberry/target/settings.h"
 #include "libgooseberryio/log.h"
+#include "libgooseberryio/platform_adapter.h"
 #include "libgooseberryio/platform_client.h"
 
 #include <cstddef>
@@ -34,6 +35,9 @@
   core::duration mFreshnessBound{};
   core::duration mPeerDeadline{}; ///< Of one call to a peer.
   core::duration mHeartbeat{};    ///< Between two heartbeats.
+  bool mLeasedRuns = false;       ///< Targets run tasks under leases.
+  core::duration mAgentLost{};    ///< An agent not heard for longer is lost.
+  core::duration mMembersPeriod{}; ///< Between two reads of the member rows.
 };
 
 /** Everything that an entry's settings file says. */
@@ -51,6 +55,7 @@
   double mRetryShare = 0; ///< Retries for each start.
   log_settings mLog;
   bool mLogDecisions = false;
+  platform_adapter mAdapter;
 };
 
 /** Reads the settings file of an entry. */
--- a/src/libgooseberryio/http_connections.cpp
+++ b/src/libgooseberryio/http_connections.cpp
@@ -49,14 +49,16 @@
   mChanged.notify_all();
 }
 
-void
+int
 http_connections::RequestBegun(const std::string& aClient)
 {
   const std::lock_guard lock(mMutex);
-  if (const auto found = mConnections.find(aClient);
-      found != mConnections.end()) {
-    found->second.mBusy = true;
+  const auto found = mConnections.find(aClient);
+  if (found == mConnections.end()) {
+    return -1;
   }
+  found->second.mBusy = true;
+  return found->second.mSocket;
 }
 
 void
--- a/src/libgooseberryio/http_connections.h
+++ b/src/libgooseberryio/http_connections.h
@@ -27,8 +27,8 @@
   void Opened(const std::string& aClient, int aSocket);
   /** To be called before the socket is closed. */
   void Closed(const std::string& aClient);
-  /** A whole request has arrived. */
-  void RequestBegun(const std::string& aClient);
+  /** A whole request has arrived; gives the connection's socket, or -1. */
+  int RequestBegun(const std::string& aClient);
   /** The response has been sent. */
   void RequestEnded(const std::string& aClient);
 
--- a/src/libgooseberryio/http_server.cpp
+++ b/src/libgooseberryio/http_server.cpp
@@ -6,12 +6,14 @@
 #include "libgooseberryio/log.h"
 
 #include <arpa/inet.h>
+#include <sys/socket.h>
 #include <ulfius.h>
 
 #include <algorithm>
 #include <array>
 #include <atomic>
 #include <cctype>
+#include <cerrno>
 #include <utility>
 #include <vector>
 
@@ -124,6 +126,7 @@
   const http_server_settings mSettings;
   http_connections mConnections;
   std::vector<route> mRoutes;
+  http_handler mOthers;
   std::atomic<unsigned> mRequests = 0; ///< In handlers.
   std::atomic<bool> mStopping = false;
   bool mStarted = false;
@@ -199,7 +202,8 @@
 http_response
 http_server::state::Answer(const _u_request& aRequest)
 {
-  mConnections.RequestBegun(ClientName(aRequest.client_address));
+  const int socket =
+    mConnections.RequestBegun(ClientName(aRequest.client_address));
   if (mStopping) {
     auto response = ErrorResponse(503, "shutting down");
     response.mHeaders["Connection"] = "close";
@@ -211,6 +215,7 @@
   }
   http_request request;
   request.mMethod = aRequest.http_verb;
+  request.mSocket = socket;
   request.mHeaders = CopyHeaders(aRequest.map_header);
   if (aRequest.binary_body_length > 0) {
     request.mBody.assign(static_cast<const char*>(aRequest.binary_body),
@@ -240,6 +245,9 @@
     }
     allowed += (allowed.empty() ? "" : ", ") + candidate.mMethod;
   }
+  if (allowed.empty() && mOthers) {
+    return Handle(mOthers, aRequest);
+  }
   if (allowed.empty()) {
     return ErrorResponse(404, "no such path");
   }
@@ -313,6 +321,16 @@
            options.data()) == U_OK;
 }
 
+bool
+IsConnectionClosed(int aSocket)
+{
+  char byte = 0;
+  const ssize_t count = recv(aSocket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return count == 0 ||
+         (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
+          errno != EINTR);
+}
+
 http_server::http_server(const http_server_settings& aSettings)
   : mState(std::make_unique<state>(aSettings))
 {
@@ -333,6 +351,12 @@
                               .mHandler = std::move(aHandler) });
 }
 
+void
+http_server::RouteOthers(http_handler aHandler)
+{
+  mState->mOthers = std::move(aHandler);
+}
+
 std::optional<core::error>
 http_server::Start()
 {
--- a/src/libgooseberryio/http_server.h
+++ b/src/libgooseberryio/http_server.h
@@ -22,8 +22,13 @@
   std::map<std::string, std::string> mQuery;
   std::map<std::string, std::string> mHeaders; ///< Names in lower case.
   std::string mBody;                           ///< Any bytes.
+  int mSocket = -1; ///< Of the connection; not to be read from or closed.
 };
 
+/** Whether the other end of a connection has closed it. */
+bool
+IsConnectionClosed(int aSocket);
+
 struct http_response
 {
   unsigned mStatus = 200;
@@ -67,6 +72,9 @@
              const std::string& aPattern,
              http_handler aHandler);
 
+  /** Handles what no route matches, before the start. */
+  void RouteOthers(http_handler aHandler);
+
   /** Listens and returns; an error if the address cannot be had. */
   std::optional<core::error> Start();
 
--- a/src/libgooseberryio/log.cpp
+++ b/src/libgooseberryio/log.cpp
@@ -94,7 +94,7 @@
     log4cxx::AppenderPtr appender;
     if (aSettings.mFile.empty()) {
       appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemErr());
+        layout, log4cxx::ConsoleAppender::getSystemOut());
     } else {
       appender =
         std::make_shared<log4cxx::FileAppender>(layout, aSettings.mFile, true);
--- a/src/libgooseberryio/log.h
+++ b/src/libgooseberryio/log.h
@@ -28,7 +28,7 @@
 struct log_settings
 {
   log_level mLevel = log_level::Info;
-  std::string mFile; ///< Appended to; empty: standard error.
+  std::string mFile; ///< Appended to; empty: standard output.
 };
 
 /** Sets up the process's log; an error where the file cannot be written. */
--- a/src/libgooseberryio/platform_client.h
+++ b/src/libgooseberryio/platform_client.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -69,6 +70,34 @@
 /** Reason of an error where it is unknown whether a write took effect. */
 inline constexpr const char* kUnsettled = "unsettled";
 
+/** Rows of the platform's table service; for any thread, and may block. */
+class table_store
+{
+public:
+  virtual ~table_store() = default;
+
+  virtual read_result ReadRow(const std::string& aTable,
+                              const std::string& aKey) = 0;
+  virtual list_result ListRows(const std::string& aTable) = 0;
+  /**
+   * Writes a row where its version is `aExpected` (`kAbsent`: there is none),
+   * or in any case where that is not given.
+   */
+  virtual write_result WriteRow(const std::string& aTable,
+                                const std::string& aKey,
+                                const std::string& aValue,
+                                std::optional<row_version> aExpected) = 0;
+  /** Deletes a row; one that is absent counts as deleted. */
+  virtual delete_result DeleteRow(const std::string& aTable,
+                                  const std::string& aKey,
+                                  std::optional<row_version> aExpected) = 0;
+  /** Ends retries, now and later; operations then fail early. */
+  virtual void Stop() = 0;
+};
+
+/** Makes a process's client of the store. */
+using store_factory = std::function<std::unique_ptr<table_store>()>;
+
 /**
  * The platform's table service and object store. For any thread; blocks up to
  * the budget. Failures are retried with jitter. A write whose answer was lost
@@ -76,33 +105,29 @@
  * wrote it: ours means success, another's a conflict. Where that cannot be
  * known, the error's reason begins with `kUnsettled`.
  */
-class platform_client
+class platform_client : public table_store
 {
 public:
   explicit platform_client(const platform_settings& aSettings);
-  ~platform_client();
+  ~platform_client() override;
   platform_client(const platform_client&) = delete;
   platform_client& operator=(const platform_client&) = delete;
 
-  read_result ReadRow(const std::string& aTable, const std::string& aKey);
-  list_result ListRows(const std::string& aTable);
-  /**
-   * Writes a row where its version is `aExpected` (`kAbsent`: there is none),
-   * or in any case where that is not given.
-   */
+  read_result ReadRow(const std::string& aTable,
+                      const std::string& aKey) override;
+  list_result ListRows(const std::string& aTable) override;
   write_result WriteRow(const std::string& aTable,
                         const std::string& aKey,
                         const std::string& aValue,
-                        std::optional<row_version> aExpected);
-  /** Deletes a row; one that is absent counts as deleted. */
-  delete_result DeleteRow(const std::string& aTable,
-                          const std::string& aKey,
-                          std::optional<row_version> aExpected = std::nullopt);
+                        std::optional<row_version> aExpected) override;
+  delete_result DeleteRow(
+    const std::string& aTable,
+    const std::string& aKey,
+    std::optional<row_version> aExpected = std::nullopt) override;
   put_result PutObject(const std::string& aName, const std::string& aBytes);
   get_result GetObject(const std::string& aName);
 
-  /** Ends retries, now and later; operations then fail early. */
-  void Stop();
+  void Stop() override;
 
 private:
   struct state;
--- a/src/libgooseberryio/program.cpp
+++ b/src/libgooseberryio/program.cpp
@@ -2,6 +2,7 @@
 
 #include "libgooseberry/configuration/ini_document.h"
 
+#include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -16,13 +17,22 @@
   " Exit codes: 0 done or drained, 2 bad command line or settings, 3 cannot "
   "start, 4 stopped at once by a second SIGTERM or SIGINT.";
 
+/** What the environment variable holds; empty where it is not set. */
+std::string
+FileOfVariable(const std::string& aName)
+{
+  const char* const file = std::getenv(aName.c_str());
+  return file == nullptr ? std::string() : std::string(file);
+}
+
 /** Reads the named file, or says why not. */
 std::variant<settings_file, exit_code>
 LoadSettings(const program& aProgram, const std::string& aName, bool aCheckOnly)
 {
   if (aName.empty()) {
     PrintError(aProgram,
-               { "read command line", "", "expected --settings FILE" });
+               { "read command line", "", "expected --settings FILE, or --settings-variable NAME "
+                 "with a variable that is set" });
     return exit_code::BadSettings;
   }
   auto text = ReadTextFile(aName);
@@ -45,6 +55,14 @@
     line.setExceptionHandling(false);
     TCLAP::ValueArg<std::string> settings(
       "s", "settings", "Settings of this process.", false, "", "FILE", line);
+    TCLAP::ValueArg<std::string> variable(
+      "",
+      "settings-variable",
+      "Environment variable that names the settings file.",
+      false,
+      "",
+      "NAME",
+      line);
     TCLAP::SwitchArg check(
       "", "check-settings", "Check the settings and end.", line);
     TCLAP::SwitchArg reference("",
@@ -57,7 +75,11 @@
       std::cout << aProgram.mReference;
       return exit_code::Ok;
     }
-    return LoadSettings(aProgram, settings.getValue(), check.getValue());
+    return LoadSettings(
+      aProgram,
+      variable.isSet() ? FileOfVariable(variable.getValue())
+                       : settings.getValue(),
+      check.getValue());
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus() == 0 ? exit_code::Ok : exit_code::BadSettings;
   } catch (const TCLAP::ArgException& problem) {
--- a/src/libgooseberryio/protocol/convert.h
+++ b/src/libgooseberryio/protocol/convert.h
@@ -28,6 +28,8 @@
 ToWire(const core::peer_ref& aPeer);
 wire::Ballot
 ToWire(const core::ballot& aBallot);
+wire::Resources
+ToWire(const core::resources& aResources);
 wire::TargetLoad
 ToWire(const core::target_load& aLoad);
 wire::AgentState
@@ -77,6 +79,8 @@
 FromWire(const wire::PeerRef& aPeer);
 core::ballot
 FromWire(const wire::Ballot& aBallot);
+core::resources
+FromWire(const wire::Resources& aResources);
 core::target_load
 FromWire(const wire::TargetLoad& aLoad);
 core::agent_state
--- a/src/libgooseberryio/protocol/from_wire.cpp
+++ b/src/libgooseberryio/protocol/from_wire.cpp
@@ -71,6 +71,14 @@
            .mEntry = Bits(aBallot.entry) };
 }
 
+core::resources
+FromWire(const wire::Resources& aResources)
+{
+  return { .mCpu = Count(aResources.cpu, "cpu"),
+           .mMemory = Count(aResources.memory, "memory"),
+           .mAccelerators = Count(aResources.accelerators, "accelerators") };
+}
+
 core::target_load
 FromWire(const wire::TargetLoad& aLoad)
 {
@@ -81,7 +89,9 @@
            .mQueued = Count(aLoad.queued, "queued"),
            .mConsecutiveFailures =
              Count(aLoad.consecutiveFailures, "consecutive failures"),
-           .mLeaving = aLoad.leaving };
+           .mLeaving = aLoad.leaving,
+           .mCapacity = FromWire(aLoad.capacity),
+           .mUsed = FromWire(aLoad.used) };
 }
 
 core::agent_state
@@ -118,7 +128,8 @@
            .mTarget = aStart.target,
            .mPayload = aStart.payload,
            .mPriority = aStart.priority,
-           .mMayQueue = aStart.mayQueue };
+           .mMayQueue = aStart.mayQueue,
+           .mNeeds = FromWire(aStart.needs) };
 }
 
 core::start_batch
@@ -187,7 +198,9 @@
 core::cancel_batch
 FromWire(const wire::CancelBatch& aBatch)
 {
-  return { .mEntry = FromWire(aBatch.entry), .mJobs = aBatch.jobs };
+  return { .mEntry = FromWire(aBatch.entry),
+           .mEntryAddress = aBatch.entryAddress,
+           .mJobs = aBatch.jobs };
 }
 
 core::fence_request
--- a/src/libgooseberryio/protocol/gooseberry.thrift
+++ b/src/libgooseberryio/protocol/gooseberry.thrift
@@ -9,9 +9,12 @@
 struct PeerRef { 1: string name; 2: i64 incarnation }
 struct Ballot { 1: i32 round; 2: i64 entry }
 
+struct Resources { 1: i32 cpu, 2: i32 memory, 3: i32 accelerators }
+
 struct TargetLoad {
   1: string name; 2: list<string> services; 3: i32 slots; 4: i32 running;
-  5: i32 queued; 6: i32 consecutiveFailures; 7: bool leaving
+  5: i32 queued; 6: i32 consecutiveFailures; 7: bool leaving;
+  8: Resources capacity; 9: Resources used
 }
 struct AgentState {
   1: PeerRef agent; 2: string address; 3: string failureDomain;
@@ -23,7 +26,8 @@
 struct TaskStart {
   1: string job; 2: i32 index; 3: i32 attempt; 4: Ballot ballot;
   5: i32 placement; 6: string serviceName; 7: string kind; 8: string target;
-  9: binary payload; 10: i64 priority; 11: bool mayQueue
+  9: binary payload; 10: i64 priority; 11: bool mayQueue;
+  12: Resources needs
 }
 struct StartBatch {
   1: PeerRef entry; 2: string entryAddress; 3: i64 agentIncarnation;
@@ -44,7 +48,9 @@
   5: map<string, string> entries
 }
 
-struct CancelBatch { 1: PeerRef entry; 2: list<string> jobs }
+struct CancelBatch {
+  1: PeerRef entry; 2: list<string> jobs; 3: string entryAddress
+}
 struct FenceRequest {
   1: PeerRef entry; 2: string entryAddress; 3: string job; 4: Ballot ballot
 }
--- a/src/libgooseberryio/protocol/to_wire.cpp
+++ b/src/libgooseberryio/protocol/to_wire.cpp
@@ -56,6 +56,16 @@
   return ballot;
 }
 
+wire::Resources
+ToWire(const core::resources& aResources)
+{
+  wire::Resources resources;
+  resources.cpu = Bits(aResources.mCpu);
+  resources.memory = Bits(aResources.mMemory);
+  resources.accelerators = Bits(aResources.mAccelerators);
+  return resources;
+}
+
 wire::TargetLoad
 ToWire(const core::target_load& aLoad)
 {
@@ -67,6 +77,8 @@
   load.queued = Bits(aLoad.mQueued);
   load.consecutiveFailures = Bits(aLoad.mConsecutiveFailures);
   load.leaving = aLoad.mLeaving;
+  load.capacity = ToWire(aLoad.mCapacity);
+  load.used = ToWire(aLoad.mUsed);
   return load;
 }
 
@@ -110,6 +122,7 @@
   start.payload = aStart.mPayload;
   start.priority = aStart.mPriority;
   start.mayQueue = aStart.mMayQueue;
+  start.needs = ToWire(aStart.mNeeds);
   return start;
 }
 
@@ -188,6 +201,7 @@
   wire::CancelBatch batch;
   batch.entry = ToWire(aBatch.mEntry);
   batch.jobs = aBatch.mJobs;
+  batch.entryAddress = aBatch.mEntryAddress;
   return batch;
 }
 
--- a/src/libgooseberryio/stop_signals.cpp
+++ b/src/libgooseberryio/stop_signals.cpp
@@ -22,6 +22,7 @@
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   return signals;
 }
 
@@ -55,6 +56,12 @@
   return mChanged.wait_for(lock, aTime, [this] { return mSignals > 0; });
 }
 
+bool
+stop_signals::TakeReload()
+{
+  return mReload.exchange(false);
+}
+
 void
 stop_signals::Watch()
 {
@@ -67,7 +74,9 @@
         return;
       }
     }
-    if (signal > 0) {
+    if (signal == SIGHUP) {
+      mReload = true;
+    } else if (signal > 0) {
       Take();
     }
   }
--- a/tests/agent/test_agent_daemon.cpp
+++ b/tests/agent/test_agent_daemon.cpp
@@ -118,6 +118,14 @@
   io::entry_server mServer;
 };
 
+io::platform_settings
+Platform()
+{
+  io::platform_settings platform;
+  platform.mUrl = std::string("http://") + kPlatform;
+  return platform;
+}
+
 agentd::daemon_settings
 Settings()
 {
@@ -128,7 +136,9 @@
   settings.mControl.mAnnounceInterval = 50ms;
   settings.mListen = kAgentPeers;
   settings.mHttp = kAgentHttp;
-  settings.mPlatform.mUrl = std::string("http://") + kPlatform;
+  settings.mMakeStore = [] {
+    return std::make_unique<io::platform_client>(Platform());
+  };
   return settings;
 }
 
@@ -159,7 +169,7 @@
   process_world()
   {
     BOOST_REQUIRE(!mPlatform.Start());
-    io::platform_client client(Settings().mPlatform);
+    io::platform_client client(Platform());
     const membership::member_row row{
       membership::role::Entry, { "entry-1", 3 }, kEntryPeers, "north"
     };
