--- a/src/libgooseberry/entry/dispatch.cpp
+++ b/src/libgooseberry/entry/dispatch.cpp
@@ -336,6 +336,8 @@
         { "service", aJob.mSubmission.mService },
         { "tasks", std::to_string(aJob.mTasks.size()) },
         { "round", std::to_string(aJob.mBallot.mRound) },
+        { "deadline_ms",
+          std::to_string(core::ToMilliseconds(aJob.mSubmission.mDeadline)) },
         { "waited_ms",
           std::to_string(core::ToMilliseconds(aNow - aJob.mArrived)) } });
 }
