--- a/src/libgooseberry/agent/admission.cpp
+++ b/src/libgooseberry/agent/admission.cpp
@@ -33,7 +33,8 @@
   }
   const bool hasFailed =
     record->mStarted.mState != core::record_state::Running &&
-    result.mEnd == core::task_end::Failed;
+    (result.mEnd == core::task_end::Failed ||
+     result.mEnd == core::task_end::Lost);
   if (hasFailed && aStart.mTry > result.mTry) {
     return std::nullopt;
   }
--- a/src/libgooseberry/agent/agent_control.h
+++ b/src/libgooseberry/agent/agent_control.h
@@ -97,10 +97,10 @@
   /** `Returned` only where the connection was refused before any byte was
    * sent; `Unknown` where the call ended without a definite answer. */
   core::task_end mEnd = core::task_end::Succeeded;
-  /** Of a `Returned` one: `NoTarget` where the target could not be reached. */
-  core::start_verdict mWhy = core::start_verdict::NoTarget;
   core::duration mRunTime{};
   std::string mPayload;
+  /** Of a `Returned` one: `NoTarget` where the target could not be reached. */
+  core::start_verdict mWhy = core::start_verdict::NoTarget;
 };
 
 agent_control
--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -135,9 +135,10 @@
   Failed,   ///< The target reported failure: a definite end.
   Returned, ///< Never started under this placement, and never will be.
   Unknown,  ///< Started; whether it ran to its end cannot be known.
+  Lost,     ///< Ended with its target or its lease, through no fault of its own.
 };
-inline constexpr enum_names<task_end, 4> kTaskEndNames{
-  { "succeeded", "failed", "returned", "unknown" }
+inline constexpr enum_names<task_end, 5> kTaskEndNames{
+  { "succeeded", "failed", "returned", "unknown", "lost" }
 };
 
 struct task_result
@@ -181,8 +182,8 @@
 struct cancel_batch
 {
   peer_ref mEntry;
-  std::string mEntryAddress;
   std::vector<std::string> mJobs;
+  std::string mEntryAddress{};
 };
 
 /** Entry to agent: from now on accept these jobs only from `mBallot` up. */
--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -18,6 +18,49 @@
 
 namespace {
 
+/** Whether a task that has failed once more may be started again. */
+bool
+TakeTry(entry_control& aControl,
+        const job::job& aJob,
+        const job::task& aTask,
+        core::instant aNow)
+{
+  if (!aJob.mSubmission.mIdempotent) {
+    return false;
+  }
+  // The tries that a queue grants are owed to each of its jobs.
+  if (aJob.mSubmission.mMaxTries > 0) {
+    return aTask.mFailures < aJob.mSubmission.mMaxTries;
+  }
+  return aTask.mTry < MaxTries(aControl, aJob) &&
+         quota::TakeRetry(aControl.mRetryBudget, aNow);
+}
+
+/** Makes a task wait again after a start that is over, for a new one. */
+void
+StartAgain(entry_control& aControl,
+           job::job& aJob,
+           std::uint32_t aIndex,
+           effects& aEffects)
+{
+  job::task& task = aJob.mTasks[aIndex];
+  const std::string failedOn =
+    task.mTarget ? aControl.mTargets.mTargets[*task.mTarget].mName : "";
+  if (task.mTarget) {
+    task.mAvoid.push_back(*task.mTarget);
+  }
+  ReturnTask(aControl, aJob, aIndex);
+  ++task.mTry;
+  ++aControl.mCounters.mRetries;
+  Log(aEffects,
+      "task_retried",
+      { { "job", aJob.mSubmission.mKey },
+        { "task", std::to_string(aIndex) },
+        { "try", std::to_string(task.mTry) },
+        { "failures", std::to_string(task.mFailures) },
+        { "failed_on", failedOn } });
+}
+
 /** Retries a definitely failed task, or ends its job. */
 void
 TakeFailure(entry_control& aControl,
@@ -28,20 +71,9 @@
 {
   const std::uint32_t index = aResult.mTask.mIndex;
   job::task& task = aJob.mTasks[index];
-  if (aJob.mSubmission.mIdempotent && task.mTry < MaxTries(aControl, aJob) &&
-      quota::TakeRetry(aControl.mRetryBudget, aNow)) {
-    if (task.mTarget) {
-      task.mAvoid.push_back(*task.mTarget);
-    }
-    ReturnTask(aControl, aJob, index);
-    ++task.mTry;
-    ++aControl.mCounters.mRetries;
-    Log(aEffects,
-        "task_retried",
-        { { "job", aResult.mTask.mJob },
-          { "task", std::to_string(index) },
-          { "try", std::to_string(task.mTry) },
-          { "failed_on", aResult.mTarget } });
+  ++task.mFailures;
+  if (TakeTry(aControl, aJob, task, aNow)) {
+    StartAgain(aControl, aJob, index, aEffects);
     return;
   }
   FailJob(
@@ -115,6 +147,9 @@
       ++aControl.mCounters.mRefusals[static_cast<std::size_t>(aResult.mWhy)];
       ReturnTask(aControl, *found, aResult.mTask.mIndex);
       break;
+    case core::task_end::Lost:
+      StartAgain(aControl, *found, aResult.mTask.mIndex, aEffects);
+      break;
     case core::task_end::Unknown:
       FailJob(aControl,
               *found,
@@ -182,8 +217,14 @@
   for (const core::task_ref& ref : tasks) {
     job::job* found = job::Find(aControl.mLedger, ref.mJob);
     if (found == nullptr || found->mPhase != job::phase::Running ||
-        found->mTasks[ref.mIndex].mAgent != aRun ||
-        found->mTasks[ref.mIndex].mState != job::task_state::Running) {
+        found->mTasks[ref.mIndex].mAgent != aRun) {
+      continue;
+    }
+    if (aControl.mOptions.mLeasedRuns) {
+      StartAgain(aControl, *found, ref.mIndex, aEffects);
+      continue;
+    }
+    if (found->mTasks[ref.mIndex].mState != job::task_state::Running) {
       continue;
     }
     FailJob(aControl,
@@ -197,4 +238,27 @@
   }
 }
 
+void
+EndEarlierRuns(entry_control& aControl,
+               const core::peer_ref& aAgent,
+               core::instant aNow,
+               effects& aEffects)
+{
+  const auto open = aControl.mAgentTasks.find(aAgent.mName);
+  if (open == aControl.mAgentTasks.end()) {
+    return;
+  }
+  std::set<core::peer_ref> ended;
+  for (const core::task_ref& ref : open->second) {
+    const job::job* found = job::Find(aControl.mLedger, ref.mJob);
+    if (found != nullptr && found->mPhase == job::phase::Running &&
+        found->mTasks[ref.mIndex].mAgent != aAgent) {
+      ended.insert(found->mTasks[ref.mIndex].mAgent);
+    }
+  }
+  for (const core::peer_ref& run : ended) {
+    OnAgentEnded(aControl, aAgent.mName, run, aNow, aEffects);
+  }
+}
+
 } // namespace gooseberry::entry
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -162,13 +162,22 @@
     Log(aEffects,
         "agent_replaced",
         { { "ended", ToString(ended) }, { "agent", ToString(aState.mAgent) } });
-    OnAgentEnded(aControl, ended.mName, ended, aNow, aEffects);
+    if (!aControl.mOptions.mLeasedRuns) {
+      OnAgentEnded(aControl, ended.mName, ended, aNow, aEffects);
+    }
   } else if (known && aState.mStamp < view.mState.mStamp) {
     return; // Overtaken by a later message.
   }
   view.mState = aState;
   view.mHeardAt = aNow;
   target::Observe(aControl.mTargets, aState, aNow);
+  const bool takesStarts = std::any_of(
+    aState.mTargets.begin(), aState.mTargets.end(), [](const auto& aTarget) {
+      return !aTarget.mLeaving;
+    });
+  if (aControl.mOptions.mLeasedRuns && takesStarts) {
+    EndEarlierRuns(aControl, aState.mAgent, aNow, aEffects);
+  }
 }
 
 core::entry_reply
@@ -241,8 +250,8 @@
     aEffects.emplace_back(
       send_cancel{ address,
                    { aControl.mSelf,
-                     aControl.mOptions.mAddress,
-                     std::move(jobs) } });
+                     std::move(jobs),
+                     aControl.mOptions.mAddress } });
   }
   aControl.mCancelOutbox.clear();
   for (auto& [address, answers] : aControl.mDeliverOutbox) {
--- a/src/libgooseberry/entry/internal.h
+++ b/src/libgooseberry/entry/internal.h
@@ -192,6 +192,14 @@
              core::instant aNow,
              effects& aEffects);
 
+/** An agent takes starts: what earlier runs of it had started is over. For
+ * targets that run tasks under leases. */
+void
+EndEarlierRuns(entry_control& aControl,
+               const core::peer_ref& aAgent,
+               core::instant aNow,
+               effects& aEffects);
+
 /** Adopts a configuration if it is newer; true if it was. */
 bool
 AdoptConfiguration(entry_control& aControl,
--- a/src/libgooseberry/entry/start_calls.cpp
+++ b/src/libgooseberry/entry/start_calls.cpp
@@ -89,6 +89,9 @@
   }
   if (aVerdict == core::start_verdict::WrongIncarnation &&
       aCall.mMaybeDelivered) {
+    if (aControl.mOptions.mLeasedRuns) {
+      return; // `EndEarlierRuns` starts it again once nothing of it can run.
+    }
     FailUnknown(aControl, *found, aCall.mAgent, aNow, aEffects);
     return;
   }
@@ -121,6 +124,9 @@
          core::instant aNow,
          effects& aEffects)
 {
+  if (aControl.mOptions.mLeasedRuns) {
+    return; // `EndEarlierRuns` starts them again once nothing of them can run.
+  }
   for (const core::task_start& start : aCall.mBatch.mStarts) {
     if (job::job* found = FindOpen(aControl, start)) {
       FailUnknown(aControl, *found, aCall.mAgent, aNow, aEffects);
--- a/src/libgooseberry/job/job.h
+++ b/src/libgooseberry/job/job.h
@@ -28,6 +28,7 @@
 {
   task_state mState = task_state::Waiting;
   std::uint32_t mTry = 1;
+  std::uint32_t mFailures = 0; ///< Definite ones, seen by this entry.
   std::uint32_t mPlacement = 0;
   std::optional<target::target_index> mTarget;
   core::peer_ref mAgent;
--- a/src/libgooseberry/lease/call.h
+++ b/src/libgooseberry/lease/call.h
@@ -2,6 +2,7 @@
 
 #include "libgooseberry/core/enum_names.h"
 #include "libgooseberry/core/identity.h"
+#include "libgooseberry/core/message.h"
 #include "libgooseberry/core/time.h"
 
 #include <chrono>
@@ -95,7 +96,7 @@
   std::uint64_t mNumber = 0; ///< From 1 in each life of the target.
   core::task_ref mTask;
   std::uint32_t mRun = 0;
-  bool mSucceeded = false;
+  core::task_end mEnd = core::task_end::Lost;
   std::string mHow; ///< The target's word for the end.
 };
 
--- a/src/libgooseberryio/protocol/from_wire.cpp
+++ b/src/libgooseberryio/protocol/from_wire.cpp
@@ -199,8 +199,8 @@
 FromWire(const wire::CancelBatch& aBatch)
 {
   return { .mEntry = FromWire(aBatch.entry),
-           .mEntryAddress = aBatch.entryAddress,
-           .mJobs = aBatch.jobs };
+           .mJobs = aBatch.jobs,
+           .mEntryAddress = aBatch.entryAddress };
 }
 
 core::fence_request
--- a/tests/libgooseberry/world.h
+++ b/tests/libgooseberry/world.h
@@ -205,6 +205,7 @@
   void Do(agent_process& aFrom, const agent::copy_fences_from& aEffect);
   void Do(agent_process& aFrom, const agent::read_rows& aEffect);
   void Do(agent_process& aFrom, const agent::write_row& aEffect);
+  void Do(agent_process&, const agent::call_target&) {}
   void Do(agent_process&, const agent::left&) {}
   void Do(agent_process&, const agent::log_event&) {}
 
