--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -132,8 +132,9 @@
   , mMembers(mSettings.mMakeStore(), MakeMemberHandlers(mControl))
   , mEntries(PoolSettings(mSettings))
   , mAgents(PoolSettings(mSettings))
-  , mParts{ mSettings, mControl, mRunner, mLink.get(), mMembers,
-            mEntries,  mAgents,  mMetrics, [this] { mHasLeft = true; } }
+  , mParts{ mSettings,   mControl, mRunner,
+            mLink.get(), mMembers, mEntries,
+            mAgents,     mMetrics, [this] { mHasLeft = true; } }
   , mPeerServer(mSettings.mListen, MakeHandlers(mControl))
   , mHttpServer(HttpSettings(mSettings))
 {
--- a/src/agent/agent_daemon.h
+++ b/src/agent/agent_daemon.h
@@ -60,8 +60,9 @@
  * before the process stops.
  */
 void
-Serve(agent_daemon& aDaemon,
-      io::stop_signals& aSignals,
-      const std::function<void()>& aBeforeStop = [] {});
+Serve(
+  agent_daemon& aDaemon,
+  io::stop_signals& aSignals,
+  const std::function<void()>& aBeforeStop = [] {});
 
 } // namespace gooseberry::agentd
--- a/src/agent/daemon_settings.h
+++ b/src/agent/daemon_settings.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "libgooseberry/agent/control_settings.h"
 #include "agent/target_link.h"
+#include "libgooseberry/agent/control_settings.h"
 #include "libgooseberryio/agent_settings.h"
 #include "libgooseberryio/platform_client.h"
 
--- a/src/entry/effect_runner.h
+++ b/src/entry/effect_runner.h
@@ -1,10 +1,10 @@
 #pragma once
 
 #include "entry/control_loop.h"
-#include "libgooseberry/entry/effects.h"
-#include "libgooseberryio/peer_pool.h"
 #include "entry/platform_worker.h"
 #include "entry/waiting_callers.h"
+#include "libgooseberry/entry/effects.h"
+#include "libgooseberryio/peer_pool.h"
 
 #include <atomic>
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -1,8 +1,8 @@
 #include "entry/entry_process.h"
 
+#include "entry/operator_api.h"
 #include "libgooseberryio/clock.h"
 #include "libgooseberryio/log.h"
-#include "entry/operator_api.h"
 
 #include <random>
 #include <thread>
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -77,8 +77,9 @@
  * `aBeforeStop` before the process stops.
  */
 void
-Serve(entry_process& aProcess,
-      io::stop_signals& aSignals,
-      const std::function<void()>& aBeforeStop = [] {});
+Serve(
+  entry_process& aProcess,
+  io::stop_signals& aSignals,
+  const std::function<void()>& aBeforeStop = [] {});
 
 } // namespace gooseberry::entry_program
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -24,7 +24,8 @@
     return static_cast<int>(io::exit_code::CannotStart);
   }
   io::stop_signals signals;
-  entry_program::entry_process process(entry_program::MakeProcessOptions(settings));
+  entry_program::entry_process process(
+    entry_program::MakeProcessOptions(settings));
   if (const auto error = process.Start()) {
     io::PrintError(program, *error);
     return static_cast<int>(io::exit_code::CannotStart);
--- a/src/entry/platform_effects.cpp
+++ b/src/entry/platform_effects.cpp
@@ -123,9 +123,8 @@
 {
   static_cast<void>(
     mPlatform.Post([row = aEffect.mRow](io::table_store& aClient) {
-      static_cast<void>(
-        aClient.DeleteRow(
-          io::kMembersTable, membership::RowKey(row), std::nullopt));
+      static_cast<void>(aClient.DeleteRow(
+        io::kMembersTable, membership::RowKey(row), std::nullopt));
     }));
 }
 
--- a/src/libgooseberry/agent/agent_control.h
+++ b/src/libgooseberry/agent/agent_control.h
@@ -36,9 +36,9 @@
   std::vector<std::string> mServices;
   std::uint32_t mSlots = 0;
   std::uint32_t mRunning = 0;
-  core::resources mCapacity; ///< All zero: only the slots bound it.
-  core::resources mUsed;     ///< By what runs or is being stopped.
-  double mMeanCpu = 0;       ///< Of the tasks started lately; zero: none yet.
+  core::resources mCapacity;   ///< All zero: only the slots bound it.
+  core::resources mUsed;       ///< By what runs or is being stopped.
+  double mMeanCpu = 0;         ///< Of the tasks started lately; zero: none yet.
   std::uint64_t mSequence = 0; ///< Of the latest registration.
   std::uint32_t mConsecutiveFailures = 0;
   /** Set where the target runs tasks under leases. */
--- a/src/libgooseberry/agent/leased_runs.cpp
+++ b/src/libgooseberry/agent/leased_runs.cpp
@@ -47,8 +47,7 @@
       OnTaskEnded(aControl, ToReport(*end), aNow, aOut);
     } else {
       const auto& change = std::get<lease::target_change>(effect);
-      LogEvent(
-        agent_event::TargetChanged, aTarget, change.mWhat, aOut);
+      LogEvent(agent_event::TargetChanged, aTarget, change.mWhat, aOut);
       WantAllAnnounces(aControl.mEntries);
     }
   }
@@ -266,8 +265,7 @@
   };
   for (auto& [name, target] : aControl.mTargets) {
     if (target.mLeased) {
-      StopRuns(
-        aControl, *target.mLeased, isCancelled, "cancelled", aNow, aOut);
+      StopRuns(aControl, *target.mLeased, isCancelled, "cancelled", aNow, aOut);
     }
   }
 }
--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -135,7 +135,7 @@
   Failed,   ///< The target reported failure: a definite end.
   Returned, ///< Never started under this placement, and never will be.
   Unknown,  ///< Started; whether it ran to its end cannot be known.
-  Lost,     ///< Ended with its target or its lease, through no fault of its own.
+  Lost, ///< Ended with its target or its lease, through no fault of its own.
 };
 inline constexpr enum_names<task_end, 5> kTaskEndNames{
   { "succeeded", "failed", "returned", "unknown", "lost" }
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -171,10 +171,10 @@
   view.mState = aState;
   view.mHeardAt = aNow;
   target::Observe(aControl.mTargets, aState, aNow);
-  const bool takesStarts = std::any_of(
-    aState.mTargets.begin(), aState.mTargets.end(), [](const auto& aTarget) {
-      return !aTarget.mLeaving;
-    });
+  const bool takesStarts =
+    std::any_of(aState.mTargets.begin(),
+                aState.mTargets.end(),
+                [](const auto& aTarget) { return !aTarget.mLeaving; });
   if (aControl.mOptions.mLeasedRuns && takesStarts) {
     EndEarlierRuns(aControl, aState.mAgent, aNow, aEffects);
   }
@@ -247,11 +247,9 @@
   aControl.mFenceOutbox.clear();
   for (auto& [address, jobs] : aControl.mCancelOutbox) {
     aControl.mCounters.mCancels += jobs.size();
-    aEffects.emplace_back(
-      send_cancel{ address,
-                   { aControl.mSelf,
-                     std::move(jobs),
-                     aControl.mOptions.mAddress } });
+    aEffects.emplace_back(send_cancel{
+      address,
+      { aControl.mSelf, std::move(jobs), aControl.mOptions.mAddress } });
   }
   aControl.mCancelOutbox.clear();
   for (auto& [address, answers] : aControl.mDeliverOutbox) {
--- a/src/libgooseberry/entry/joining.cpp
+++ b/src/libgooseberry/entry/joining.cpp
@@ -95,7 +95,8 @@
   joining& state = aControl.mJoining;
   const bool isUnlisted =
     aControl.mOptions.mLeasedRuns && !IsRegistered(aControl);
-  if ((state.mStage == join_stage::Registering || isUnlisted) && aNow >= state.mNextRound) {
+  if ((state.mStage == join_stage::Registering || isUnlisted) &&
+      aNow >= state.mNextRound) {
     state.mNextRound = aNow + kWriteAgainAfter;
     aEffects.emplace_back(write_member{ OwnRow(aControl) });
   } else if (state.mStage == join_stage::Copying && aNow >= state.mNextRound) {
--- a/src/libgooseberry/entry/submit.cpp
+++ b/src/libgooseberry/entry/submit.cpp
@@ -267,12 +267,12 @@
   if (!left->mWaiters.empty() || !aControl.mOptions.mLeasedRuns) {
     return;
   }
-  Log(aEffects,
-      "caller_left",
-      { { "job", aKey },
-        { "ended", std::to_string(left->mEnded) },
-        { "ms",
-          std::to_string(core::ToMilliseconds(aNow - left->mArrived)) } });
+  Log(
+    aEffects,
+    "caller_left",
+    { { "job", aKey },
+      { "ended", std::to_string(left->mEnded) },
+      { "ms", std::to_string(core::ToMilliseconds(aNow - left->mArrived)) } });
   GiveUp(aControl,
          *left,
          { "run job", "", "the caller left" },
--- a/src/libgooseberry/job/submission.h
+++ b/src/libgooseberry/job/submission.h
@@ -32,7 +32,7 @@
   std::uint32_t mAttempt = kAttemptUnknown;
   bool mIdempotent = false;
   std::uint32_t mMaxTries = 0; ///< Starts of a task; 0: as its service says.
-  core::duration mDeadline{}; ///< From arrival; always set.
+  core::duration mDeadline{};  ///< From arrival; always set.
   std::vector<task_description> mTasks;
   /** Of service, idempotence and tasks: the same name must mean the same. */
   std::uint64_t mContentHash = 0;
--- a/src/libgooseberry/lease/call.h
+++ b/src/libgooseberry/lease/call.h
@@ -49,9 +49,9 @@
 struct renew_call
 {
   call_header mHeader;
-  target_time mLeaseUntil{};   ///< Zero: the lease stays as it is.
-  std::uint64_t mLastEnd = 0;  ///< Ends up to this number may be forgotten.
-  core::duration mWait{};      ///< For an end, where there is none yet.
+  target_time mLeaseUntil{};  ///< Zero: the lease stays as it is.
+  std::uint64_t mLastEnd = 0; ///< Ends up to this number may be forgotten.
+  core::duration mWait{};     ///< For an end, where there is none yet.
 };
 
 using call = std::variant<start_call, stop_call, renew_call>;
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -66,10 +66,7 @@
 }
 
 void
-SendStart(leased_target& aTarget,
-          run& aRun,
-          core::instant aNow,
-          effects& aOut)
+SendStart(leased_target& aTarget, run& aRun, core::instant aNow, effects& aOut)
 {
   aRun.mState = run_state::Starting;
   aRun.mSentAt = aNow;
@@ -89,8 +86,7 @@
          std::uint32_t aRun,
          effects& aOut)
 {
-  aOut.emplace_back(
-    call(stop_call{ HeaderFor(aTarget), aTask, aRun }));
+  aOut.emplace_back(call(stop_call{ HeaderFor(aTarget), aTask, aRun }));
 }
 
 /** Takes a run out and reports how it ended. */
@@ -123,13 +119,7 @@
        core::instant aNow,
        effects& aOut)
 {
-  End(aTarget,
-      aTask,
-      task_end::Returned,
-      aWhy,
-      std::move(aDetail),
-      aNow,
-      aOut);
+  End(aTarget, aTask, task_end::Returned, aWhy, std::move(aDetail), aNow, aOut);
 }
 
 /** The run of a call, unless it is over or was started anew since. */
@@ -282,8 +272,8 @@
     until = ExtendLease(aTarget, aTarget.mSettings.mLease, aNow);
   }
   aTarget.mRenewing = true;
-  aOut.emplace_back(call(renew_call{
-    HeaderFor(aTarget, wait), until, aTarget.mLastEnd, wait }));
+  aOut.emplace_back(call(
+    renew_call{ HeaderFor(aTarget, wait), until, aTarget.mLastEnd, wait }));
 }
 
 /** Whether every lease that was asked for has lapsed for certain. */
@@ -376,8 +366,7 @@
       started->mAnsweredAt = aNow;
       break;
     case start_answer::Superseded:
-      if (started->mStopWanted ||
-          ++started->mRenumberings > kMaxRenumberings) {
+      if (started->mStopWanted || ++started->mRenumberings > kMaxRenumberings) {
         return giveBack(start_verdict::Cancelled);
       }
       started->mRun += started->mRenumberings;
--- a/src/libgooseberry/lease/leased_target.h
+++ b/src/libgooseberry/lease/leased_target.h
@@ -141,7 +141,9 @@
 
 /** A stop call was carried out; an unanswered one needs no report. */
 void
-OnStopAnswer(leased_target& aTarget, const stop_call& aCall, core::instant aNow);
+OnStopAnswer(leased_target& aTarget,
+             const stop_call& aCall,
+             core::instant aNow);
 
 void
 OnReport(leased_target& aTarget,
--- a/src/libgooseberryio/entry_settings.h
+++ b/src/libgooseberryio/entry_settings.h
@@ -33,10 +33,10 @@
   bool mTrustFirstAttempt = false;
   core::duration mDeduplicationWindow{};
   core::duration mFreshnessBound{};
-  core::duration mPeerDeadline{}; ///< Of one call to a peer.
-  core::duration mHeartbeat{};    ///< Between two heartbeats.
-  bool mLeasedRuns = false;       ///< Targets run tasks under leases.
-  core::duration mAgentLost{};    ///< An agent not heard for longer is lost.
+  core::duration mPeerDeadline{};  ///< Of one call to a peer.
+  core::duration mHeartbeat{};     ///< Between two heartbeats.
+  bool mLeasedRuns = false;        ///< Targets run tasks under leases.
+  core::duration mAgentLost{};     ///< An agent not heard for longer is lost.
   core::duration mMembersPeriod{}; ///< Between two reads of the member rows.
 };
 
--- a/src/libgooseberryio/metrics.cpp
+++ b/src/libgooseberryio/metrics.cpp
@@ -80,8 +80,7 @@
 {
   WriteHead(aText, aFamily.mName, aFamily.mType, aFamily.mHelp);
   for (const auto& [label, value] : aFamily.mValues) {
-    aText << "gooseberry_" << aFamily.mName << "{process=\"" << aProcess
-          << '"';
+    aText << "gooseberry_" << aFamily.mName << "{process=\"" << aProcess << '"';
     if (*aFamily.mLabel != '\0') {
       aText << ',' << aFamily.mLabel << "=\"" << label << '"';
     }
@@ -132,12 +131,20 @@
                         "Response time of jobs over the ideal one",
                         { kOverIdeal.begin(), kOverIdeal.end() } };
   family mJobs{ "jobs_total", "counter", "Jobs by outcome", "outcome" };
-  family mStarts{ "starts_total", "counter", "Tasks started", "", { { "", 0 } } };
+  family mStarts{ "starts_total",
+                  "counter",
+                  "Tasks started",
+                  "",
+                  { { "", 0 } } };
   family mRefusals{ "refusals_total",
                     "counter",
                     "Refusals by reason",
                     "reason" };
-  family mRetries{ "retries_total", "counter", "Tasks retried", "", { { "", 0 } } };
+  family mRetries{ "retries_total",
+                   "counter",
+                   "Tasks retried",
+                   "",
+                   { { "", 0 } } };
   family mWastedMessages{
     "wasted_messages_total",
     "counter",
@@ -149,7 +156,11 @@
                     "counter",
                     "Messages about tasks and jobs, by type",
                     "type" };
-  family mQueueLength{ "queue_length", "gauge", "Tasks that wait", "", { { "", 0 } } };
+  family mQueueLength{ "queue_length",
+                       "gauge",
+                       "Tasks that wait",
+                       "",
+                       { { "", 0 } } };
   family mGeneration{ "configuration_generation",
                       "gauge",
                       "Generation of the configuration in force",
--- a/src/libgooseberryio/program.cpp
+++ b/src/libgooseberryio/program.cpp
@@ -31,7 +31,9 @@
 {
   if (aName.empty()) {
     PrintError(aProgram,
-               { "read command line", "", "expected --settings FILE, or --settings-variable NAME "
+               { "read command line",
+                 "",
+                 "expected --settings FILE, or --settings-variable NAME "
                  "with a variable that is set" });
     return exit_code::BadSettings;
   }
@@ -75,11 +77,10 @@
       std::cout << aProgram.mReference;
       return exit_code::Ok;
     }
-    return LoadSettings(
-      aProgram,
-      variable.isSet() ? FileOfVariable(variable.getValue())
-                       : settings.getValue(),
-      check.getValue());
+    return LoadSettings(aProgram,
+                        variable.isSet() ? FileOfVariable(variable.getValue())
+                                         : settings.getValue(),
+                        check.getValue());
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus() == 0 ? exit_code::Ok : exit_code::BadSettings;
   } catch (const TCLAP::ArgException& problem) {
--- a/src/libgooseberryio/program.h
+++ b/src/libgooseberryio/program.h
@@ -34,7 +34,8 @@
 };
 
 /**
- * Reads `--settings FILE`, `--settings-variable NAME`, `--check-settings`, `--print-settings-reference`,
+ * Reads `--settings FILE`, `--settings-variable NAME`, `--check-settings`,
+ * `--print-settings-reference`,
  * `--version` and `--help`. What can be answered at once is, on the standard
  * streams, and gives an exit code.
  */
--- a/src/libgooseberryio/stop_signals.h
+++ b/src/libgooseberryio/stop_signals.h
@@ -12,8 +12,9 @@
 
 /**
  * Turns SIGTERM and SIGINT into requests: the first to drain, the second to
- * stop at once. SIGHUP asks for the settings to be read again. To be made before any other thread, so that all threads
- * inherit the blocked signals. SIGPIPE is ignored from then on.
+ * stop at once. SIGHUP asks for the settings to be read again. To be made
+ * before any other thread, so that all threads inherit the blocked signals.
+ * SIGPIPE is ignored from then on.
  */
 class stop_signals
 {
--- a/tests/libgooseberryio/test_convert.cpp
+++ b/tests/libgooseberryio/test_convert.cpp
@@ -86,7 +86,8 @@
     reply.mVerdicts.push_back(static_cast<core::start_verdict>(i));
   }
   CheckRoundTrip(reply);
-  CheckRoundTrip(core::cancel_batch{ { "entry-1", 1 }, { "team/job" }, "127.0.0.1:1" });
+  CheckRoundTrip(
+    core::cancel_batch{ { "entry-1", 1 }, { "team/job" }, "127.0.0.1:1" });
   CheckRoundTrip(core::fence_request{
     { "entry-1", 1 }, "127.0.0.1:2", "team/job", { 2, 1 } });
   CheckRoundTrip(core::fence_reply{
