--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -1,6 +1,7 @@
 #include "agent/agent_daemon.h"
 
 #include "agent/target_api.h"
+#include "libgooseberryio/log.h"
 
 #include <algorithm>
 #include <thread>
@@ -162,6 +163,11 @@
   mControl.Start([this](agent::effect aEffect) {
     return Perform(mParts, std::move(aEffect));
   });
+  io::log_event("agent_started")
+    .Add("agent", mSettings.mControl.mAgent.mName)
+    .Add("incarnation", mSettings.mControl.mAgent.mIncarnation)
+    .Add("http", mSettings.mHttp)
+    .Add("peers", mSettings.mListen);
   return std::nullopt;
 }
 
@@ -230,6 +236,7 @@
   }
   aBeforeStop();
   aDaemon.Stop();
+  const io::log_event stopped("agent_stopped");
 }
 
 } // namespace gooseberry::agentd
--- a/src/agent/main.cpp
+++ b/src/agent/main.cpp
@@ -33,6 +33,7 @@
     return io::exit_code::CannotStart;
   }
   agentd::Serve(daemon, signals);
+  io::CloseLog();
   return io::exit_code::Ok;
 }
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -198,6 +198,7 @@
   }
   aBeforeStop();
   aProcess.Stop();
+  const io::log_event stopped("entry_stopped");
 }
 
 } // namespace gooseberry::entry_program
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -19,11 +19,11 @@
     return static_cast<int>(*code);
   }
   const auto& settings = std::get<io::entry_settings>(read);
+  io::stop_signals signals; // Before any thread: see there.
   if (const auto error = io::SetUpLog(settings.mLog)) {
     io::PrintError(program, *error);
     return static_cast<int>(io::exit_code::CannotStart);
   }
-  io::stop_signals signals;
   entry_program::entry_process process(
     entry_program::MakeProcessOptions(settings));
   if (const auto error = process.Start()) {
@@ -31,6 +31,6 @@
     return static_cast<int>(io::exit_code::CannotStart);
   }
   entry_program::Serve(process, signals);
-  const io::log_event stopped("entry_stopped");
+  io::CloseLog();
   return static_cast<int>(io::exit_code::Ok);
 }
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -34,15 +34,23 @@
   return clock + duration_cast<target_time>(aNow - arrivedAt);
 }
 
+/** The lapse margin on the target's clock. */
+target_time
+Margin(const leased_target& aTarget)
+{
+  return duration_cast<target_time>(aTarget.mSettings.mLapseMargin);
+}
+
 /** When the target's clock has passed `aTime` for certain. */
 core::instant
 PassedAt(const leased_target& aTarget, target_time aTime)
 {
   const auto& [clock, askedAt, arrivedAt] = *aTarget.mClock;
-  const auto left = std::max(aTime - clock, target_time::zero());
+  const auto left =
+    std::max(aTime + Margin(aTarget) - clock, target_time::zero());
   const auto slowest = duration_cast<core::duration>(
     std::chrono::duration<double, std::milli>(left) * (1 + kMaxClockDrift));
-  return arrivedAt + slowest + aTarget.mSettings.mLapseMargin;
+  return arrivedAt + slowest;
 }
 
 void
@@ -238,7 +246,7 @@
       gone.push_back(task);
     } else if (run.mState == run_state::Uncertain &&
                ((run.mStopAnsweredAt && *run.mStopAnsweredAt <= aAskedAt) ||
-                aAskedAt >= PassedAt(aTarget, run.mValidUntil))) {
+                aReport.mClock >= run.mValidUntil + Margin(aTarget))) {
       neverStarted.push_back(task);
     }
   }
--- a/src/libgooseberryio/log.cpp
+++ b/src/libgooseberryio/log.cpp
@@ -3,9 +3,11 @@
 #include <atomic>
 #include <exception>
 #include <fstream>
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
 namespace gooseberry::io {
@@ -71,6 +73,24 @@
   }
 }
 
+/** Lines that may wait for a reader of standard output. */
+constexpr int kMaxWaitingLines = 4'096;
+
+/**
+ * Standard output may be a pipe that nobody reads: lines wait in a buffer, and
+ * beyond it they are dropped and counted in a line of their own.
+ */
+log4cxx::AppenderPtr
+StandardOutput(const log4cxx::LayoutPtr& aLayout)
+{
+  auto buffered = std::make_shared<log4cxx::AsyncAppender>();
+  buffered->setBufferSize(kMaxWaitingLines);
+  buffered->setBlocking(false);
+  buffered->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
+    aLayout, log4cxx::ConsoleAppender::getSystemOut()));
+  return buffered;
+}
+
 /** The library itself does not say so. */
 bool
 CanAppendTo(const std::string& aFile)
@@ -112,6 +132,13 @@
   return std::nullopt;
 }
 
+void
+CloseLog()
+{
+  sLevel = log_level::Off;
+  log4cxx::LogManager::shutdown();
+}
+
 bool
 IsLogged(log_level aLevel)
 {
--- a/src/libgooseberryio/log.h
+++ b/src/libgooseberryio/log.h
@@ -31,10 +31,15 @@
   std::string mFile; ///< Appended to; empty: standard output.
 };
 
-/** Sets up the process's log; an error where the file cannot be written. */
+/** Sets up the process's log; an error where the file cannot be written.
+ * Writing to standard output never waits for its reader. */
 std::optional<core::error>
 SetUpLog(const log_settings& aSettings);
 
+/** Writes what waits and ends the log; before the process ends. */
+void
+CloseLog();
+
 /** Whether events of a level are written. */
 bool
 IsLogged(log_level aLevel);
--- /dev/null
+++ b/tests/libgooseberry/test_agent_leased.cpp
@@ -0,0 +1,207 @@
+#include "libgooseberry/agent/leased_runs.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::instant kStart{ 100s };
+constexpr const char* kFirstEntry = "127.0.0.1:11";
+constexpr const char* kSecondEntry = "127.0.0.1:12";
+constexpr core::resources kTwoCores{ 2'000, 64, 0 };
+
+/** An agent with one target of four cores, ready for starts. */
+struct leased_agent
+{
+  agent::agent_control mControl;
+  agent::effects mEffects;
+  core::instant mNow = kStart;
+  std::uint64_t mSequence = 0;
+
+  leased_agent()
+  {
+    agent::control_settings settings;
+    settings.mAgent = { "agent", 5 };
+    settings.mFailureDomain = "north";
+    settings.mLeasedRuns = true;
+    settings.mQueuePerTarget = 0;
+    mControl = agent::MakeControl(settings);
+    configuration::desired_state state;
+    state.mName = "test";
+    state.mFailureDomains["north"].mRegion = "r";
+    state.mServices["press"].mTargets = { "*" };
+    agent::OnConfiguration(
+      mControl, { 1, configuration::Format(state) }, mNow, mEffects);
+    Register(false);
+    Report();
+  }
+
+  bool Register(bool aIsDraining, std::uint64_t aLife = 7)
+  {
+    agent::target_announcement announcement;
+    announcement.mName = "t-1";
+    announcement.mAddress = "127.0.0.1:1";
+    announcement.mServices = { "press" };
+    announcement.mSlots = 8;
+    announcement.mLease = 5s;
+    announcement.mCapacity = { 4'000, 1'024, 0 };
+    return agent::OnLeasedTarget(
+      mControl,
+      announcement,
+      { "t-1", "127.0.0.1:1", aLife, 1'000ms, ++mSequence },
+      aIsDraining,
+      mNow,
+      mEffects);
+  }
+
+  void Report(std::vector<lease::listed_run> aRunning = {},
+              std::vector<lease::listed_end> aEnded = {})
+  {
+    agent::OnTargetReport(
+      mControl,
+      "t-1",
+      { 1'000ms, 7, std::move(aRunning), std::move(aEnded) },
+      mNow,
+      mNow,
+      mEffects);
+  }
+
+  core::start_verdict Start(const std::string& aJob,
+                            std::uint64_t aEntry,
+                            const char* aAddress,
+                            std::uint32_t aIndex = 0)
+  {
+    core::start_batch batch;
+    batch.mEntry = { aAddress, aEntry };
+    batch.mEntryAddress = aAddress;
+    batch.mAgentIncarnation = 5;
+    batch.mAgentStamp = mNow;
+    core::task_start start;
+    start.mTask = { aJob, aIndex };
+    start.mBallot = { 1, aEntry };
+    start.mPlacement = ++mPlacements;
+    start.mService = "press";
+    start.mTarget = "t-1";
+    start.mMayQueue = false;
+    start.mNeeds = kTwoCores;
+    batch.mStarts = { start };
+    return agent::OnStart(mControl, batch, mNow, mEffects).mVerdicts.front();
+  }
+
+  void Hear(const char* aAddress)
+  {
+    agent::OnAnnounceAnswered(mControl, aAddress, {}, mNow, mNow, mEffects);
+  }
+
+  /** Calls of a kind since the effects were last cleared. */
+  template<typename Call>
+  std::size_t Count() const
+  {
+    std::size_t count = 0;
+    for (const agent::effect& effect : mEffects) {
+      const auto* call = std::get_if<agent::call_target>(&effect);
+      count +=
+        call != nullptr && std::holds_alternative<Call>(call->mCall) ? 1 : 0;
+    }
+    return count;
+  }
+
+  std::uint32_t mPlacements = 0;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(agent_leased, leased_agent)
+
+BOOST_AUTO_TEST_CASE(starts_are_bounded_by_what_the_target_has)
+{
+  BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::Accepted));
+  BOOST_TEST((Start("b", 1, kFirstEntry) == core::start_verdict::Accepted));
+  BOOST_TEST((Start("c", 1, kFirstEntry) == core::start_verdict::Busy));
+}
+
+BOOST_AUTO_TEST_CASE(what_is_being_stopped_still_takes_room)
+{
+  Start("a", 1, kFirstEntry);
+  Start("b", 1, kFirstEntry);
+  mEffects.clear();
+  agent::OnCancel(
+    mControl, { { "e", 1 }, { "a" }, kFirstEntry }, mNow, mEffects);
+  BOOST_TEST(Count<lease::stop_call>() == 1U);
+  BOOST_TEST((Start("c", 1, kFirstEntry) == core::start_verdict::Busy));
+  Report({ { { "b", 0 }, 1 } },
+         { { 1, { "a", 0 }, 1, core::task_end::Lost, "stopped" } });
+  BOOST_TEST((Start("d", 1, kFirstEntry) == core::start_verdict::Accepted));
+}
+
+BOOST_AUTO_TEST_CASE(what_runs_for_a_silent_entry_is_stopped)
+{
+  Start("a", 1, kFirstEntry);
+  Start("b", 2, kSecondEntry);
+  mNow += 900ms;
+  Hear(kSecondEntry);
+  mEffects.clear();
+  agent::Tick(mControl, mNow, mEffects);
+  BOOST_TEST(Count<lease::stop_call>() == 0U);
+  mNow += 101ms;
+  agent::TickLeases(mControl, mNow, mEffects);
+  BOOST_TEST(Count<lease::stop_call>() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(another_entry_may_start_a_task_again_once_it_is_over)
+{
+  Start("a", 9, kFirstEntry);
+  Report({}, { { 1, { "a", 0 }, 1, core::task_end::Lost, "stopped" } });
+  // Its incarnation is lower; that means nothing where runs end by lease.
+  BOOST_TEST((Start("a", 2, kSecondEntry) == core::start_verdict::Accepted));
+}
+
+BOOST_AUTO_TEST_CASE(a_cancellation_by_the_entry_before_stops_nothing)
+{
+  Start("a", 1, kFirstEntry);
+  BOOST_TEST(
+    (Start("a", 2, kSecondEntry) == core::start_verdict::AlreadyStarted));
+  mEffects.clear();
+  agent::OnCancel(
+    mControl, { { "e", 1 }, { "a" }, kFirstEntry }, mNow, mEffects);
+  BOOST_TEST(Count<lease::stop_call>() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_target_takes_nothing_and_stays_so)
+{
+  Register(true);
+  BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::Leaving));
+  Register(false);
+  BOOST_TEST((Start("b", 1, kFirstEntry) == core::start_verdict::Leaving));
+}
+
+BOOST_AUTO_TEST_CASE(a_registration_of_an_earlier_life_changes_nothing)
+{
+  Register(true, 6);
+  BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::Accepted));
+}
+
+BOOST_AUTO_TEST_CASE(a_start_that_was_under_way_for_long_is_refused)
+{
+  const auto sentAt = mNow;
+  mNow += 2'001ms;
+  Register(false);
+  Report();
+  core::start_batch batch;
+  batch.mEntry = { "e", 1 };
+  batch.mEntryAddress = kFirstEntry;
+  batch.mAgentIncarnation = 5;
+  batch.mAgentStamp = sentAt;
+  core::task_start start;
+  start.mTask = { "late", 0 };
+  start.mService = "press";
+  start.mTarget = "t-1";
+  batch.mStarts = { start };
+  BOOST_TEST(
+    (agent::OnStart(mControl, batch, mNow, mEffects).mVerdicts.front() ==
+     core::start_verdict::Stale));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgooseberryio/test_convert.cpp
+++ b/tests/libgooseberryio/test_convert.cpp
@@ -149,7 +149,8 @@
   constexpr auto kVerdicts =
     static_cast<std::int8_t>(core::kStartVerdictNames.mNames.size());
   auto result = io::ToWire(SampleResult());
-  for (const int value : { -1, 4, 127 }) {
+  constexpr int kEnds = core::kTaskEndNames.mNames.size();
+  for (const int value : { -1, kEnds, 127 }) {
     result.ending = static_cast<std::int8_t>(value);
     BOOST_CHECK_THROW(io::FromWire(result), io::wire_value_error);
   }
