--- a/src/libgooseberryio/log.cpp
+++ b/src/libgooseberryio/log.cpp
@@ -113,8 +113,7 @@
       std::make_shared<log4cxx::PatternLayout>(log4cxx::LogString(kPattern));
     log4cxx::AppenderPtr appender;
     if (aSettings.mFile.empty()) {
-      appender = std::make_shared<log4cxx::ConsoleAppender>(
-        layout, log4cxx::ConsoleAppender::getSystemOut());
+      appender = StandardOutput(layout);
     } else {
       appender =
         std::make_shared<log4cxx::FileAppender>(layout, aSettings.mFile, true);
