--- a/src/libgooseberry/entry/dispatch.cpp
+++ b/src/libgooseberry/entry/dispatch.cpp
@@ -269,6 +269,40 @@
   }
 }
 
+/** Longest expected run time of the job's waiting tasks. */
+core::duration
+LongestWaiting(const job::job& aJob)
+{
+  core::duration longest{};
+  for (const std::uint32_t index : aJob.mWaiting) {
+    longest = std::max(longest, aJob.mTasks[index].mExpected);
+  }
+  return longest;
+}
+
+/** The job can only be late: it waits for as long as that is of use. */
+void
+NoteLate(entry_control& aControl,
+         const job::job& aJob,
+         core::instant aNow,
+         effects& aEffects)
+{
+  // Beyond it, a caller has no use for the answer.
+  constexpr int kUsefulObjectives = 3;
+  const core::instant end =
+    std::min(aJob.mDeadline,
+             aJob.mArrived + kUsefulObjectives * aJob.mSubmission.mObjective);
+  aControl.mGiveUps.emplace(end - LongestWaiting(aJob), aJob.mSubmission.mKey);
+  Log(aEffects,
+      "job_late",
+      { { "job", aJob.mSubmission.mKey },
+        { "waiting", std::to_string(aJob.mWaiting.size()) },
+        { "objective_ms",
+          std::to_string(core::ToMilliseconds(aJob.mSubmission.mObjective)) },
+        { "waited_ms",
+          std::to_string(core::ToMilliseconds(aNow - aJob.mArrived)) } });
+}
+
 } // namespace
 
 void
@@ -277,6 +311,10 @@
   if (aControl.mReady.mServices.empty() || !IsFresh(aControl, aNow)) {
     return;
   }
+  for (const std::string& late : job::DemoteLate(
+         aControl.mReady, aControl.mOptions.mOrder, aControl.mLedger, aNow)) {
+    NoteLate(aControl, *job::Find(aControl.mLedger, late), aNow, aEffects);
+  }
   batches batches;
   std::vector<std::string> emptied;
   std::optional<std::int64_t> backlog;
@@ -327,6 +365,11 @@
     aJob, target::TotalSlots(aControl.mTargets, aJob.mSubmission.mService));
   aJob.mRemainingWork = job::RemainingWork(aJob);
   job::QueueWaitingTasks(aJob);
+  const core::duration objective = aJob.mSubmission.mObjective;
+  aJob.mLatestStart =
+    (objective > core::duration::zero() ? aJob.mArrived + objective
+                                        : aJob.mDeadline) -
+    LongestWaiting(aJob);
   aControl.mTeams[aJob.mSubmission.mTeam].mWaiting +=
     static_cast<std::uint32_t>(aJob.mWaiting.size());
   UpdateOrder(aControl, aJob);
--- a/src/libgooseberry/entry/entry_control.cpp
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -82,6 +82,27 @@
   }
 }
 
+/** Refuses late jobs of which nothing can be started in time any more. */
+void
+TickGiveUps(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  while (!aControl.mGiveUps.empty() &&
+         aControl.mGiveUps.begin()->first <= aNow) {
+    const std::string key = aControl.mGiveUps.begin()->second;
+    aControl.mGiveUps.erase(aControl.mGiveUps.begin());
+    job::job* late = job::Find(aControl.mLedger, key);
+    if (late != nullptr && late->mPhase == job::phase::Running && late->mLate &&
+        !job::MayHaveStarted(*late)) {
+      RefuseJob(aControl,
+                *late,
+                { "place job", "", "overloaded: no start in useful time" },
+                kStatusUnavailable,
+                aNow,
+                aEffects);
+    }
+  }
+}
+
 /** Ends what ran on agents that nobody has heard for too long. */
 void
 TickLostAgents(entry_control& aControl, core::instant aNow, effects& aEffects)
@@ -138,6 +159,7 @@
   TickLostAgents(aControl, aNow, aEffects);
   TickInquiries(aControl, aNow, aEffects);
   TickDeadlines(aControl, aNow, aEffects);
+  TickGiveUps(aControl, aNow, aEffects);
   TickApplies(aControl, aNow, aEffects);
   job::Expire(aControl.mLedger, aNow);
   Dispatch(aControl, aNow, aEffects);
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -157,6 +157,8 @@
   job::ledger mLedger;
   job::ready_queue mReady;
   std::multimap<core::instant, std::string> mDeadlines;
+  /** When late jobs of which nothing has started are refused. */
+  std::multimap<core::instant, std::string> mGiveUps;
   std::map<std::string, core::team_use> mTeams;
   std::map<std::string, std::uint32_t> mTeamShares;
   quota::retry_budget mRetryBudget;
--- a/src/libgooseberry/entry/submit.cpp
+++ b/src/libgooseberry/entry/submit.cpp
@@ -95,19 +95,25 @@
   return std::max(1U, slots / entries);
 }
 
-/** Expected work of the waiting tasks that go before a job of this size. */
+/** Expected work of the waiting tasks that go before such a job. */
 core::duration
 WorkAhead(const entry_control& aControl,
-          const std::string& aService,
-          core::duration aWork,
+          const job::submission& aSubmission,
+          const quota::admission_request& aRequest,
           core::instant aNow)
 {
-  const auto ready = aControl.mReady.mServices.find(aService);
+  const auto ready = aControl.mReady.mServices.find(aSubmission.mService);
   if (ready == aControl.mReady.mServices.end()) {
     return {};
   }
-  const std::int64_t priority =
-    job::Priority(aControl.mOptions.mOrder, aWork, aNow);
+  const auto& order = aControl.mOptions.mOrder;
+  const bool byObjective = order.mPolicy == job::order_policy::Objective &&
+                           aSubmission.mObjective > core::duration::zero();
+  const core::instant latestStart =
+    aNow + aSubmission.mObjective - aRequest.mLongestTask;
+  const std::int64_t priority = byObjective
+                                  ? latestStart.time_since_epoch().count()
+                                  : job::Priority(order, aRequest.mWork, aNow);
   core::duration ahead{};
   for (const job::ready_key& key : ready->second) {
     if (key.mPriority > priority) {
@@ -131,8 +137,7 @@
     request.mLongestTask = std::max(request.mLongestTask, expected);
   }
   request.mTasks = static_cast<std::uint32_t>(aSubmission.mTasks.size());
-  request.mWorkAhead =
-    WorkAhead(aControl, aSubmission.mService, request.mWork, aNow);
+  request.mWorkAhead = WorkAhead(aControl, aSubmission, request, aNow);
   for (const auto& [team, use] : aControl.mTeams) {
     request.mWaitingTasks += use.mWaiting;
   }
--- a/src/libgooseberry/job/job.h
+++ b/src/libgooseberry/job/job.h
@@ -79,6 +79,8 @@
   std::uint32_t mEnded = 0;
   core::duration mRemainingWork{};
   core::duration mWaitingWork{}; ///< Expected, of the waiting tasks.
+  core::instant mLatestStart{};  ///< To end by its objective.
+  bool mLate = false;            ///< Had waiting tasks after that.
   std::int64_t mPriority = 0;    ///< Its key in the ready queue.
   bool mQueued = false;          ///< Stands in the ready queue.
   inquiry mInquiry;
--- a/src/libgooseberry/job/ready_queue.cpp
+++ b/src/libgooseberry/job/ready_queue.cpp
@@ -2,13 +2,36 @@
 
 namespace gooseberry::job {
 
+namespace {
+
+/** Far beyond any job's deadline: late jobs go after all others. */
+constexpr core::duration kLateOffset = std::chrono::hours(1);
+/** Of these, jobs of which tasks have run go first: the rest of their work
+ * saves what was spent. */
+constexpr core::duration kStartedOffset = kLateOffset / 2;
+
+std::int64_t
+KeyOf(const order_settings& aSettings, const job& aJob)
+{
+  if (aSettings.mPolicy != order_policy::Objective) {
+    return Priority(aSettings, aJob.mRemainingWork, aJob.mArrived);
+  }
+  core::instant at = aJob.mLatestStart;
+  if (aJob.mLate) {
+    at += MayHaveStarted(aJob) ? kStartedOffset : kLateOffset;
+  }
+  return at.time_since_epoch().count();
+}
+
+} // namespace
+
 std::int64_t
 Priority(const order_settings& aSettings,
          core::duration aRemaining,
          core::instant aArrived)
 {
   const std::int64_t arrived = aArrived.time_since_epoch().count();
-  if (aSettings.mPolicy == order_policy::Fifo) {
+  if (aSettings.mPolicy != order_policy::LeastRemaining) {
     return arrived;
   }
   // All jobs age at the same rate, so that the arrival time alone orders them.
@@ -29,11 +52,37 @@
   }
 }
 
+std::vector<std::string>
+DemoteLate(ready_queue& aQueue,
+           const order_settings& aSettings,
+           ledger& aLedger,
+           core::instant aNow)
+{
+  std::vector<std::string> late;
+  if (aSettings.mPolicy != order_policy::Objective) {
+    return late;
+  }
+  const std::int64_t now = aNow.time_since_epoch().count();
+  for (const auto& [service, keys] : aQueue.mServices) {
+    for (const ready_key& key : keys) {
+      if (key.mPriority >= now) {
+        break;
+      }
+      late.push_back(key.mJob);
+    }
+  }
+  for (const std::string& name : late) {
+    job& demoted = *Find(aLedger, name);
+    demoted.mLate = true;
+    Requeue(aQueue, aSettings, demoted);
+  }
+  return late;
+}
+
 void
 Requeue(ready_queue& aQueue, const order_settings& aSettings, job& aJob)
 {
-  const std::int64_t priority =
-    Priority(aSettings, aJob.mRemainingWork, aJob.mArrived);
+  const std::int64_t priority = KeyOf(aSettings, aJob);
   const bool wanted = aJob.mPhase == phase::Running && !aJob.mWaiting.empty();
   if (aJob.mQueued && wanted && priority == aJob.mPriority) {
     return;
--- a/src/libgooseberry/job/ready_queue.h
+++ b/src/libgooseberry/job/ready_queue.h
@@ -2,6 +2,7 @@
 
 #include "libgooseberry/core/enum_names.h"
 #include "libgooseberry/job/job.h"
+#include "libgooseberry/job/ledger.h"
 
 #include <map>
 #include <set>
@@ -14,9 +15,14 @@
 {
   LeastRemaining, ///< Least remaining work first, with ageing.
   Fifo,           ///< Baseline: by arrival.
+  /**
+   * Least time left to the latest start that meets the objective; jobs that
+   * can only be late go after all that can be in time.
+   */
+  Objective,
 };
-inline constexpr core::enum_names<order_policy, 2> kOrderPolicyNames{
-  { "least_remaining", "fifo" }
+inline constexpr core::enum_names<order_policy, 3> kOrderPolicyNames{
+  { "least_remaining", "fifo", "objective" }
 };
 
 struct order_settings
@@ -58,6 +64,18 @@
 void
 Requeue(ready_queue& aQueue, const order_settings& aSettings, job& aJob);
 
+/**
+ * Moves jobs whose latest start has passed behind those that can be in time,
+ * so that under overload some jobs are late instead of all: without it each
+ * job waits until it is the most urgent one, and is late by then. Only for
+ * `Objective`. Gives the keys of the jobs that were moved.
+ */
+std::vector<std::string>
+DemoteLate(ready_queue& aQueue,
+           const order_settings& aSettings,
+           ledger& aLedger,
+           core::instant aNow);
+
 /** Takes the job out. */
 void
 Unqueue(ready_queue& aQueue, job& aJob);
--- a/src/libgooseberry/job/submission.h
+++ b/src/libgooseberry/job/submission.h
@@ -33,6 +33,8 @@
   bool mIdempotent = false;
   std::uint32_t mMaxTries = 0; ///< Starts of a task; 0: as its service says.
   core::duration mDeadline{};  ///< From arrival; always set.
+  /** From arrival; a job that ends later is late. Zero: none is set. */
+  core::duration mObjective{};
   std::vector<task_description> mTasks;
   /** Of service, idempotence and tasks: the same name must mean the same. */
   std::uint64_t mContentHash = 0;
--- a/src/libgooseberryio/entry_settings.cpp
+++ b/src/libgooseberryio/entry_settings.cpp
@@ -172,7 +172,7 @@
   { ChoiceSetting("policy",
                   "order",
                   "least_remaining",
-                  "least_remaining|fifo",
+                  "least_remaining|fifo|objective",
                   "Which job gets a free slot"),
     [](const setting_value& aValue, entry_settings& aSettings) {
       aSettings.mOrder = job::kOrderPolicyNames.ValueOf(aValue.mText)
