--- a/src/libgooseberryio/program.h
+++ b/src/libgooseberryio/program.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "libgooseberry/core/error.h"
+#include "libgooseberryio/log.h"
+#include "libgooseberryio/stop_signals.h"
 
 #include <string>
 #include <string_view>
@@ -83,4 +85,31 @@
   return std::get<Settings>(std::move(parsed));
 }
 
+/**
+ * The whole of a daemon's `main`: reads the settings, sets up signals and log,
+ * and gives what `aRun(settings, signals)` returns as the exit code.
+ */
+template<typename Settings, typename Run>
+int
+RunProgram(const program& aProgram,
+           core::result<Settings> (*aParse)(std::string_view, std::string_view),
+           int aCount,
+           const char* const* aWords,
+           Run aRun)
+{
+  const auto read = ReadProgramSettings(aProgram, aParse, aCount, aWords);
+  if (const auto* code = std::get_if<exit_code>(&read)) {
+    return static_cast<int>(*code);
+  }
+  const auto& settings = std::get<Settings>(read);
+  stop_signals signals; // Before any other thread; the log has one.
+  if (const auto error = SetUpLog(settings.mLog)) {
+    PrintError(aProgram, *error);
+    return static_cast<int>(exit_code::CannotStart);
+  }
+  const exit_code code = aRun(settings, signals);
+  CloseLog();
+  return static_cast<int>(code);
+}
+
 } // namespace gooseberry::io
