One outcome for each job: the models run the rule, and the code follows

Cause: a home answered 'failed, outcome unknown' as soon as its agent's run had ended, though another entry may have adopted the task and completed the job; and a recovery answered so though an entry that may know better was silent. With the rule in the models a third fault showed: a job given up as undecided was forgotten whole, so that another entry took it for unknown.

R7: the home locates first. R8: undecided while a silent entry may know, and a note stays that a task may have been started.

--- a/spec/start.pml
+++ b/spec/start.pml
@@ -71,6 +71,8 @@
 byte placed[ENTRIES];      /* placements used */
 bool entryOpen[ENTRIES];
 bool blind[ENTRIES];       /* opened without notes */
+bool silentEntry[ENTRIES]; /* an entry did not answer before the recovery */
+bool adopted[ENTRIES];     /* a start of another entry was found */
 bool ownStarted[ENTRIES];  /* a start of its own took place; for the checks */
 
 /* Agents. */
@@ -106,6 +108,7 @@
 /* Leaves nothing behind that no step reads again. */
 inline Forget(e)
 {
+  silentEntry[e] = false;
   answered[e] = 0;
   missing[e] = 0;
   reread[e] = false;
@@ -142,7 +145,10 @@
 inline StartRecovering(e)
 {
   phase[e] = RECOVERING;
-  Forget(e)
+  above = silentEntry[e];
+  Forget(e);
+  silentEntry[e] = above;
+  above = 0
 }
 
 inline BecomeHome(e)
@@ -166,9 +172,40 @@
 #endif
 }
 
+/* R8: the answer is "undecided", and no outcome. The job is forgotten here but
+ * for its note, which says that a start may have been made. */
+inline Undecide(e)
+{
+  note[e] = MAX(note[e], ballot[e]);
+#ifndef WITHOUT_R8_NOTE
+  adopted[e] = true;
+#endif
+  Close(e, NONE)
+}
+
+#ifdef WITHOUT_R7_LOCATE
+#define AGENT_ENDED(e) End(e, false)
+#else
+#define AGENT_ENDED(e) adopted[e] = true; StartLocating(e); above = 0
+#endif
+
 #define HAVE(e, rows) (((rows) & ~(answered[e] | missing[e])) == 0)
 #define OTHERS(e) (entryRows & ~BIT(e))
 
+/* R8: of the missing agents, one is not known to have ended; or an entry that
+ * may have the outcome has not answered. */
+#define ENDED_AGENTS ((ended[0] -> 1 : 0) | (ended[1] -> 2 : 0) | ENDED_LAST)
+#if AGENTS > 2
+#define ENDED_LAST (ended[2] -> 4 : 0)
+#else
+#define ENDED_LAST 0
+#endif
+#ifdef WITHOUT_R8_ENTRY
+#define IsAnySilent(e) ((missing[e] & ~ENDED_AGENTS) != 0)
+#else
+#define IsAnySilent(e) (silentEntry[e] || (missing[e] & ~ENDED_AGENTS) != 0)
+#endif
+
 #ifdef WITHOUT_R2_REREAD
 #define ALL_LOCATED(e) HAVE(e, seenEntries[e])
 #else
@@ -192,7 +229,7 @@
 #ifdef WITHOUT_OWN_START_CHECK
 #define MAY_HAVE_STARTED(e) false
 #else
-#define MAY_HAVE_STARTED(e) (current[e] != 0)
+#define MAY_HAVE_STARTED(e) (current[e] != 0 || adopted[e])
 #endif
 
 #ifdef FIRST_AT_ENTRY_0
@@ -247,12 +284,14 @@
        Close(e, REFUSED); assert(!ownStarted[e]) }
   :: d_step { phase[e] == RECOVERING && ALL_FENCED(e) ->
        if
-       :: foundAt[e] != 0 -> BecomeHome(e)
+       :: foundAt[e] != 0 -> adopted[e] = true; BecomeHome(e)
        :: foundAt[e] == 0 && missing[e] == 0 -> BecomeHome(e)
 #ifdef WITHOUT_R8_UNKNOWN
        :: foundAt[e] == 0 && missing[e] != 0 -> BecomeHome(e)
 #else
-       :: foundAt[e] == 0 && missing[e] != 0 -> End(e, false)
+       :: foundAt[e] == 0 && IsAnySilent(e) -> Undecide(e)
+       :: foundAt[e] == 0 && missing[e] != 0 && !IsAnySilent(e) ->
+         End(e, false)
 #endif
        fi }
   :: d_step { phase[e] == RECOVERING && ALL_FENCED(e) && foundAt[e] == 0 &&
@@ -275,11 +314,12 @@
   :: d_step { phase[e] == HOME && foundAt[e] == 0 && current[e] != 0 ->
        current[e] = 0 }
 #endif
-  /* R7: the agent's incarnation has ended. */
+  /* R7: the agent's incarnation has ended: another entry may have the
+   * outcome. */
   :: d_step { phase[e] == HOME && foundAt[e] != 0 && ended[foundAt[e] - 1] ->
-       End(e, false) }
+       AGENT_ENDED(e) }
   :: d_step { phase[e] == HOME && foundAt[e] == 0 && current[e] != 0 &&
-       ended[placementAgent[current[e] - 1]] -> End(e, false) }
+       ended[placementAgent[current[e] - 1]] -> AGENT_ENDED(e) }
   /* The result of the running task. */
   :: d_step { phase[e] == HOME && foundAt[e] != 0 && !ended[foundAt[e] - 1] ->
        End(e, true) }
@@ -341,7 +381,7 @@
 #ifdef WITHOUT_STARTED_ANSWER
 #define HAS_STARTED(f) false
 #else
-#define HAS_STARTED(f) (current[f] != 0)
+#define HAS_STARTED(f) (current[f] != 0 || adopted[f])
 #endif
 
 /* Entry e asks entry f who has the job. */
@@ -373,7 +413,8 @@
 #endif
       LEAVE_UNKNOWN(f, e);
       if
-      :: isAnswered -> answered[e] = answered[e] | BIT(f)
+      :: isAnswered && HAS_STARTED(f) -> missing[e] = missing[e] | BIT(f)
+      :: isAnswered && !HAS_STARTED(f) -> answered[e] = answered[e] | BIT(f)
       :: else -> skip
       fi
     fi
@@ -397,6 +438,7 @@
 #ifdef WITHOUT_R3_RECOVER
        answered[e] = answered[e] | BIT(f)
 #else
+       silentEntry[e] = true;
        missing[e] = missing[e] | BIT(f)
 #endif
      }
--- a/src/libgooseberry/entry/entry_control.cpp
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -63,6 +63,7 @@
              *late,
              { "locate job", late->mHome.mName, "undecided at the deadline" },
              kStatusUnavailable,
+             aNow,
              aEffects);
     } else if (job::MayHaveStarted(*late)) {
       FailJob(aControl,
--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -227,14 +227,7 @@
     if (found->mTasks[ref.mIndex].mState != job::task_state::Running) {
       continue;
     }
-    FailJob(aControl,
-            *found,
-            { "run task " + std::to_string(ref.mIndex),
-              ToString(aRun),
-              "outcome unknown: the agent's run has ended" },
-            kStatusFailed,
-            aNow,
-            aEffects);
+    AskForOutcome(aControl, *found, aRun, aNow, aEffects);
   }
 }
 
--- a/src/libgooseberry/entry/internal.h
+++ b/src/libgooseberry/entry/internal.h
@@ -57,13 +57,14 @@
           core::instant aNow,
           effects& aEffects);
 
-/** Answers that the outcome could not be found out, and forgets the job, so
- * that a later attempt can ask again. */
+/** Answers that the outcome could not be found out, and forgets the job but for
+ * a note, so that a later attempt can ask again. */
 void
 GiveUp(entry_control& aControl,
        job::job& aJob,
        const core::error& aError,
        std::uint32_t aStatus,
+       core::instant aNow,
        effects& aEffects);
 
 /** Sends an answer to an entry that waits for it. */
@@ -103,6 +104,15 @@
               core::instant aNow,
               effects& aEffects);
 
+/** The run of an agent that has a task of the job is over: another entry may
+ * know how the job ends, else its outcome is unknown (R7). */
+void
+AskForOutcome(entry_control& aControl,
+              job::job& aJob,
+              const core::peer_ref& aAgent,
+              core::instant aNow,
+              effects& aEffects);
+
 /** Starts asking the agents what of the job was started (R3). */
 void
 StartRecovering(entry_control& aControl,
--- a/src/libgooseberry/entry/job_end.cpp
+++ b/src/libgooseberry/entry/job_end.cpp
@@ -158,11 +158,17 @@
        job::job& aJob,
        const core::error& aError,
        std::uint32_t aStatus,
+       core::instant aNow,
        effects& aEffects)
 {
   const std::string key = aJob.mSubmission.mKey;
   const core::job_answer answer =
     ErrorAnswer(key, core::job_outcome::Failed, aError, aStatus);
+  if (!aControl.mOptions.mLeasedRuns &&
+      (job::MayHaveStarted(aJob) || aJob.mPhase == job::phase::Recovering)) {
+    job::NoteStarts(
+      aControl.mLedger, key, aJob.mBallot, aControl.mSelf.mName, aNow);
+  }
   // Attached entries go on asking: this is no outcome of the job.
   aJob.mAttachedEntries.clear();
   StopJob(aControl, aJob);
--- a/src/libgooseberry/entry/locate.cpp
+++ b/src/libgooseberry/entry/locate.cpp
@@ -93,6 +93,7 @@
         aJob,
         { "submit job", aAsked.mName, "a job of this name has other content" },
         kStatusConflict,
+        aNow,
         aEffects);
       break;
   }
@@ -152,6 +153,21 @@
   NoteAllAnswered(aControl, aJob, aNow, aEffects);
 }
 
+void
+AskForOutcome(entry_control& aControl,
+              job::job& aJob,
+              const core::peer_ref& aAgent,
+              core::instant aNow,
+              effects& aEffects)
+{
+  Log(aEffects,
+      "agent_run_over",
+      { { "job", aJob.mSubmission.mKey }, { "agent", ToString(aAgent) } });
+  const core::ballot own = aJob.mBallot;
+  static_cast<void>(ReleaseJob(aControl, aJob));
+  StartLocating(aControl, aJob, own, aNow, aEffects);
+}
+
 void
 AttachTo(entry_control& aControl,
          job::job& aJob,
@@ -266,6 +282,7 @@
   const core::duration waited = aNow - inquiry.mSince;
   if (!inquiry.mPending.empty()) {
     if (waited > aControl.mOptions.mLocateTimeout) {
+      inquiry.mEntrySilent = true;
       inquiry.mMissing.merge(inquiry.mPending);
       inquiry.mPending.clear();
     } else if (waited > kAskAgainAfter * (inquiry.mRounds + 1)) {
--- a/src/libgooseberry/entry/locate_answer.cpp
+++ b/src/libgooseberry/entry/locate_answer.cpp
@@ -90,6 +90,8 @@
     reply.mBallot = known->mBallot;
     reply.mHolder = known->mHolder;
     return reply;
+  } else if (known != nullptr && known->mMayHaveStarted) {
+    reply.mVerdict = core::locate_verdict::Started;
   }
   job::TakeNote(aControl.mLedger,
                 aRequest.mJob,
--- a/src/libgooseberry/entry/recover.cpp
+++ b/src/libgooseberry/entry/recover.cpp
@@ -139,18 +139,21 @@
            result.mPayload.empty() ? "task failed" : result.mPayload };
 }
 
-/** Whether an agent is missing whose run may still be alive. */
+/** Whether an entry that may have the outcome is missing, or an agent whose run
+ * may still be alive. */
 bool
 IsAnySilent(const entry_control& aControl, const job::inquiry& aInquiry)
 {
-  return std::any_of(
-    aInquiry.mMissing.begin(),
-    aInquiry.mMissing.end(),
-    [&](const core::peer_ref& aPeer) {
-      return !membership::HasEnded(
-        aControl.mMembers,
-        { membership::role::Agent, aPeer, std::string(), std::string() });
-    });
+  return aInquiry.mEntrySilent ||
+         std::any_of(aInquiry.mMissing.begin(),
+                     aInquiry.mMissing.end(),
+                     [&](const core::peer_ref& aPeer) {
+                       return !membership::HasEnded(aControl.mMembers,
+                                                    { membership::role::Agent,
+                                                      aPeer,
+                                                      std::string(),
+                                                      std::string() });
+                     });
 }
 
 std::string
@@ -177,7 +180,9 @@
         { "missing", MissingNames(aJob.mInquiry) },
         { "round", std::to_string(aJob.mBallot.mRound) } });
   aJob.mPhase = job::phase::Recovering;
+  const bool entrySilent = aJob.mInquiry.mEntrySilent;
   aJob.mInquiry = {};
+  aJob.mInquiry.mEntrySilent = entrySilent;
   aJob.mInquiry.mSince = aNow;
   FenceAgents(aControl, aJob);
   NoteAllFenced(aControl, aJob, aNow, aEffects);
@@ -283,6 +288,7 @@
       return aRecord != nullptr;
     });
   if (!anyStarted && aJob.mInquiry.mMissing.empty()) {
+    aJob.mMayHaveStartedBefore = false;
     aJob.mTasks.assign(aJob.mSubmission.mTasks.size(), {});
     BecomeHomeIfAdmitted(aControl, aJob, aNow, aEffects);
     return;
@@ -293,13 +299,17 @@
     std::any_of(last.begin(), last.end(), [](const auto* aRecord) {
       return aRecord == nullptr;
     });
-  if (anyUnknown && IsAnySilent(aControl, aJob.mInquiry)) {
+  if (anyUnknown && !aJob.mInquiry.mMissing.empty() &&
+      IsAnySilent(aControl, aJob.mInquiry)) {
     GiveUp(aControl,
            aJob,
            { "recover job",
              MissingNames(aJob.mInquiry),
-             "undecided: an agent that may have started tasks is silent" },
+             aJob.mInquiry.mEntrySilent
+               ? "undecided: an entry that may know the outcome is silent"
+               : "undecided: an agent that may have started tasks is silent" },
            kStatusUnavailable,
+           aNow,
            aEffects);
     return;
   }
--- a/src/libgooseberry/entry/start_calls.cpp
+++ b/src/libgooseberry/entry/start_calls.cpp
@@ -41,24 +41,6 @@
         { "reason", std::string(core::kStartVerdictNames.NameOf(aVerdict)) } });
 }
 
-/** Ends the job of a task whose agent's run is over (R7). */
-void
-FailUnknown(entry_control& aControl,
-            job::job& aJob,
-            const core::peer_ref& aAgent,
-            core::instant aNow,
-            effects& aEffects)
-{
-  FailJob(aControl,
-          aJob,
-          { "start task",
-            ToString(aAgent),
-            "outcome unknown: the agent's run has ended" },
-          kStatusFailed,
-          aNow,
-          aEffects);
-}
-
 /** Acts on the agent's verdict on one start. */
 void
 TakeVerdict(entry_control& aControl,
@@ -92,7 +74,7 @@
     if (aControl.mOptions.mLeasedRuns) {
       return; // `EndEarlierRuns` starts it again once nothing of it can run.
     }
-    FailUnknown(aControl, *found, aCall.mAgent, aNow, aEffects);
+    AskForOutcome(aControl, *found, aCall.mAgent, aNow, aEffects);
     return;
   }
   if (aVerdict == core::start_verdict::Busy && task.mTarget) {
@@ -129,7 +111,7 @@
   }
   for (const core::task_start& start : aCall.mBatch.mStarts) {
     if (job::job* found = FindOpen(aControl, start)) {
-      FailUnknown(aControl, *found, aCall.mAgent, aNow, aEffects);
+      AskForOutcome(aControl, *found, aCall.mAgent, aNow, aEffects);
     }
   }
 }
--- a/src/libgooseberry/entry/submit.cpp
+++ b/src/libgooseberry/entry/submit.cpp
@@ -230,6 +230,9 @@
   added.mWaiters.push_back(aToken);
   aControl.mDeadlines.emplace(added.mDeadline, added.mSubmission.mKey);
   if (!first) {
+    const job::note* const note =
+      job::FindNote(aControl.mLedger, added.mSubmission.mKey);
+    added.mMayHaveStartedBefore = note != nullptr && note->mMayHaveStarted;
     StartLocating(aControl, added, {}, aNow, aEffects);
     return;
   }
@@ -282,6 +285,7 @@
          *left,
          { "run job", "", "the caller left" },
          kStatusCancelled,
+         aNow,
          aEffects);
   Dispatch(aControl, aNow, aEffects);
 }
--- a/src/libgooseberry/job/job.cpp
+++ b/src/libgooseberry/job/job.cpp
@@ -7,10 +7,11 @@
 bool
 MayHaveStarted(const job& aJob)
 {
-  return std::any_of(
-    aJob.mTasks.begin(), aJob.mTasks.end(), [](const task& aTask) {
-      return aTask.mEverStarted || aTask.mState != task_state::Waiting;
-    });
+  return aJob.mMayHaveStartedBefore ||
+         std::any_of(
+           aJob.mTasks.begin(), aJob.mTasks.end(), [](const task& aTask) {
+             return aTask.mEverStarted || aTask.mState != task_state::Waiting;
+           });
 }
 
 core::duration
--- a/src/libgooseberry/job/job.h
+++ b/src/libgooseberry/job/job.h
@@ -64,6 +64,8 @@
   std::optional<core::instant> mAnsweredAt;
   std::vector<core::started_task> mFound; ///< By agents.
   std::uint32_t mRounds = 0;
+  /** An entry that may have the outcome did not answer. */
+  bool mEntrySilent = false;
 };
 
 /** A job as one entry knows it. */
@@ -77,6 +79,8 @@
   std::vector<task> mTasks;
   std::vector<std::uint32_t> mWaiting; ///< Indices; the next one is last.
   std::uint32_t mEnded = 0;
+  /** It was given up here undecided, by an earlier attempt. */
+  bool mMayHaveStartedBefore = false;
   core::duration mRemainingWork{};
   core::duration mWaitingWork{}; ///< Expected, of the waiting tasks.
   core::instant mLatestStart{};  ///< To end by its objective.
--- a/src/libgooseberry/job/ledger.cpp
+++ b/src/libgooseberry/job/ledger.cpp
@@ -45,6 +45,17 @@
   aLedger.mNoteTimes.push_back({ known.mUntil, aKey });
 }
 
+void
+NoteStarts(ledger& aLedger,
+           const std::string& aKey,
+           const core::ballot& aBallot,
+           const std::string& aHolder,
+           core::instant aNow)
+{
+  TakeNote(aLedger, aKey, aBallot, aHolder, aNow);
+  aLedger.mNotes.at(aKey).mMayHaveStarted = true;
+}
+
 const note*
 FindNote(const ledger& aLedger, const std::string& aKey)
 {
--- a/src/libgooseberry/job/ledger.h
+++ b/src/libgooseberry/job/ledger.h
@@ -13,7 +13,9 @@
 struct note
 {
   core::ballot mBallot;
-  std::string mHolder;    ///< Name of the entry behind the ballot.
+  std::string mHolder; ///< Name of the entry behind the ballot.
+  /** The job was given up here undecided: a task may have been started. */
+  bool mMayHaveStarted = false;
   core::instant mUntil{}; ///< Forgotten then.
 };
 
@@ -64,6 +66,15 @@
          const std::string& aHolder,
          core::instant aNow);
 
+/** Remembers of a job that is given up undecided that a task of it may have
+ * been started (R8). */
+void
+NoteStarts(ledger& aLedger,
+           const std::string& aKey,
+           const core::ballot& aBallot,
+           const std::string& aHolder,
+           core::instant aNow);
+
 /** The note of a job, or null. */
 const note*
 FindNote(const ledger& aLedger, const std::string& aKey);
--- a/tests/libgooseberry/test_world.cpp
+++ b/tests/libgooseberry/test_world.cpp
@@ -1,3 +1,4 @@
+#include "libgooseberry/entry/internal.h"
 #include "world.h"
 
 #include <boost/test/unit_test.hpp>
@@ -251,6 +252,68 @@
   BOOST_TEST((replies[0].mVerdict == core::locate_verdict::Started));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_job_given_up_undecided_is_not_taken_for_unknown,
+                        lone_fixture)
+{
+  job::job& fenced = SubmitResubmission();
+  fenced.mTasks[0].mEverStarted = true; // As a home that was fenced.
+  mNow += 21s;                          // Past the caller's deadline.
+  entry::Tick(mControl, mNow, mEffects);
+  BOOST_REQUIRE(job::Find(mControl.mLedger, "t/j") == nullptr);
+  const auto replies = entry::OnLocate(
+    mControl, { { { "b", 6 }, "b:1", "t/j", 0, { 9, 6 } } }, mNow, mEffects);
+  BOOST_TEST((replies[0].mVerdict == core::locate_verdict::Started));
+  mControl.mEvidence = mNow;
+  BOOST_TEST(job::MayHaveStarted(SubmitResubmission()));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_silent_entry_may_know_the_outcome, lone_fixture)
+{
+  auto rows = Rows();
+  rows.push_back({ membership::role::Agent, { "x", 8 }, "x:1", "" });
+  rows.push_back({ membership::role::Agent, { "x", 9 }, "x:1", "" });
+  entry::OnMembers(mControl, rows, mNow, mNow, mEffects);
+  mControl.mMembers.mAgents["x"].mState.mAgent = { "x", 9 };
+  job::job& asked = SubmitResubmission();
+  mNow += 2s; // Beyond the wait for entries: b and c are silent.
+  entry::Tick(mControl, mNow, mEffects);
+  BOOST_REQUIRE((asked.mPhase == job::phase::Recovering));
+  entry::OnFenceReplies(mControl,
+                        { "x", 9 },
+                        { { { "x", 9 }, "t/j", asked.mBallot, {}, {} } },
+                        mNow,
+                        mEffects);
+  mEffects.clear();
+  for (int round = 0; round < 3; ++round) {
+    entry::Tick(mControl, mNow, mEffects);
+    entry::OnMembers(mControl, rows, mNow, mNow, mEffects);
+    mNow += 1s;
+  }
+  std::vector<core::job_answer> answers;
+  for (const auto& effect : mEffects) {
+    if (const auto* answer = std::get_if<entry::answer_caller>(&effect)) {
+      answers.push_back(answer->mAnswer);
+    }
+  }
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST(answers[0].mStatus == 503U);
+  BOOST_TEST(answers[0].mReason.find("undecided") == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_home_asks_the_others_once_its_agent_has_ended,
+                        lone_fixture)
+{
+  job::job& own = SubmitResubmission();
+  entry::BecomeHome(mControl, own, mNow, mEffects);
+  own.mTasks[0].mState = job::task_state::Running;
+  own.mTasks[0].mEverStarted = true;
+  own.mTasks[0].mAgent = { "x", 8 };
+  mControl.mAgentTasks["x"].insert({ "t/j", 0 });
+  entry::OnAgentEnded(mControl, "x", { "x", 8 }, mNow, mEffects);
+  BOOST_TEST((own.mPhase == job::phase::Locating));
+  BOOST_TEST(job::MayHaveStarted(own));
+}
+
 BOOST_FIXTURE_TEST_CASE(an_answer_to_an_earlier_ballot_does_not_count,
                         lone_fixture)
 {
