--- a/src/libgooseberry/agent/admission.cpp
+++ b/src/libgooseberry/agent/admission.cpp
@@ -83,12 +83,21 @@
   return DecideByQueue(aControl, aStart);
 }
 
-/** Whether the target has room for the task beside all that is there. */
+/** Whether the target has room for the task beside all that is there, and what
+ * is held for other entries. */
 bool
-HasRoom(const agent_target& aTarget, const core::task_start& aStart)
+HasRoom(const agent_target& aTarget,
+        const core::task_start& aStart,
+        std::string_view aEntryAddress,
+        core::instant aNow)
 {
-  return aTarget.mCapacity == core::resources{} ||
-         core::Fits(aTarget.mUsed + aStart.mNeeds, aTarget.mCapacity);
+  if (aTarget.mCapacity == core::resources{}) {
+    return aTarget.mRunning +
+             CountForOthers(aTarget.mGrants, aEntryAddress, aNow) <
+           aTarget.mSlots;
+  }
+  return core::Fits(UsedFor(aTarget, aEntryAddress, aNow) + aStart.mNeeds,
+                    aTarget.mCapacity);
 }
 
 bool
@@ -153,6 +162,17 @@
            : start_verdict::Stale;
 }
 
+core::resources
+UsedFor(const agent_target& aTarget,
+        std::string_view aEntryAddress,
+        core::instant aNow)
+{
+  core::resources used = aTarget.mUsed;
+  used.mCpu += CountForOthers(aTarget.mGrants, aEntryAddress, aNow) *
+               (aTarget.mCapacity.mCpu / std::max(aTarget.mSlots, 1U));
+  return used;
+}
+
 admission
 Decide(const agent_control& aControl,
        const core::start_batch& aBatch,
@@ -177,12 +197,7 @@
     return Refused(verdict);
   }
   const auto& target = aControl.mTargets.at(aStart.mTarget);
-  if (!HasRoom(target, aStart)) {
-    return Refused(start_verdict::Busy);
-  }
-  if (target.mRunning +
-        CountForOthers(target.mGrants, aBatch.mEntryAddress, aNow) <
-      target.mSlots) {
+  if (HasRoom(target, aStart, aBatch.mEntryAddress, aNow)) {
     return { admission_action::Start, start_verdict::Accepted };
   }
   if (aStart.mMayQueue &&
--- a/src/libgooseberry/agent/admission.h
+++ b/src/libgooseberry/agent/admission.h
@@ -22,6 +22,13 @@
   core::start_verdict mVerdict = core::start_verdict::Busy;
 };
 
+/** What of the target's capacity this entry cannot have: what is taken, and
+ * slots of the usual size that are held for other entries. */
+core::resources
+UsedFor(const agent_target& aTarget,
+        std::string_view aEntryAddress,
+        core::instant aNow);
+
 /** Decides on one start; the state stays as it is. */
 admission
 Decide(const agent_control& aControl,
--- a/src/libgooseberry/agent/agent_control.cpp
+++ b/src/libgooseberry/agent/agent_control.cpp
@@ -164,7 +164,7 @@
         target.mConsecutiveFailures,
         isGoing,
         target.mCapacity,
-        target.mUsed });
+        UsedFor(target, aReceiver, aNow) });
   }
   return state;
 }
--- a/src/libgooseberry/entry/dispatch.cpp
+++ b/src/libgooseberry/entry/dispatch.cpp
@@ -101,6 +101,8 @@
   task.mMaybeDelivered = false;
   aJob.mWaitingWork -= task.mExpected;
   target::Reserve(aControl.mTargets, aChoice.mTarget);
+  target::AddUnanswered(
+    aControl.mTargets, aChoice.mTarget, aJob.mSubmission.mTasks[aIndex].mNeeds);
   aControl.mAgentTasks[view.mAgent].insert({ aJob.mSubmission.mKey, aIndex });
   ++aControl.mTeams[aJob.mSubmission.mTeam].mRunning;
   ++aControl.mCounters.mStarts;
@@ -146,6 +148,7 @@
     request.mKind = aJob.mSubmission.mTasks[index].mKind;
     request.mDeclared = aJob.mSubmission.mTasks[index].mDeclared;
     request.mIdempotent = aJob.mSubmission.mIdempotent;
+    request.mNeeds = aJob.mSubmission.mTasks[index].mNeeds;
     request.mAvoid = task.mAvoid.empty() ? nullptr : &task.mAvoid;
     const target::placement placement =
       target::Place(aControl.mTargets, request, aControl.mRandom, aNow);
--- a/src/libgooseberry/entry/start_calls.cpp
+++ b/src/libgooseberry/entry/start_calls.cpp
@@ -41,6 +41,29 @@
         { "reason", std::string(core::kStartVerdictNames.NameOf(aVerdict)) } });
 }
 
+/** The agent's reports tell of these starts from now on, or they are off. */
+void
+SettleRoom(entry_control& aControl,
+           const std::vector<core::task_start>& aStarts)
+{
+  for (const core::task_start& start : aStarts) {
+    if (const auto index = target::Find(aControl.mTargets, start.mTarget)) {
+      target::RemoveUnanswered(aControl.mTargets, *index, start.mNeeds);
+    }
+  }
+}
+
+/** Ends a call that is settled; gives what it was. */
+start_call
+TakeCall(entry_control& aControl, std::uint64_t aCall)
+{
+  const auto found = aControl.mCalls.find(aCall);
+  start_call call = std::move(found->second);
+  aControl.mCalls.erase(found);
+  SettleRoom(aControl, call.mBatch.mStarts);
+  return call;
+}
+
 /** Acts on the agent's verdict on one start. */
 void
 TakeVerdict(entry_control& aControl,
@@ -87,9 +110,15 @@
 void
 DropSettled(entry_control& aControl, start_call& aCall)
 {
+  std::vector<core::task_start> settled;
   std::erase_if(aCall.mBatch.mStarts, [&](const core::task_start& aStart) {
-    return FindOpen(aControl, aStart) == nullptr;
+    const bool isSettled = FindOpen(aControl, aStart) == nullptr;
+    if (isSettled) {
+      settled.push_back(aStart);
+    }
+    return isSettled;
   });
+  SettleRoom(aControl, settled);
 }
 
 core::duration
@@ -125,12 +154,10 @@
              core::instant aNow,
              effects& aEffects)
 {
-  const auto found = aControl.mCalls.find(aCall);
-  if (found == aControl.mCalls.end()) {
+  if (!aControl.mCalls.contains(aCall)) {
     return;
   }
-  const start_call call = std::move(found->second);
-  aControl.mCalls.erase(found);
+  const start_call call = TakeCall(aControl, aCall);
   HearAgent(aControl, aReply.mState, aNow, aEffects);
   const std::size_t count =
     std::min(call.mBatch.mStarts.size(), aReply.mVerdicts.size());
@@ -165,12 +192,12 @@
         { "delivered", aDelivered ? "maybe" : "no" },
         { "sends", std::to_string(call.mSends) } });
   if (!aDelivered && !call.mMaybeDelivered) {
-    for (const core::task_start& start : call.mBatch.mStarts) {
+    const start_call undelivered = TakeCall(aControl, aCall);
+    for (const core::task_start& start : undelivered.mBatch.mStarts) {
       if (job::job* open = FindOpen(aControl, start)) {
         ReturnTask(aControl, *open, start.mTask.mIndex);
       }
     }
-    aControl.mCalls.erase(found);
     Dispatch(aControl, aNow, aEffects);
     return;
   }
@@ -195,8 +222,7 @@
       continue;
     }
     if (aControl.mEndedRuns.contains(call.mAgent)) {
-      const start_call ended = std::move(call);
-      aControl.mCalls.erase(id);
+      const start_call ended = TakeCall(aControl, id);
       FailCall(aControl, ended, aNow, aEffects);
       continue;
     }
--- a/src/libgooseberry/target/capacity.cpp
+++ b/src/libgooseberry/target/capacity.cpp
@@ -67,6 +67,24 @@
   aTable.mRamping = std::move(ramping);
 }
 
+/**
+ * Tasks of the usual size that fit into the free part of the room; one at least
+ * while any is free, as the next task may be a small one.
+ */
+std::uint32_t
+FreeByRoom(const target_view& aTarget, std::uint32_t aAllowed)
+{
+  const std::uint32_t slots = std::max(aTarget.mLoad.mSlots, 1U);
+  const std::uint32_t each = std::max(aTarget.mLoad.mCapacity.mCpu / slots, 1U);
+  const std::uint64_t withheld = std::uint64_t(each) * (slots - aAllowed);
+  const std::uint64_t free = FreeRoom(aTarget).mCpu;
+  if (aAllowed == 0 || free <= withheld) {
+    return 0;
+  }
+  return static_cast<std::uint32_t>(
+    std::max<std::uint64_t>((free - withheld) / each, 1));
+}
+
 } // namespace
 
 bool
@@ -91,6 +109,22 @@
   return std::max(reported + aTarget.mSentSinceReport, aTarget.mOwnOutstanding);
 }
 
+core::resources
+FreeRoom(const target_view& aTarget)
+{
+  core::resources room = aTarget.mLoad.mCapacity;
+  room -= aTarget.mLoad.mUsed;
+  room -= aTarget.mUnanswered;
+  return room;
+}
+
+bool
+HasRoomFor(const target_view& aTarget, const core::resources& aNeeds)
+{
+  return aTarget.mLoad.mCapacity == core::resources{} ||
+         core::Fits(aNeeds, FreeRoom(aTarget));
+}
+
 std::uint32_t
 AllowedSlots(const target_table& aTable, const target_view& aTarget)
 {
@@ -113,6 +147,9 @@
   const std::uint32_t allowed =
     target.mStartable ? AllowedSlots(aTable, target) : 0;
   target.mFree = allowed > used ? allowed - used : 0;
+  if (target.mLoad.mCapacity.mCpu > 0) {
+    target.mFree = FreeByRoom(target, allowed);
+  }
   target.mRoom = target.mStartable && !target.mRampStart &&
                  used < target.mLoad.mSlots + aTable.mSettings.mPrefetch;
   const std::uint32_t before = target.mCounted;
--- a/src/libgooseberry/target/capacity.h
+++ b/src/libgooseberry/target/capacity.h
@@ -25,6 +25,15 @@
 std::uint32_t
 UsedSlots(const target_view& aTarget);
 
+/** What its last report leaves, less what is sent and not answered. */
+core::resources
+FreeRoom(const target_view& aTarget);
+
+/** Whether such a task fits now; a target without resources has room for any
+ * task that gets one of its slots. */
+bool
+HasRoomFor(const target_view& aTarget, const core::resources& aNeeds);
+
 /** Slots that may be used now; fewer while the target is coming back. */
 std::uint32_t
 AllowedSlots(const target_table& aTable, const target_view& aTarget);
--- a/src/libgooseberry/target/placement.cpp
+++ b/src/libgooseberry/target/placement.cpp
@@ -85,7 +85,9 @@
     Refresh(aSearch.mTable, aTarget);
     return false;
   }
-  return !aSearch.mAvoids || !IsAvoided(aSearch.mRequest, aTarget);
+  return HasRoomFor(aSearch.mTable.mTargets[aTarget],
+                    aSearch.mRequest.mNeeds) &&
+         (!aSearch.mAvoids || !IsAvoided(aSearch.mRequest, aTarget));
 }
 
 /** The first usable targets of a set, in order, from a position on. */
--- a/src/libgooseberry/target/placement.h
+++ b/src/libgooseberry/target/placement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libgooseberry/core/enum_names.h"
+#include "libgooseberry/core/resources.h"
 #include "libgooseberry/core/time.h"
 #include "libgooseberry/target/settings.h"
 
@@ -44,6 +45,7 @@
   /** Caller's own estimate; used until run times were learned. */
   core::duration mDeclared{};
   bool mIdempotent = false;
+  core::resources mNeeds;
   /** Targets where earlier tries of the task have failed. */
   const std::vector<target_index>* mAvoid = nullptr;
 };
--- a/src/libgooseberry/target/target_table.cpp
+++ b/src/libgooseberry/target/target_table.cpp
@@ -205,11 +205,30 @@
   Refresh(aTable, aTarget);
 }
 
+void
+AddUnanswered(target_table& aTable,
+              target_index aTarget,
+              const core::resources& aNeeds)
+{
+  aTable.mTargets[aTarget].mUnanswered += aNeeds;
+  Refresh(aTable, aTarget);
+}
+
+void
+RemoveUnanswered(target_table& aTable,
+                 target_index aTarget,
+                 const core::resources& aNeeds)
+{
+  aTable.mTargets[aTarget].mUnanswered -= aNeeds;
+  Refresh(aTable, aTarget);
+}
+
 void
 NoteFull(target_table& aTable, target_index aTarget)
 {
   target_view& target = aTable.mTargets[aTarget];
   target.mLoad.mRunning = std::max(target.mLoad.mRunning, target.mLoad.mSlots);
+  target.mLoad.mUsed = target.mLoad.mCapacity;
   Refresh(aTable, aTarget);
 }
 
--- a/src/libgooseberry/target/target_table.h
+++ b/src/libgooseberry/target/target_table.h
@@ -41,6 +41,8 @@
   std::uint32_t mOwnOutstanding = 0; ///< Sent by this entry, not yet ended.
   /** Of these, sent after the agent made its last report. */
   std::uint32_t mSentSinceReport = 0;
+  /** Needs of the starts that its agent has not answered. */
+  core::resources mUnanswered;
   bool mAgentOpen = false;
 
   bool mExpired = false;       ///< Left out of lists: long gone.
@@ -121,6 +123,18 @@
 void
 Reserve(target_table& aTable, target_index aTarget);
 
+/** Counts what a start needs until the target's agent answers it. */
+void
+AddUnanswered(target_table& aTable,
+              target_index aTarget,
+              const core::resources& aNeeds);
+
+/** The agent has answered the start, or will never: reports tell of it. */
+void
+RemoveUnanswered(target_table& aTable,
+                 target_index aTarget,
+                 const core::resources& aNeeds);
+
 /** The target has refused for want of a slot: full until its next report. */
 void
 NoteFull(target_table& aTable, target_index aTarget);
