--- a/src/libgooseberry/entry/dispatch.cpp
+++ b/src/libgooseberry/entry/dispatch.cpp
@@ -170,16 +170,17 @@
 std::optional<std::int64_t>
 DispatchService(entry_control& aControl,
                 const std::set<job::ready_key>& aJobs,
-                std::vector<std::string>& aEmptied,
+                std::vector<std::string>& aPlaced,
                 batches& aBatches,
                 core::instant aNow,
                 effects& aEffects)
 {
   for (const job::ready_key& key : aJobs) {
     job::job& ready = *job::Find(aControl.mLedger, key.mJob);
+    const std::size_t waiting = ready.mWaiting.size();
     const bool more = PlaceJob(aControl, ready, aBatches, aNow, aEffects);
-    if (ready.mWaiting.empty()) {
-      aEmptied.push_back(key.mJob);
+    if (ready.mWaiting.size() < waiting) {
+      aPlaced.push_back(key.mJob);
     }
     if (!more) {
       return ready.mPriority;
@@ -290,20 +291,18 @@
          core::instant aNow,
          effects& aEffects)
 {
-  // Beyond it, a caller has no use for the answer.
-  constexpr int kUsefulObjectives = 3;
-  const core::instant end =
-    std::min(aJob.mDeadline,
-             aJob.mArrived + kUsefulObjectives * aJob.mSubmission.mObjective);
-  aControl.mGiveUps.emplace(end - LongestWaiting(aJob), aJob.mSubmission.mKey);
-  Log(aEffects,
-      "job_late",
-      { { "job", aJob.mSubmission.mKey },
-        { "waiting", std::to_string(aJob.mWaiting.size()) },
-        { "objective_ms",
-          std::to_string(core::ToMilliseconds(aJob.mSubmission.mObjective)) },
-        { "waited_ms",
-          std::to_string(core::ToMilliseconds(aNow - aJob.mArrived)) } });
+  const core::duration longest = LongestWaiting(aJob);
+  aControl.mGiveUps.emplace(aJob.mArrived +
+                              job::LongestUsefulWait(aJob.mSubmission, longest),
+                            aJob.mSubmission.mKey);
+  Log(
+    aEffects,
+    "job_late",
+    { { "job", aJob.mSubmission.mKey },
+      { "waiting", std::to_string(aJob.mWaiting.size()) },
+      { "objective_ms", std::to_string(core::ToMilliseconds(aJob.mObjective)) },
+      { "waited_ms",
+        std::to_string(core::ToMilliseconds(aNow - aJob.mArrived)) } });
 }
 
 } // namespace
@@ -319,17 +318,17 @@
     NoteLate(aControl, *job::Find(aControl.mLedger, late), aNow, aEffects);
   }
   batches batches;
-  std::vector<std::string> emptied;
+  std::vector<std::string> placed;
   std::optional<std::int64_t> backlog;
   for (const auto& [service, jobs] : aControl.mReady.mServices) {
     const auto blocked =
-      DispatchService(aControl, jobs, emptied, batches, aNow, aEffects);
+      DispatchService(aControl, jobs, placed, batches, aNow, aEffects);
     if (blocked && (!backlog || *blocked < *backlog)) {
       backlog = blocked;
     }
   }
-  for (const std::string& key : emptied) {
-    job::Unqueue(aControl.mReady, *job::Find(aControl.mLedger, key));
+  for (const std::string& key : placed) {
+    UpdateOrder(aControl, *job::Find(aControl.mLedger, key));
   }
   if (backlog) {
     AddDemand(aControl, *backlog, batches, aNow);
@@ -368,11 +367,10 @@
     aJob, target::TotalSlots(aControl.mTargets, aJob.mSubmission.mService));
   aJob.mRemainingWork = job::RemainingWork(aJob);
   job::QueueWaitingTasks(aJob);
-  const core::duration objective = aJob.mSubmission.mObjective;
+  const core::duration longest = LongestWaiting(aJob);
+  aJob.mObjective = job::ObjectiveOf(aJob.mSubmission, longest);
   aJob.mLatestStart =
-    (objective > core::duration::zero() ? aJob.mArrived + objective
-                                        : aJob.mDeadline) -
-    LongestWaiting(aJob);
+    aJob.mArrived + job::LongestWait(aJob.mSubmission, longest);
   aControl.mTeams[aJob.mSubmission.mTeam].mWaiting +=
     static_cast<std::uint32_t>(aJob.mWaiting.size());
   UpdateOrder(aControl, aJob);
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -7,6 +7,7 @@
 #include "libgooseberry/job/ready_queue.h"
 #include "libgooseberry/membership/members.h"
 #include "libgooseberry/quota/admission.h"
+#include "libgooseberry/quota/offered_load.h"
 #include "libgooseberry/quota/retry_budget.h"
 #include "libgooseberry/target/target_table.h"
 
@@ -162,6 +163,7 @@
   std::map<std::string, core::team_use> mTeams;
   std::map<std::string, std::uint32_t> mTeamShares;
   quota::retry_budget mRetryBudget;
+  quota::offered_load mOffered;
 
   std::unordered_map<std::uint64_t, start_call> mCalls;
   std::uint64_t mNextCall = 1;
--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -163,6 +163,14 @@
   }
 }
 
+/** The caller's estimate of a task; zero where it is not known any more. */
+core::duration
+DeclaredOf(const job::job& aJob, std::uint32_t aIndex)
+{
+  const auto& tasks = aJob.mSubmission.mTasks;
+  return aIndex < tasks.size() ? tasks[aIndex].mDeclared : core::duration{};
+}
+
 /** Learns from a result, whoever it is for. */
 void
 Learn(entry_control& aControl,
@@ -178,7 +186,8 @@
                       aResult.mKind,
                       aResult.mEnd,
                       aResult.mRunTime,
-                      aNow);
+                      aNow,
+                      DeclaredOf(*found, aResult.mTask.mIndex));
   }
 }
 
--- a/src/libgooseberry/entry/submit.cpp
+++ b/src/libgooseberry/entry/submit.cpp
@@ -85,14 +85,35 @@
          job::FindNote(aControl.mLedger, aSubmission.mKey) == nullptr;
 }
 
-/** Slots that fall to this entry: entries get equal parts. */
+/** Tasks that an entry runs and that wait there. */
+std::uint32_t
+Demand(const std::map<std::string, core::team_use>& aTeams)
+{
+  std::uint32_t tasks = 0;
+  for (const auto& [team, use] : aTeams) {
+    tasks += use.mRunning + use.mWaiting;
+  }
+  return tasks;
+}
+
+/**
+ * Slots that fall to this entry: by its part of all entries' tasks, as callers
+ * are spread unevenly, and half of an equal part at least.
+ */
 std::uint32_t
 SlotShare(const entry_control& aControl, const std::string& aService)
 {
+  const std::uint32_t slots = target::TotalSlots(aControl.mTargets, aService);
+  const std::uint32_t own = Demand(aControl.mTeams) + 1;
+  std::uint32_t all = own;
+  for (const auto& [name, view] : aControl.mMembers.mEntries) {
+    all += Demand(view.mTeams) + 1;
+  }
   const auto entries =
     static_cast<std::uint32_t>(aControl.mMembers.mEntries.size() + 1);
-  const std::uint32_t slots = target::TotalSlots(aControl.mTargets, aService);
-  return std::max(1U, slots / entries);
+  const auto byDemand =
+    static_cast<std::uint32_t>(std::uint64_t(slots) * own / all);
+  return std::max({ 1U, slots / entries / 2, byDemand });
 }
 
 /** Expected work of the waiting tasks that go before such a job. */
@@ -107,11 +128,9 @@
     return {};
   }
   const auto& order = aControl.mOptions.mOrder;
-  const bool byObjective = order.mPolicy == job::order_policy::Objective &&
-                           aSubmission.mObjective > core::duration::zero();
   const core::instant latestStart =
-    aNow + aSubmission.mObjective - aRequest.mLongestTask;
-  const std::int64_t priority = byObjective
+    aNow + job::LongestWait(aSubmission, aRequest.mLongestTask);
+  const std::int64_t priority = order.mPolicy == job::order_policy::Objective
                                   ? latestStart.time_since_epoch().count()
                                   : job::Priority(order, aRequest.mWork, aNow);
   core::duration ahead{};
@@ -124,8 +143,36 @@
   return ahead;
 }
 
+/** What admission by the objective looks at; none where it is not used. */
+std::optional<quota::objective_request>
+MakeObjectiveRequest(const entry_control& aControl,
+                     const job::submission& aSubmission,
+                     core::duration aLongest,
+                     core::instant aNow)
+{
+  if (aControl.mOptions.mOrder.mPolicy != job::order_policy::Objective ||
+      job::ObjectiveOf(aSubmission, aLongest) <= core::duration::zero()) {
+    return std::nullopt;
+  }
+  quota::objective_request request;
+  request.mLongestWait = job::LongestWait(aSubmission, aLongest);
+  request.mLongestUsefulWait = job::LongestUsefulWait(aSubmission, aLongest);
+  request.mFreeSlots =
+    target::FreeSlots(aControl.mTargets, aSubmission.mService, aNow);
+  request.mLoadAbove =
+    quota::LoadAbove(aControl.mOffered, aSubmission.mPriority, aNow);
+  request.mWholeLoad = quota::WholeLoad(aControl.mOffered, aNow);
+  if (const auto ready = aControl.mReady.mServices.find(aSubmission.mService);
+      ready != aControl.mReady.mServices.end()) {
+    for (const job::ready_key& key : ready->second) {
+      request.mWaitingWork += aControl.mLedger.mJobs.at(key.mJob)->mWaitingWork;
+    }
+  }
+  return request;
+}
+
 quota::admission_request
-MakeAdmissionRequest(const entry_control& aControl,
+MakeAdmissionRequest(entry_control& aControl,
                      const job::submission& aSubmission,
                      core::instant aNow)
 {
@@ -136,6 +183,8 @@
     request.mWork += expected;
     request.mLongestTask = std::max(request.mLongestTask, expected);
   }
+  quota::NoteArrival(
+    aControl.mOffered, aSubmission.mPriority, request.mWork, aNow);
   request.mTasks = static_cast<std::uint32_t>(aSubmission.mTasks.size());
   request.mWorkAhead = WorkAhead(aControl, aSubmission, request, aNow);
   for (const auto& [team, use] : aControl.mTeams) {
@@ -143,14 +192,45 @@
   }
   request.mSlots = SlotShare(aControl, aSubmission.mService);
   request.mDeadline = aSubmission.mDeadline;
+  request.mObjective =
+    MakeObjectiveRequest(aControl, aSubmission, request.mLongestTask, aNow);
   return request;
 }
 
+/** What decided that a job is not taken in. */
+void
+LogRefused(const job::submission& aSubmission,
+           const quota::admission_request& aRequest,
+           const quota::refused& aRefused,
+           effects& aEffects)
+{
+  const auto milliseconds = [](core::duration aTime) {
+    return std::to_string(core::ToMilliseconds(aTime));
+  };
+  std::vector<log_field> fields{
+    { "job", aSubmission.mKey },
+    { "reason",
+      std::string(quota::kAdmissionReasonNames.NameOf(aRefused.mReason)) },
+    { "work_ms", milliseconds(aRequest.mWork) },
+    { "work_ahead_ms", milliseconds(aRequest.mWorkAhead) },
+    { "slots", std::to_string(aRequest.mSlots) },
+    { "retry_after_ms", milliseconds(aRefused.mRetryAfter) }
+  };
+  if (const auto& objective = aRequest.mObjective) {
+    fields.push_back(
+      { "longest_wait_ms", milliseconds(objective->mLongestWait) });
+    fields.push_back({ "load_above", std::to_string(objective->mLoadAbove) });
+    fields.push_back({ "whole_load", std::to_string(objective->mWholeLoad) });
+  }
+  Log(aEffects, "admission_refused", std::move(fields));
+}
+
 /** The refusal that a submission nobody has started deserves, if any. */
 std::optional<core::job_answer>
-Reject(const entry_control& aControl,
+Reject(entry_control& aControl,
        const job::submission& aSubmission,
-       core::instant aNow)
+       core::instant aNow,
+       effects& aEffects)
 {
   if (!target::CanEverRun(aControl.mTargets, aSubmission.mService)) {
     const bool known =
@@ -164,13 +244,15 @@
               : "no such service: " + aSubmission.mService },
       kStatusUnprocessable);
   }
+  const quota::admission_request request =
+    MakeAdmissionRequest(aControl, aSubmission, aNow);
   const quota::admission_decision decision =
-    quota::Admit(aControl.mOptions.mAdmission,
-                 MakeAdmissionRequest(aControl, aSubmission, aNow));
+    quota::Admit(aControl.mOptions.mAdmission, request);
   const auto* refused = std::get_if<quota::refused>(&decision);
   if (refused == nullptr) {
     return std::nullopt;
   }
+  LogRefused(aSubmission, request, *refused, aEffects);
   core::job_answer answer = ErrorAnswer(
     aSubmission.mKey,
     core::job_outcome::NotRun,
@@ -220,7 +302,7 @@
     return;
   }
   if (first) {
-    if (const auto refusal = Reject(aControl, aSubmission, aNow)) {
+    if (const auto refusal = Reject(aControl, aSubmission, aNow, aEffects)) {
       AnswerAtOnce(aControl, aToken, aSubmission, *refusal, aNow, aEffects);
       return;
     }
@@ -247,7 +329,7 @@
                      core::instant aNow,
                      effects& aEffects)
 {
-  const auto refusal = Reject(aControl, aJob.mSubmission, aNow);
+  const auto refusal = Reject(aControl, aJob.mSubmission, aNow, aEffects);
   if (!refusal) {
     BecomeHome(aControl, aJob, aNow, aEffects);
     return;
--- a/src/libgooseberry/job/job.cpp
+++ b/src/libgooseberry/job/job.cpp
@@ -14,6 +14,36 @@
            });
 }
 
+core::duration
+ObjectiveOf(const submission& aSubmission, core::duration aLongest)
+{
+  constexpr std::int64_t kPercent = 100;
+  const latency_objective& objective = aSubmission.mObjective;
+  return aLongest * std::int64_t(objective.mRunTimePercent) / kPercent +
+         objective.mAllowance;
+}
+
+core::duration
+LongestWait(const submission& aSubmission, core::duration aLongest)
+{
+  const core::duration objective = ObjectiveOf(aSubmission, aLongest);
+  return (objective > core::duration::zero() ? objective
+                                             : aSubmission.mDeadline) -
+         aLongest;
+}
+
+core::duration
+LongestUsefulWait(const submission& aSubmission, core::duration aLongest)
+{
+  // Beyond it, a caller has no use for the answer.
+  constexpr int kUsefulObjectives = 3;
+  const core::duration objective = ObjectiveOf(aSubmission, aLongest);
+  return (objective > core::duration::zero()
+            ? std::min(aSubmission.mDeadline, kUsefulObjectives * objective)
+            : aSubmission.mDeadline) -
+         aLongest;
+}
+
 core::duration
 RemainingWork(const job& aJob)
 {
--- a/src/libgooseberry/job/job.h
+++ b/src/libgooseberry/job/job.h
@@ -83,6 +83,7 @@
   bool mMayHaveStartedBefore = false;
   core::duration mRemainingWork{};
   core::duration mWaitingWork{}; ///< Expected, of the waiting tasks.
+  core::duration mObjective{};   ///< From arrival; zero: none is set.
   core::instant mLatestStart{};  ///< To end by its objective.
   bool mLate = false;            ///< Had waiting tasks after that.
   std::int64_t mPriority = 0;    ///< Its key in the ready queue.
@@ -101,6 +102,20 @@
 bool
 MayHaveStarted(const job& aJob);
 
+/** Time from arrival to end that meets the objective, for this expected run
+ * time of the longest task; zero where there is no objective. */
+core::duration
+ObjectiveOf(const submission& aSubmission, core::duration aLongest);
+
+/** Wait after which the longest task cannot end by the objective any more, or
+ * where there is none by the deadline. */
+core::duration
+LongestWait(const submission& aSubmission, core::duration aLongest);
+
+/** As `LongestWait`, for an end that is late but still of use. */
+core::duration
+LongestUsefulWait(const submission& aSubmission, core::duration aLongest);
+
 /** Sum of the expected run times of all tasks that have not ended. */
 core::duration
 RemainingWork(const job& aJob);
--- a/src/libgooseberry/job/ready_queue.cpp
+++ b/src/libgooseberry/job/ready_queue.cpp
@@ -6,9 +6,14 @@
 
 /** Far beyond any job's deadline: late jobs go after all others. */
 constexpr core::duration kLateOffset = std::chrono::hours(1);
-/** Of these, jobs of which tasks have run go first: the rest of their work
- * saves what was spent. */
-constexpr core::duration kStartedOffset = kLateOffset / 2;
+
+/** Late jobs of which nothing was started yield to those that can be in time;
+ * to finish the others saves what was spent on them. */
+bool
+Yields(const job& aJob)
+{
+  return aJob.mLate && !MayHaveStarted(aJob);
+}
 
 std::int64_t
 KeyOf(const order_settings& aSettings, const job& aJob)
@@ -17,8 +22,8 @@
     return Priority(aSettings, aJob.mRemainingWork, aJob.mArrived);
   }
   core::instant at = aJob.mLatestStart;
-  if (aJob.mLate) {
-    at += MayHaveStarted(aJob) ? kStartedOffset : kLateOffset;
+  if (Yields(aJob)) {
+    at += kLateOffset;
   }
   return at.time_since_epoch().count();
 }
@@ -68,7 +73,9 @@
       if (key.mPriority >= now) {
         break;
       }
-      late.push_back(key.mJob);
+      if (!Find(aLedger, key.mJob)->mLate) {
+        late.push_back(key.mJob);
+      }
     }
   }
   for (const std::string& name : late) {
--- a/src/libgooseberry/job/ready_queue.h
+++ b/src/libgooseberry/job/ready_queue.h
@@ -17,7 +17,7 @@
   Fifo,           ///< Baseline: by arrival.
   /**
    * Least time left to the latest start that meets the objective; jobs that
-   * can only be late go after all that can be in time.
+   * can only be late, and of which nothing was started, go after all others.
    */
   Objective,
 };
--- a/src/libgooseberry/quota/admission.cpp
+++ b/src/libgooseberry/quota/admission.cpp
@@ -14,6 +14,50 @@
   return { aReason, std::max(aExcess, aSettings.mMinRetryAfter) };
 }
 
+/** Of the slots, left to a job however much arrives that matters more. */
+constexpr double kLeastShare = 0.1;
+
+/** Time in which so many slots do the work. */
+core::duration
+TimeToDo(core::duration aWork, double aSlots)
+{
+  constexpr core::duration kNever = std::chrono::hours(1);
+  if (aSlots <= 0) {
+    return aWork > core::duration::zero() ? kNever : core::duration::zero();
+  }
+  const double time = static_cast<double>(aWork.count()) / aSlots;
+  return time < static_cast<double>(kNever.count())
+           ? core::duration(static_cast<core::duration::rep>(time))
+           : kNever;
+}
+
+admission_decision
+AdmitByObjective(const admission_settings& aSettings,
+                 const admission_request& aRequest,
+                 core::duration aOwn)
+{
+  const objective_request& objective = *aRequest.mObjective;
+  const core::duration before = aRequest.mWork - aRequest.mLongestTask;
+  if (aRequest.mWorkAhead <= core::duration::zero() &&
+      objective.mFreeSlots >= aRequest.mTasks) {
+    return admitted{ core::duration::zero(), aOwn };
+  }
+  const double slots = std::max(aRequest.mSlots, 1U);
+  const double left =
+    std::max(slots - objective.mLoadAbove, slots * kLeastShare);
+  const core::duration wait = TimeToDo(aRequest.mWorkAhead + before, left);
+  if (wait <= objective.mLongestWait) {
+    return admitted{ wait, wait + aRequest.mLongestTask };
+  }
+  const core::duration late =
+    TimeToDo(objective.mWaitingWork + before, slots - objective.mWholeLoad);
+  if (late <= objective.mLongestUsefulWait) {
+    return admitted{ late, late + aRequest.mLongestTask };
+  }
+  return Refuse(
+    aSettings, admission_reason::Late, wait - objective.mLongestWait);
+}
+
 } // namespace
 
 admission_decision
@@ -33,6 +77,9 @@
       aRequest.mWaitingTasks + aRequest.mTasks > aSettings.mMaxWaitingTasks) {
     return Refuse(aSettings, admission_reason::Room, wait / 2);
   }
+  if (aRequest.mObjective) {
+    return AdmitByObjective(aSettings, aRequest, own);
+  }
   if (wait > aSettings.mMaxWait) {
     return Refuse(aSettings, admission_reason::Wait, wait - aSettings.mMaxWait);
   }
--- a/src/libgooseberry/quota/admission.h
+++ b/src/libgooseberry/quota/admission.h
@@ -19,6 +19,18 @@
   core::duration mMinRetryAfter = std::chrono::milliseconds(200);
 };
 
+/** What an objective adds: jobs are taken in only if they can meet it, or can
+ * be late and of use. Times are from now. */
+struct objective_request
+{
+  core::duration mLongestWait{};       ///< Of the last task, to be in time.
+  core::duration mLongestUsefulWait{}; ///< Of the last task, to be of use.
+  std::uint32_t mFreeSlots = 0;        ///< Now, whoever may get them.
+  core::duration mWaitingWork{};       ///< Run times of all waiting tasks.
+  double mLoadAbove = 0; ///< Slots kept busy by arrivals that matter more.
+  double mWholeLoad = 0; ///< Slots kept busy by all arrivals.
+};
+
 /** A job at the door, and what waits before it. */
 struct admission_request
 {
@@ -31,6 +43,7 @@
   core::duration mLongestTask{};
   /** From now; none: the caller waits as long as it takes. */
   std::optional<core::duration> mDeadline;
+  std::optional<objective_request> mObjective;
 };
 
 enum class admission_reason : std::uint8_t
@@ -38,9 +51,10 @@
   Wait,     ///< Its first start would come too late.
   Deadline, ///< It would end in time if it had not to wait.
   Room,     ///< Too many tasks wait here.
+  Late,     ///< It would end too late to be of use.
 };
-inline constexpr core::enum_names<admission_reason, 3> kAdmissionReasonNames{
-  { "wait", "deadline", "room" }
+inline constexpr core::enum_names<admission_reason, 4> kAdmissionReasonNames{
+  { "wait", "deadline", "room", "late" }
 };
 
 struct admitted
@@ -62,6 +76,13 @@
  * the caller can go elsewhere while there is time. A job that finds nothing
  * before it is taken in, whatever its size; one that could not meet its
  * deadline on an idle system is not refused for that.
+ *
+ * Load pattern of the objective: for some seconds more arrives than the targets
+ * can do. Jobs that wait until it is certain that they are late take up
+ * callers' time, and slots that later ones need. So a job is refused on arrival
+ * unless it can start in time beside what goes before it and what arrives
+ * meanwhile and matters more; or the rest of a short burst leaves it late but
+ * of use.
  */
 admission_decision
 Admit(const admission_settings& aSettings, const admission_request& aRequest);
--- /dev/null
+++ b/src/libgooseberry/quota/offered_load.cpp
@@ -0,0 +1,63 @@
+#include "libgooseberry/quota/offered_load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace gooseberry::quota {
+
+namespace {
+
+/** Short enough to see a burst of a few seconds begin and end. */
+constexpr std::chrono::duration<double> kMemory = std::chrono::seconds(1);
+
+/** What is left of the means at `aNow`. */
+double
+Decay(const offered_load& aLoad, core::instant aNow)
+{
+  const std::chrono::duration<double> age =
+    std::max(aNow - aLoad.mAt, core::duration::zero());
+  return std::exp(-age / kMemory);
+}
+
+double
+SumBelow(const offered_load& aLoad, std::size_t aEnd, core::instant aNow)
+{
+  double sum = 0;
+  for (std::size_t i = 0; i < std::min(aEnd, kPriorities); ++i) {
+    sum += aLoad.mSlots[i];
+  }
+  return sum * Decay(aLoad, aNow);
+}
+
+} // namespace
+
+void
+NoteArrival(offered_load& aLoad,
+            std::uint32_t aPriority,
+            core::duration aWork,
+            core::instant aNow)
+{
+  const double left = Decay(aLoad, aNow);
+  for (double& slots : aLoad.mSlots) {
+    slots *= left;
+  }
+  aLoad.mAt = std::max(aLoad.mAt, aNow);
+  const std::size_t at = std::min<std::size_t>(aPriority, kPriorities - 1);
+  aLoad.mSlots[at] += std::chrono::duration<double>(aWork) / kMemory;
+}
+
+double
+LoadAbove(const offered_load& aLoad,
+          std::uint32_t aPriority,
+          core::instant aNow)
+{
+  return SumBelow(aLoad, aPriority, aNow);
+}
+
+double
+WholeLoad(const offered_load& aLoad, core::instant aNow)
+{
+  return SumBelow(aLoad, kPriorities, aNow);
+}
+
+} // namespace gooseberry::quota
--- a/src/libgooseberry/target/run_time.cpp
+++ b/src/libgooseberry/target/run_time.cpp
@@ -1,6 +1,7 @@
 #include "libgooseberry/target/run_time.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace gooseberry::target {
 
@@ -80,4 +81,20 @@
                     aService.mMean * kDeclaredBound);
 }
 
+core::duration
+Adjust(core::duration aUsual,
+       const run_time_mean& aUsuallyDeclared,
+       core::duration aDeclared)
+{
+  if (aUsuallyDeclared.mSamples == 0 || aDeclared <= core::duration::zero()) {
+    return aUsual;
+  }
+  const double ratio = static_cast<double>(aDeclared.count()) /
+                       static_cast<double>(aUsuallyDeclared.mMean.count());
+  const double bounded = std::clamp(
+    ratio, 1.0 / static_cast<double>(kDeclaredBound), double(kDeclaredBound));
+  return core::duration(static_cast<core::duration::rep>(
+    static_cast<double>(aUsual.count()) * std::sqrt(bounded)));
+}
+
 } // namespace gooseberry::target
--- a/src/libgooseberry/target/run_time.h
+++ b/src/libgooseberry/target/run_time.h
@@ -42,6 +42,17 @@
 double
 FactorAt(const speed_factor& aSpeed, core::instant aNow);
 
+/**
+ * The usual run time of a kind, moved towards what the caller declares for this
+ * task. Both are off, about as far as each other: half of the difference in
+ * ratio counts. That callers estimate too high or too low as a rule does not
+ * matter, as the estimate is compared with the usual one.
+ */
+core::duration
+Adjust(core::duration aUsual,
+       const run_time_mean& aUsuallyDeclared,
+       core::duration aDeclared);
+
 /**
  * Run time to expect of a kind of task: the kind's learned mean; else what the
  * caller declared, held near the service's learned mean; else that mean; else
--- a/src/libgooseberry/target/service_view.h
+++ b/src/libgooseberry/target/service_view.h
@@ -16,6 +16,7 @@
 struct kind_view
 {
   run_time_mean mRunTime;
+  run_time_mean mDeclared; ///< What callers declared for the same tasks.
   kind_outcomes mOutcomes;
 };
 
--- a/src/libgooseberry/target/target_table.cpp
+++ b/src/libgooseberry/target/target_table.cpp
@@ -89,6 +89,7 @@
              kind_view* aKind,
              target_view& aTarget,
              core::duration aRunTime,
+             core::duration aDeclared,
              core::instant aNow)
 {
   const run_time_mean& mean =
@@ -98,6 +99,9 @@
   Learn(aService.mRunTime, aRunTime);
   if (aKind != nullptr) {
     Learn(aKind->mRunTime, aRunTime);
+    if (aDeclared > core::duration::zero()) {
+      Learn(aKind->mDeclared, aDeclared);
+    }
   }
 }
 
@@ -251,7 +255,8 @@
           std::string_view aKind,
           core::task_end aEnd,
           core::duration aRunTime,
-          core::instant aNow)
+          core::instant aNow,
+          core::duration aDeclared)
 {
   AdvanceTo(aTable, aNow);
   service_view* const service = FindService(aTable, aService);
@@ -264,8 +269,12 @@
     Note(kind->mOutcomes, aTarget, !succeeded, aTable.mNow);
   }
   if (succeeded) {
-    LearnRunTime(
-      *service, kind, aTable.mTargets[aTarget], aRunTime, aTable.mNow);
+    LearnRunTime(*service,
+                 kind,
+                 aTable.mTargets[aTarget],
+                 aRunTime,
+                 aDeclared,
+                 aTable.mNow);
     TakeSuccess(aTable, aTarget);
   } else if (kind != nullptr) {
     TakeFailure(aTable, aTarget, kind->mOutcomes, KindNumber(aService, aKind));
@@ -283,10 +292,12 @@
     return Expected({}, {}, aDeclared);
   }
   const auto kind = service->mKinds.find(aKind);
-  return Expected(kind != service->mKinds.end() ? kind->second.mRunTime
-                                                : run_time_mean{},
-                  service->mRunTime,
-                  aDeclared);
+  if (kind == service->mKinds.end()) {
+    return Expected({}, service->mRunTime, aDeclared);
+  }
+  const core::duration usual =
+    Expected(kind->second.mRunTime, service->mRunTime, aDeclared);
+  return Adjust(usual, kind->second.mDeclared, aDeclared);
 }
 
 std::optional<target_index>
--- a/src/libgooseberry/target/target_table.h
+++ b/src/libgooseberry/target/target_table.h
@@ -145,7 +145,8 @@
 
 /**
  * Learns from how a task ended: run times from successes, health from
- * successes and failures. Does not release.
+ * successes and failures. Does not release. `aDeclared`: the caller's estimate
+ * of the task, which shows how far such estimates are to be trusted.
  */
 void
 RecordEnd(target_table& aTable,
@@ -154,7 +155,8 @@
           std::string_view aKind,
           core::task_end aEnd,
           core::duration aRunTime,
-          core::instant aNow);
+          core::instant aNow,
+          core::duration aDeclared = {});
 
 /** Run time to expect at the mean of all targets; see `Expected`. */
 core::duration
--- a/tests/libgooseberry/test_order_overload.cpp
+++ b/tests/libgooseberry/test_order_overload.cpp
@@ -41,14 +41,15 @@
     job::submission submission;
     submission.mKey = "job-" + std::to_string(mArrived++);
     submission.mService = "press";
-    submission.mObjective = aKind.mRunTime * 8 / 5 + 60ms;
+    submission.mObjective = { 160, 60ms };
     submission.mDeadline = 3s;
     submission.mTasks.resize(1);
     job::job& added = job::Add(mLedger, submission, aNow);
     added.mPhase = job::phase::Running;
     added.mTasks[0].mExpected = aKind.mRunTime;
     added.mRemainingWork = aKind.mRunTime;
-    added.mLatestStart = aNow + submission.mObjective - aKind.mRunTime;
+    added.mObjective = job::ObjectiveOf(submission, aKind.mRunTime);
+    added.mLatestStart = aNow + job::LongestWait(submission, aKind.mRunTime);
     added.mWaiting = { 0 };
     job::Requeue(mQueue, mOrder, added);
   }
@@ -64,7 +65,7 @@
         *job::Find(mLedger, mQueue.mServices.begin()->second.begin()->mJob);
       job::Unqueue(mQueue, next);
       until = aNow + next.mTasks[0].mExpected;
-      mInTime += until <= next.mArrived + next.mSubmission.mObjective ? 1 : 0;
+      mInTime += until <= next.mArrived + next.mObjective ? 1 : 0;
     }
   }
 
