--- /dev/null
+++ b/tests/libgooseberry/test_admission_overload.cpp
@@ -0,0 +1,278 @@
+#include "libgooseberry/job/ready_queue.h"
+#include "libgooseberry/quota/admission.h"
+#include "libgooseberry/quota/offered_load.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <random>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+/**
+ * Replays the load at its worst: for some seconds more work arrives than the
+ * targets can do, in wide and narrow, long and short jobs that matter
+ * differently to their operators. On a fake clock, with the decisions that an
+ * entry takes: admission, order, and the refusal of late jobs.
+ */
+namespace {
+
+constexpr core::duration kStep = 1ms;
+constexpr core::duration kCalm = 1s;
+constexpr core::duration kOverload = 6s;
+constexpr std::size_t kSlots = 35;
+
+/** A kind of jobs, due in 1.52 run times of a task and 60 ms. */
+struct kind
+{
+  core::duration mRunTime;
+  std::size_t mTasks;
+  double mPerSecond;
+  std::uint32_t mPriority; ///< Smaller ones matter more.
+};
+/** 21.8 s of work a second; twice that under overload, for 35 slots. */
+constexpr kind kKinds[] = { { 60ms, 8, 9.5, 0 },
+                            { 200ms, 2, 27.5, 1 },
+                            { 900ms, 4, 1.7, 2 } };
+
+struct tally
+{
+  std::size_t mArrived = 0;
+  std::size_t mInTime = 0;
+  std::size_t mLate = 0;    ///< Of use, but late.
+  std::size_t mUseless = 0; ///< Ended too late to be of use.
+  std::size_t mRefused = 0; ///< On arrival.
+  std::size_t mHeld = 0;    ///< Refused after a wait.
+};
+
+struct running
+{
+  core::instant mUntil{};
+  std::string mJob;
+};
+
+struct replay
+{
+  bool mAdmits = true;
+  job::order_settings mOrder{ job::order_policy::Objective, 4 };
+  job::ledger mLedger;
+  job::ready_queue mQueue;
+  quota::offered_load mLoad;
+  std::vector<running> mRunning = std::vector<running>(kSlots);
+  std::vector<std::string> mWaiting; ///< Late ones, to be refused.
+  tally mTally;
+  std::array<tally, std::size(kKinds)> mByKind;
+
+  tally& Of(const job::job& aJob)
+  {
+    return mByKind[aJob.mSubmission.mPriority];
+  }
+
+  core::duration Waiting(core::instant aLatestStart)
+  {
+    core::duration work{};
+    const auto service = mQueue.mServices.find("press");
+    if (service == mQueue.mServices.end()) {
+      return work;
+    }
+    for (const job::ready_key& key : service->second) {
+      if (key.mPriority > aLatestStart.time_since_epoch().count()) {
+        break;
+      }
+      work += job::Find(mLedger, key.mJob)->mWaitingWork;
+    }
+    return work;
+  }
+
+  bool IsAdmitted(const job::submission& aSubmission,
+                  const kind& aKind,
+                  core::instant aNow)
+  {
+    quota::admission_request request;
+    request.mSlots = kSlots;
+    request.mTasks = static_cast<std::uint32_t>(aKind.mTasks);
+    request.mWork = aKind.mRunTime * std::int64_t(aKind.mTasks);
+    request.mLongestTask = aKind.mRunTime;
+    quota::NoteArrival(mLoad, aKind.mPriority, request.mWork, aNow);
+    const core::duration longest =
+      job::LongestWait(aSubmission, aKind.mRunTime);
+    request.mWorkAhead = Waiting(aNow + longest);
+    request.mWaitingTasks = request.mWorkAhead > 0s ? 1 : 0;
+    quota::objective_request objective;
+    objective.mLongestWait = longest;
+    objective.mLongestUsefulWait =
+      job::LongestUsefulWait(aSubmission, aKind.mRunTime);
+    objective.mFreeSlots = static_cast<std::uint32_t>(
+      std::count_if(mRunning.begin(), mRunning.end(), [&](const auto& aSlot) {
+        return aSlot.mUntil <= aNow;
+      }));
+    objective.mWaitingWork = Waiting(core::instant::max());
+    objective.mLoadAbove = quota::LoadAbove(mLoad, aKind.mPriority, aNow);
+    objective.mWholeLoad = quota::WholeLoad(mLoad, aNow);
+    request.mObjective = objective;
+    return std::holds_alternative<quota::admitted>(quota::Admit({}, request));
+  }
+
+  void Arrive(const kind& aKind, core::instant aNow)
+  {
+    job::submission submission;
+    submission.mKey = "job-" + std::to_string(mTally.mArrived++);
+    submission.mService = "press";
+    submission.mObjective = { 152, 60ms };
+    submission.mPriority = aKind.mPriority;
+    submission.mDeadline = 5s;
+    submission.mTasks.resize(aKind.mTasks);
+    ++mByKind[aKind.mPriority].mArrived;
+    if (mAdmits && !IsAdmitted(submission, aKind, aNow)) {
+      ++mTally.mRefused;
+      return;
+    }
+    job::job& added = job::Add(mLedger, submission, aNow);
+    added.mPhase = job::phase::Running;
+    added.mObjective = job::ObjectiveOf(submission, aKind.mRunTime);
+    added.mLatestStart = aNow + job::LongestWait(submission, aKind.mRunTime);
+    for (std::uint32_t i = 0; i < aKind.mTasks; ++i) {
+      added.mTasks[i].mExpected = aKind.mRunTime;
+      added.mWaitingWork += aKind.mRunTime;
+      added.mWaiting.push_back(i);
+    }
+    job::Requeue(mQueue, mOrder, added);
+  }
+
+  void End(job::job& aJob, core::instant aNow)
+  {
+    const core::duration took = aNow - aJob.mArrived;
+    if (took <= aJob.mObjective) {
+      ++mTally.mInTime;
+      ++Of(aJob).mInTime;
+    } else if (took <= 3 * aJob.mObjective) {
+      ++mTally.mLate;
+    } else {
+      ++mTally.mUseless;
+    }
+  }
+
+  void EndTasks(core::instant aNow)
+  {
+    for (running& slot : mRunning) {
+      if (slot.mJob.empty() || slot.mUntil > aNow) {
+        continue;
+      }
+      job::job& ended = *job::Find(mLedger, slot.mJob);
+      slot.mJob.clear();
+      if (++ended.mEnded == ended.mTasks.size()) {
+        End(ended, aNow);
+      }
+    }
+  }
+
+  void StartTasks(core::instant aNow)
+  {
+    for (const auto& late : job::DemoteLate(mQueue, mOrder, mLedger, aNow)) {
+      mWaiting.push_back(late);
+    }
+    for (running& slot : mRunning) {
+      if (!slot.mJob.empty() || mQueue.mServices.empty()) {
+        continue;
+      }
+      job::job& next =
+        *job::Find(mLedger, mQueue.mServices.begin()->second.begin()->mJob);
+      const std::uint32_t task = next.mWaiting.back();
+      next.mWaiting.pop_back();
+      next.mTasks[task].mState = job::task_state::Running;
+      next.mTasks[task].mEverStarted = true;
+      next.mWaitingWork -= next.mTasks[task].mExpected;
+      slot = { aNow + next.mTasks[task].mExpected, next.mSubmission.mKey };
+      job::Requeue(mQueue, mOrder, next);
+    }
+  }
+
+  /** Refuses late jobs that nothing was started of, once they are of no use. */
+  void RefuseLate(core::instant aNow)
+  {
+    std::erase_if(mWaiting, [&](const std::string& aName) {
+      job::job& late = *job::Find(mLedger, aName);
+      const core::duration useful =
+        job::LongestUsefulWait(late.mSubmission, late.mTasks.front().mExpected);
+      if (job::MayHaveStarted(late) || late.mArrived + useful > aNow) {
+        return job::MayHaveStarted(late);
+      }
+      job::Unqueue(mQueue, late);
+      ++mTally.mHeld;
+      return true;
+    });
+  }
+
+  tally Run()
+  {
+    std::mt19937_64 random(1);
+    std::uniform_real_distribution<double> draw(0, 1);
+    const core::instant start{ 100s };
+    const core::instant end = start + kCalm + kOverload;
+    for (core::instant now = start; now < end + 2s; now += kStep) {
+      const double factor = now < start + kCalm ? 1 : 2;
+      for (const kind& kind : kKinds) {
+        const double chance = factor * kind.mPerSecond *
+                              std::chrono::duration<double>(kStep).count();
+        if (now < end && draw(random) < chance) {
+          Arrive(kind, now);
+        }
+      }
+      EndTasks(now);
+      RefuseLate(now);
+      StartTasks(now);
+    }
+    return mTally;
+  }
+};
+
+std::ostream&
+operator<<(std::ostream& aOut, const tally& aTally)
+{
+  return aOut << "arrived " << aTally.mArrived << ", in time " << aTally.mInTime
+              << ", late " << aTally.mLate << ", useless " << aTally.mUseless
+              << ", refused " << aTally.mRefused << ", held and refused "
+              << aTally.mHeld;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(admission_overload)
+
+BOOST_AUTO_TEST_CASE(what_cannot_be_in_time_is_refused_on_arrival)
+{
+  replay with;
+  const tally admitted = with.Run();
+  replay without;
+  without.mAdmits = false;
+  const tally all = without.Run();
+  BOOST_TEST_MESSAGE("with " << admitted);
+  BOOST_TEST_MESSAGE("without " << all);
+  BOOST_TEST(admitted.mHeld * 50 <= admitted.mArrived);    // 2%
+  BOOST_TEST(admitted.mUseless * 50 <= admitted.mArrived); // 2%
+  BOOST_TEST(all.mHeld + all.mUseless >
+             5 * (admitted.mHeld + admitted.mUseless));
+  BOOST_TEST(admitted.mInTime > all.mInTime);
+}
+
+BOOST_AUTO_TEST_CASE(what_matters_most_is_in_time)
+{
+  replay replay;
+  static_cast<void>(replay.Run());
+  const tally& first = replay.mByKind.front();
+  BOOST_TEST_MESSAGE(first.mInTime << " of " << first.mArrived);
+  BOOST_TEST(first.mInTime * 10 >= first.mArrived * 9);
+}
+
+BOOST_AUTO_TEST_CASE(nothing_is_refused_while_slots_are_free)
+{
+  replay replay;
+  const core::instant start{ 100s };
+  for (int i = 0; i < 4; ++i) {
+    replay.Arrive(kKinds[0], start);
+    replay.StartTasks(start);
+  }
+  BOOST_TEST(replay.mTally.mRefused == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
