--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -147,8 +147,7 @@
 {
   return mReady && mLoop.Ask([](auto& aControl, auto aNow, auto& aEffects) {
     static_cast<void>(aEffects);
-    return aControl.mJoining.mStage == entry::join_stage::Open &&
-           !aControl.mLeaving && entry::IsFresh(aControl, aNow);
+    return entry::IsReady(aControl, aNow);
   });
 }
 
--- a/src/libgooseberry/entry/entry_control.cpp
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -25,6 +25,7 @@
   control.mTargets.mSettings = aOptions.mPlacement;
   control.mRetryBudget.mSettings = aOptions.mRetry;
   control.mOptions = std::move(aOptions);
+  control.mStartedAt = aNow;
   control.mJoining.mSince = aNow;
   if (control.mOptions.mLeasedRuns) {
     control.mJoining.mStage = join_stage::Open;
@@ -43,6 +44,22 @@
          aNow - *aControl.mEvidence <= aControl.mOptions.mFreshnessBound;
 }
 
+bool
+AwaitsTargets(const entry_control& aControl, core::instant aNow)
+{
+  // Agents find a new entry, and targets a new agent, by their heartbeats.
+  constexpr core::duration kTargetsExpectedWithin = std::chrono::seconds(3);
+  return aControl.mTargets.mTargets.empty() &&
+         aNow - aControl.mStartedAt < kTargetsExpectedWithin;
+}
+
+bool
+IsReady(const entry_control& aControl, core::instant aNow)
+{
+  return aControl.mJoining.mStage == join_stage::Open && !aControl.mLeaving &&
+         IsFresh(aControl, aNow) && !AwaitsTargets(aControl, aNow);
+}
+
 namespace {
 
 /** Ends the jobs whose deadline has passed. */
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -146,6 +146,7 @@
 
   membership::members mMembers;
   joining mJoining;
+  core::instant mStartedAt{};
   /** Send time of the last call that proves touch with the store or a peer. */
   std::optional<core::instant> mEvidence;
   bool mLeaving = false;
@@ -203,6 +204,15 @@
 bool
 IsFresh(const entry_control& aControl, core::instant aNow);
 
+/** Whether agents may not have told this entry of their targets yet: it has
+ * just started, and knows of none. */
+bool
+AwaitsTargets(const entry_control& aControl, core::instant aNow);
+
+/** Whether callers are to be sent here. */
+bool
+IsReady(const entry_control& aControl, core::instant aNow);
+
 // Callers -------------------------------------------------------------------
 
 /** A caller submits; `aToken` names the caller in the answer. */
--- a/src/libgooseberry/entry/submit.cpp
+++ b/src/libgooseberry/entry/submit.cpp
@@ -101,16 +101,20 @@
  * are spread unevenly, and half of an equal part at least.
  */
 std::uint32_t
-SlotShare(const entry_control& aControl, const std::string& aService)
+SlotShare(const entry_control& aControl,
+          const std::string& aService,
+          core::instant aNow)
 {
   const std::uint32_t slots = target::TotalSlots(aControl.mTargets, aService);
   const std::uint32_t own = Demand(aControl.mTeams) + 1;
   std::uint32_t all = own;
+  std::uint32_t entries = 1;
   for (const auto& [name, view] : aControl.mMembers.mEntries) {
-    all += Demand(view.mTeams) + 1;
+    if (!view.mLeaving && IsEntryHeard(aControl, name, aNow)) {
+      all += Demand(view.mTeams) + 1;
+      ++entries;
+    }
   }
-  const auto entries =
-    static_cast<std::uint32_t>(aControl.mMembers.mEntries.size() + 1);
   const auto byDemand =
     static_cast<std::uint32_t>(std::uint64_t(slots) * own / all);
   return std::max({ 1U, slots / entries / 2, byDemand });
@@ -128,11 +132,12 @@
     return {};
   }
   const auto& order = aControl.mOptions.mOrder;
-  const core::instant latestStart =
-    aNow + job::LongestWait(aSubmission, aRequest.mLongestTask);
-  const std::int64_t priority = order.mPolicy == job::order_policy::Objective
-                                  ? latestStart.time_since_epoch().count()
-                                  : job::Priority(order, aRequest.mWork, aNow);
+  const std::int64_t priority =
+    order.mPolicy == job::order_policy::Objective
+      ? job::ObjectiveKey(
+          aSubmission,
+          aNow + job::LongestWait(aSubmission, aRequest.mLongestTask))
+      : job::Priority(order, aRequest.mWork, aNow);
   core::duration ahead{};
   for (const job::ready_key& key : ready->second) {
     if (key.mPriority > priority) {
@@ -190,7 +195,7 @@
   for (const auto& [team, use] : aControl.mTeams) {
     request.mWaitingTasks += use.mWaiting;
   }
-  request.mSlots = SlotShare(aControl, aSubmission.mService);
+  request.mSlots = SlotShare(aControl, aSubmission.mService, aNow);
   request.mDeadline = aSubmission.mDeadline;
   request.mObjective =
     MakeObjectiveRequest(aControl, aSubmission, request.mLongestTask, aNow);
@@ -232,9 +237,11 @@
        core::instant aNow,
        effects& aEffects)
 {
+  const bool known = aControl.mDesired.mServices.contains(aSubmission.mService);
+  if (known && AwaitsTargets(aControl, aNow)) {
+    return std::nullopt;
+  }
   if (!target::CanEverRun(aControl.mTargets, aSubmission.mService)) {
-    const bool known =
-      aControl.mDesired.mServices.contains(aSubmission.mService);
     return ErrorAnswer(
       aSubmission.mKey,
       core::job_outcome::Failed,
--- a/src/libgooseberry/job/job.h
+++ b/src/libgooseberry/job/job.h
@@ -86,6 +86,7 @@
   core::duration mObjective{};   ///< From arrival; zero: none is set.
   core::instant mLatestStart{};  ///< To end by its objective.
   bool mLate = false;            ///< Had waiting tasks after that.
+  bool mYields = false;          ///< Late, and nothing had run before.
   std::int64_t mPriority = 0;    ///< Its key in the ready queue.
   bool mQueued = false;          ///< Stands in the ready queue.
   inquiry mInquiry;
--- a/src/libgooseberry/job/ready_queue.cpp
+++ b/src/libgooseberry/job/ready_queue.cpp
@@ -1,19 +1,17 @@
 #include "libgooseberry/job/ready_queue.h"
 
+#include <algorithm>
+
 namespace gooseberry::job {
 
 namespace {
 
-/** Far beyond any job's deadline: late jobs go after all others. */
-constexpr core::duration kLateOffset = std::chrono::hours(1);
-
-/** Late jobs of which nothing was started yield to those that can be in time;
- * to finish the others saves what was spent on them. */
-bool
-Yields(const job& aJob)
-{
-  return aJob.mLate && !MayHaveStarted(aJob);
-}
+// Beyond any job's deadline, so that each of these goes before the next.
+constexpr core::duration kPriorityOffset = std::chrono::minutes(10);
+constexpr core::duration kLateOffset = std::chrono::hours(24);
+/** Of the late jobs, those of which tasks have run go first: the rest of their
+ * work saves what was spent. */
+constexpr core::duration kStartedOffset = kLateOffset / 2;
 
 std::int64_t
 KeyOf(const order_settings& aSettings, const job& aJob)
@@ -21,15 +19,25 @@
   if (aSettings.mPolicy != order_policy::Objective) {
     return Priority(aSettings, aJob.mRemainingWork, aJob.mArrived);
   }
-  core::instant at = aJob.mLatestStart;
-  if (Yields(aJob)) {
-    at += kLateOffset;
+  core::duration offset{};
+  if (aJob.mYields) {
+    offset = MayHaveStarted(aJob) ? kStartedOffset : kLateOffset;
   }
-  return at.time_since_epoch().count();
+  return ObjectiveKey(aJob.mSubmission, aJob.mLatestStart + offset);
 }
 
 } // namespace
 
+std::int64_t
+ObjectiveKey(const submission& aSubmission, core::instant aLatestStart)
+{
+  // Few priorities are in use; more would come before late jobs no longer.
+  constexpr std::uint32_t kMostPriorities = 64;
+  const std::int64_t priority =
+    std::min(aSubmission.mPriority, kMostPriorities);
+  return (aLatestStart + kPriorityOffset * priority).time_since_epoch().count();
+}
+
 std::int64_t
 Priority(const order_settings& aSettings,
          core::duration aRemaining,
@@ -67,13 +75,10 @@
   if (aSettings.mPolicy != order_policy::Objective) {
     return late;
   }
-  const std::int64_t now = aNow.time_since_epoch().count();
   for (const auto& [service, keys] : aQueue.mServices) {
     for (const ready_key& key : keys) {
-      if (key.mPriority >= now) {
-        break;
-      }
-      if (!Find(aLedger, key.mJob)->mLate) {
+      const job& waiting = *Find(aLedger, key.mJob);
+      if (!waiting.mLate && waiting.mLatestStart < aNow) {
         late.push_back(key.mJob);
       }
     }
@@ -81,6 +86,7 @@
   for (const std::string& name : late) {
     job& demoted = *Find(aLedger, name);
     demoted.mLate = true;
+    demoted.mYields = !MayHaveStarted(demoted);
     Requeue(aQueue, aSettings, demoted);
   }
   return late;
--- a/src/libgooseberry/job/ready_queue.h
+++ b/src/libgooseberry/job/ready_queue.h
@@ -16,8 +16,10 @@
   LeastRemaining, ///< Least remaining work first, with ageing.
   Fifo,           ///< Baseline: by arrival.
   /**
-   * Least time left to the latest start that meets the objective; jobs that
-   * can only be late, and of which nothing was started, go after all others.
+   * By priority, then least time left to the latest start that meets the
+   * objective. Jobs that
+   * are late before any of their tasks has run go after all others; one that
+   * had begun is finished first, so that what was spent on it is not lost.
    */
   Objective,
 };
@@ -59,6 +61,14 @@
          core::duration aRemaining,
          core::instant aArrived);
 
+/**
+ * Smaller goes first, for `Objective`: by the operators' priority, then by the
+ * latest start. Jobs that matter most are in time as long as the targets can do
+ * their work, whatever else arrives.
+ */
+std::int64_t
+ObjectiveKey(const submission& aSubmission, core::instant aLatestStart);
+
 /** Puts the job where its priority says, or takes it out if it waits for
  * nothing. */
 void
--- a/src/libgooseberry/quota/admission.cpp
+++ b/src/libgooseberry/quota/admission.cpp
@@ -17,6 +17,18 @@
 /** Of the slots, left to a job however much arrives that matters more. */
 constexpr double kLeastShare = 0.1;
 
+/** Part of the longest wait up to which a job is taken in: run times differ
+ * from what is expected, and urgent jobs that come later go first. At the whole
+ * of it, all jobs of an overload end a little late. */
+constexpr double kSafeWait = 0.5;
+
+core::duration
+Scale(core::duration aTime, double aFactor)
+{
+  return core::duration(static_cast<core::duration::rep>(
+    static_cast<double>(aTime.count()) * aFactor));
+}
+
 /** Time in which so many slots do the work. */
 core::duration
 TimeToDo(core::duration aWork, double aSlots)
@@ -38,15 +50,14 @@
 {
   const objective_request& objective = *aRequest.mObjective;
   const core::duration before = aRequest.mWork - aRequest.mLongestTask;
-  if (aRequest.mWorkAhead <= core::duration::zero() &&
-      objective.mFreeSlots >= aRequest.mTasks) {
+  if (objective.mFreeSlots >= aRequest.mTasks + aRequest.mWaitingTasks) {
     return admitted{ core::duration::zero(), aOwn };
   }
   const double slots = std::max(aRequest.mSlots, 1U);
   const double left =
     std::max(slots - objective.mLoadAbove, slots * kLeastShare);
   const core::duration wait = TimeToDo(aRequest.mWorkAhead + before, left);
-  if (wait <= objective.mLongestWait) {
+  if (wait <= Scale(objective.mLongestWait, kSafeWait)) {
     return admitted{ wait, wait + aRequest.mLongestTask };
   }
   const core::duration late =
--- a/tests/libgooseberry/test_admission_overload.cpp
+++ b/tests/libgooseberry/test_admission_overload.cpp
@@ -4,6 +4,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <limits>
+#include <map>
 #include <random>
 
 using namespace gooseberry;
@@ -58,8 +61,11 @@
   job::ledger mLedger;
   job::ready_queue mQueue;
   quota::offered_load mLoad;
+  std::uint64_t mWaitingTasks = 0;
+  std::mt19937_64 mRandom{ 1 };
   std::vector<running> mRunning = std::vector<running>(kSlots);
-  std::vector<std::string> mWaiting; ///< Late ones, to be refused.
+  std::map<std::string, core::duration> mLongest; ///< Run time, by job.
+  std::vector<std::string> mWaiting;              ///< Late ones, to be refused.
   tally mTally;
   std::array<tally, std::size(kKinds)> mByKind;
 
@@ -68,7 +74,7 @@
     return mByKind[aJob.mSubmission.mPriority];
   }
 
-  core::duration Waiting(core::instant aLatestStart)
+  core::duration Waiting(std::int64_t aBefore)
   {
     core::duration work{};
     const auto service = mQueue.mServices.find("press");
@@ -76,7 +82,7 @@
       return work;
     }
     for (const job::ready_key& key : service->second) {
-      if (key.mPriority > aLatestStart.time_since_epoch().count()) {
+      if (key.mPriority > aBefore) {
         break;
       }
       work += job::Find(mLedger, key.mJob)->mWaitingWork;
@@ -96,8 +102,9 @@
     quota::NoteArrival(mLoad, aKind.mPriority, request.mWork, aNow);
     const core::duration longest =
       job::LongestWait(aSubmission, aKind.mRunTime);
-    request.mWorkAhead = Waiting(aNow + longest);
-    request.mWaitingTasks = request.mWorkAhead > 0s ? 1 : 0;
+    request.mWorkAhead =
+      Waiting(job::ObjectiveKey(aSubmission, aNow + longest));
+    request.mWaitingTasks = mWaitingTasks;
     quota::objective_request objective;
     objective.mLongestWait = longest;
     objective.mLongestUsefulWait =
@@ -106,13 +113,21 @@
       std::count_if(mRunning.begin(), mRunning.end(), [&](const auto& aSlot) {
         return aSlot.mUntil <= aNow;
       }));
-    objective.mWaitingWork = Waiting(core::instant::max());
+    objective.mWaitingWork = Waiting(std::numeric_limits<std::int64_t>::max());
     objective.mLoadAbove = quota::LoadAbove(mLoad, aKind.mPriority, aNow);
     objective.mWholeLoad = quota::WholeLoad(mLoad, aNow);
     request.mObjective = objective;
     return std::holds_alternative<quota::admitted>(quota::Admit({}, request));
   }
 
+  /** A run time: estimates are off by a factor of 1.5, up or down. */
+  core::duration Draw(core::duration aExpected)
+  {
+    std::lognormal_distribution<double> factor(0, 0.4);
+    return core::duration(static_cast<core::duration::rep>(
+      static_cast<double>(aExpected.count()) * factor(mRandom)));
+  }
+
   void Arrive(const kind& aKind, core::instant aNow)
   {
     job::submission submission;
@@ -135,6 +150,7 @@
       added.mTasks[i].mExpected = aKind.mRunTime;
       added.mWaitingWork += aKind.mRunTime;
       added.mWaiting.push_back(i);
+      ++mWaitingTasks;
     }
     job::Requeue(mQueue, mOrder, added);
   }
@@ -142,10 +158,12 @@
   void End(job::job& aJob, core::instant aNow)
   {
     const core::duration took = aNow - aJob.mArrived;
-    if (took <= aJob.mObjective) {
+    const core::duration objective =
+      job::ObjectiveOf(aJob.mSubmission, mLongest[aJob.mSubmission.mKey]);
+    if (took <= objective) {
       ++mTally.mInTime;
       ++Of(aJob).mInTime;
-    } else if (took <= 3 * aJob.mObjective) {
+    } else if (took <= 3 * objective) {
       ++mTally.mLate;
     } else {
       ++mTally.mUseless;
@@ -179,10 +197,14 @@
         *job::Find(mLedger, mQueue.mServices.begin()->second.begin()->mJob);
       const std::uint32_t task = next.mWaiting.back();
       next.mWaiting.pop_back();
+      --mWaitingTasks;
       next.mTasks[task].mState = job::task_state::Running;
       next.mTasks[task].mEverStarted = true;
       next.mWaitingWork -= next.mTasks[task].mExpected;
-      slot = { aNow + next.mTasks[task].mExpected, next.mSubmission.mKey };
+      const core::duration runTime = Draw(next.mTasks[task].mExpected);
+      core::duration& longest = mLongest[next.mSubmission.mKey];
+      longest = std::max(longest, runTime);
+      slot = { aNow + runTime, next.mSubmission.mKey };
       job::Requeue(mQueue, mOrder, next);
     }
   }
@@ -198,6 +220,7 @@
         return job::MayHaveStarted(late);
       }
       job::Unqueue(mQueue, late);
+      mWaitingTasks -= late.mWaiting.size();
       ++mTally.mHeld;
       return true;
     });
@@ -205,7 +228,6 @@
 
   tally Run()
   {
-    std::mt19937_64 random(1);
     std::uniform_real_distribution<double> draw(0, 1);
     const core::instant start{ 100s };
     const core::instant end = start + kCalm + kOverload;
@@ -214,7 +236,7 @@
       for (const kind& kind : kKinds) {
         const double chance = factor * kind.mPerSecond *
                               std::chrono::duration<double>(kStep).count();
-        if (now < end && draw(random) < chance) {
+        if (now < end && draw(mRandom) < chance) {
           Arrive(kind, now);
         }
       }
