--- /dev/null
+++ b/src/libgooseberry/entry/admit.cpp
@@ -0,0 +1,199 @@
+#include "libgooseberry/entry/entry_control.h"
+#include "libgooseberry/entry/internal.h"
+
+#include <algorithm>
+
+/** Whether an entry takes a job in, by what it knows of load and targets. */
+namespace gooseberry::entry {
+
+namespace {
+
+/** Tasks that an entry runs and that wait there. */
+std::uint32_t
+Demand(const std::map<std::string, core::team_use>& aTeams)
+{
+  std::uint32_t tasks = 0;
+  for (const auto& [team, use] : aTeams) {
+    tasks += use.mRunning + use.mWaiting;
+  }
+  return tasks;
+}
+
+/**
+ * Slots that fall to this entry: by its part of all entries' tasks, as callers
+ * are spread unevenly, and half of an equal part at least.
+ */
+std::uint32_t
+SlotShare(const entry_control& aControl,
+          const std::string& aService,
+          core::instant aNow)
+{
+  const std::uint32_t slots = target::TotalSlots(aControl.mTargets, aService);
+  const std::uint32_t own = Demand(aControl.mTeams) + 1;
+  std::uint32_t all = own;
+  std::uint32_t entries = 1;
+  for (const auto& [name, view] : aControl.mMembers.mEntries) {
+    if (!view.mLeaving && IsEntryHeard(aControl, name, aNow)) {
+      all += Demand(view.mTeams) + 1;
+      ++entries;
+    }
+  }
+  const auto byDemand =
+    static_cast<std::uint32_t>(std::uint64_t(slots) * own / all);
+  return std::max({ 1U, slots / entries / 2, byDemand });
+}
+
+/** Expected work of the waiting tasks that go before such a job. */
+core::duration
+WorkAhead(const entry_control& aControl,
+          const job::submission& aSubmission,
+          const quota::admission_request& aRequest,
+          core::instant aNow)
+{
+  const auto ready = aControl.mReady.mServices.find(aSubmission.mService);
+  if (ready == aControl.mReady.mServices.end()) {
+    return {};
+  }
+  const auto& order = aControl.mOptions.mOrder;
+  const std::int64_t priority =
+    order.mPolicy == job::order_policy::Objective
+      ? job::ObjectiveKey(
+          aSubmission,
+          aNow + job::LongestWait(aSubmission, aRequest.mLongestTask))
+      : job::Priority(order, aRequest.mWork, aNow);
+  core::duration ahead{};
+  for (const job::ready_key& key : ready->second) {
+    if (key.mPriority > priority) {
+      break;
+    }
+    ahead += aControl.mLedger.mJobs.at(key.mJob)->mWaitingWork;
+  }
+  return ahead;
+}
+
+/** What admission by the objective looks at; none where it is not used. */
+std::optional<quota::objective_request>
+MakeObjectiveRequest(const entry_control& aControl,
+                     const job::submission& aSubmission,
+                     core::duration aLongest,
+                     core::instant aNow)
+{
+  if (aControl.mOptions.mOrder.mPolicy != job::order_policy::Objective ||
+      job::ObjectiveOf(aSubmission, aLongest) <= core::duration::zero()) {
+    return std::nullopt;
+  }
+  quota::objective_request request;
+  request.mLongestWait = job::LongestWait(aSubmission, aLongest);
+  request.mLongestUsefulWait = job::LongestUsefulWait(aSubmission, aLongest);
+  request.mFreeSlots =
+    target::FreeSlots(aControl.mTargets, aSubmission.mService, aNow);
+  request.mLoadAbove =
+    quota::LoadAbove(aControl.mOffered, aSubmission.mPriority, aNow);
+  request.mWholeLoad = quota::WholeLoad(aControl.mOffered, aNow);
+  if (const auto ready = aControl.mReady.mServices.find(aSubmission.mService);
+      ready != aControl.mReady.mServices.end()) {
+    for (const job::ready_key& key : ready->second) {
+      request.mWaitingWork += aControl.mLedger.mJobs.at(key.mJob)->mWaitingWork;
+    }
+  }
+  return request;
+}
+
+quota::admission_request
+MakeAdmissionRequest(entry_control& aControl,
+                     const job::submission& aSubmission,
+                     core::instant aNow)
+{
+  quota::admission_request request;
+  for (const job::task_description& task : aSubmission.mTasks) {
+    const core::duration expected = target::ExpectedRunTime(
+      aControl.mTargets, aSubmission.mService, task.mKind, task.mDeclared);
+    request.mWork += expected;
+    request.mLongestTask = std::max(request.mLongestTask, expected);
+  }
+  quota::NoteArrival(
+    aControl.mOffered, aSubmission.mPriority, request.mWork, aNow);
+  request.mTasks = static_cast<std::uint32_t>(aSubmission.mTasks.size());
+  request.mWorkAhead = WorkAhead(aControl, aSubmission, request, aNow);
+  for (const auto& [team, use] : aControl.mTeams) {
+    request.mWaitingTasks += use.mWaiting;
+  }
+  request.mSlots = SlotShare(aControl, aSubmission.mService, aNow);
+  request.mDeadline = aSubmission.mDeadline;
+  request.mObjective =
+    MakeObjectiveRequest(aControl, aSubmission, request.mLongestTask, aNow);
+  return request;
+}
+
+/** What decided that a job is not taken in. */
+void
+LogRefused(const job::submission& aSubmission,
+           const quota::admission_request& aRequest,
+           const quota::refused& aRefused,
+           effects& aEffects)
+{
+  const auto milliseconds = [](core::duration aTime) {
+    return std::to_string(core::ToMilliseconds(aTime));
+  };
+  std::vector<log_field> fields{
+    { "job", aSubmission.mKey },
+    { "reason",
+      std::string(quota::kAdmissionReasonNames.NameOf(aRefused.mReason)) },
+    { "work_ms", milliseconds(aRequest.mWork) },
+    { "work_ahead_ms", milliseconds(aRequest.mWorkAhead) },
+    { "slots", std::to_string(aRequest.mSlots) },
+    { "retry_after_ms", milliseconds(aRefused.mRetryAfter) }
+  };
+  if (const auto& objective = aRequest.mObjective) {
+    fields.push_back(
+      { "longest_wait_ms", milliseconds(objective->mLongestWait) });
+    fields.push_back({ "load_above", std::to_string(objective->mLoadAbove) });
+    fields.push_back({ "whole_load", std::to_string(objective->mWholeLoad) });
+  }
+  Log(aEffects, "admission_refused", std::move(fields));
+}
+
+} // namespace
+
+std::optional<core::job_answer>
+Reject(entry_control& aControl,
+       const job::submission& aSubmission,
+       core::instant aNow,
+       effects& aEffects)
+{
+  const bool known = aControl.mDesired.mServices.contains(aSubmission.mService);
+  if (known && AwaitsTargets(aControl, aNow)) {
+    return std::nullopt;
+  }
+  if (!target::CanEverRun(aControl.mTargets, aSubmission.mService)) {
+    return ErrorAnswer(
+      aSubmission.mKey,
+      core::job_outcome::Failed,
+      { "place job",
+        "",
+        known ? "no target may take service " + aSubmission.mService
+              : "no such service: " + aSubmission.mService },
+      kStatusUnprocessable);
+  }
+  const quota::admission_request request =
+    MakeAdmissionRequest(aControl, aSubmission, aNow);
+  const quota::admission_decision decision =
+    quota::Admit(aControl.mOptions.mAdmission, request);
+  const auto* refused = std::get_if<quota::refused>(&decision);
+  if (refused == nullptr) {
+    return std::nullopt;
+  }
+  LogRefused(aSubmission, request, *refused, aEffects);
+  core::job_answer answer = ErrorAnswer(
+    aSubmission.mKey,
+    core::job_outcome::NotRun,
+    { "admit job",
+      "",
+      "overloaded: " +
+        std::string(quota::kAdmissionReasonNames.NameOf(refused->mReason)) },
+    kStatusTooMany);
+  answer.mRetryAfter = refused->mRetryAfter;
+  return answer;
+}
+
+} // namespace gooseberry::entry
--- a/src/libgooseberry/entry/internal.h
+++ b/src/libgooseberry/entry/internal.h
@@ -2,6 +2,7 @@
 
 #include "libgooseberry/entry/entry_control.h"
 
+#include <optional>
 #include <string>
 
 /** Steps that several files of the entry's decisions share. */
@@ -77,6 +78,13 @@
 void
 SendHeartbeats(entry_control& aControl, core::instant aNow, effects& aEffects);
 
+/** The refusal that a submission nobody has started deserves, if any. */
+std::optional<core::job_answer>
+Reject(entry_control& aControl,
+       const job::submission& aSubmission,
+       core::instant aNow,
+       effects& aEffects);
+
 /** As BecomeHome, for a job of which nothing was started, unless the present
  * load or the configuration forbids it. */
 void
