--- a/src/libgooseberry/target/placement.cpp
+++ b/src/libgooseberry/target/placement.cpp
@@ -147,6 +147,9 @@
       best = one;
     }
   }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
   return placement_choice{ best->mTarget,
                            placement_reason::FreeSlot,
                            Scale(aSearch.mRunTime, best->mFactor),
