--- a/src/libgooseberry/entry/admit.cpp
+++ b/src/libgooseberry/entry/admit.cpp
@@ -99,10 +99,11 @@
   return request;
 }
 
+/** Counts the job as arrived, and gathers what admission looks at. */
 quota::admission_request
-MakeAdmissionRequest(entry_control& aControl,
-                     const job::submission& aSubmission,
-                     core::instant aNow)
+TakeArrival(entry_control& aControl,
+            const job::submission& aSubmission,
+            core::instant aNow)
 {
   quota::admission_request request;
   for (const job::task_description& task : aSubmission.mTasks) {
@@ -176,7 +177,7 @@
       kStatusUnprocessable);
   }
   const quota::admission_request request =
-    MakeAdmissionRequest(aControl, aSubmission, aNow);
+    TakeArrival(aControl, aSubmission, aNow);
   const quota::admission_decision decision =
     quota::Admit(aControl.mOptions.mAdmission, request);
   const auto* refused = std::get_if<quota::refused>(&decision);
