--- a/src/libgooseberryio/log.cpp
+++ b/src/libgooseberryio/log.cpp
@@ -1,14 +1,17 @@
 #include "libgooseberryio/log.h"
 
+#include "libgooseberryio/line_writer.h"
+
 #include <atomic>
 #include <exception>
 #include <fstream>
-#include <log4cxx/asyncappender.h>
-#include <log4cxx/consoleappender.h>
+#include <log4cxx/appenderskeleton.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
+#include <memory>
+#include <unistd.h>
 
 namespace gooseberry::io {
 namespace {
@@ -73,24 +76,35 @@
   }
 }
 
-/** Lines that may wait for a reader of standard output. */
-constexpr int kMaxWaitingLines = 4'096;
-
-/**
- * Standard output may be a pipe that nobody reads: lines wait in a buffer, and
- * beyond it they are dropped and counted in a line of their own.
- */
-log4cxx::AppenderPtr
-StandardOutput(const log4cxx::LayoutPtr& aLayout)
+/** Hands lines for standard output to a writer, which nobody waits for. */
+class output_appender : public log4cxx::AppenderSkeleton
 {
-  auto buffered = std::make_shared<log4cxx::AsyncAppender>();
-  buffered->setBufferSize(kMaxWaitingLines);
-  buffered->setBlocking(false);
-  buffered->addAppender(std::make_shared<log4cxx::ConsoleAppender>(
-    aLayout, log4cxx::ConsoleAppender::getSystemOut()));
-  return buffered;
-}
+public:
+  explicit output_appender(const log4cxx::LayoutPtr& aLayout)
+    : mLayout(aLayout)
+    , mWriter(std::make_unique<line_writer>(STDOUT_FILENO))
+  {
+  }
+
+  void close() override { mWriter.reset(); }
+  bool requiresLayout() const override { return false; }
+
+protected:
+  void append(const log4cxx::spi::LoggingEventPtr& aEvent,
+              log4cxx::helpers::Pool& aPool) override
+  {
+    if (!mWriter) {
+      return;
+    }
+    std::string line;
+    mLayout->format(line, aEvent, aPool);
+    mWriter->Add(line);
+  }
 
+private:
+  const log4cxx::LayoutPtr mLayout;
+  std::unique_ptr<line_writer> mWriter;
+};
 /** The library itself does not say so. */
 bool
 CanAppendTo(const std::string& aFile)
@@ -113,7 +127,7 @@
       std::make_shared<log4cxx::PatternLayout>(log4cxx::LogString(kPattern));
     log4cxx::AppenderPtr appender;
     if (aSettings.mFile.empty()) {
-      appender = StandardOutput(layout);
+      appender = std::make_shared<output_appender>(layout);
     } else {
       appender =
         std::make_shared<log4cxx::FileAppender>(layout, aSettings.mFile, true);
--- a/tests/libgooseberryio/test_log.cpp
+++ b/tests/libgooseberryio/test_log.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <fcntl.h>
 #include <fstream>
 #include <sstream>
 #include <unistd.h>
@@ -60,6 +61,27 @@
   BOOST_TEST(std::count(text.begin(), text.end(), '\n') == 2);
 }
 
+BOOST_AUTO_TEST_CASE(standard_output_has_each_line)
+{
+  const auto name = "/tmp/gooseberry-output-" + std::to_string(getpid());
+  const int output = dup(STDOUT_FILENO);
+  const int file = open(name.c_str(), O_CREAT | O_WRONLY, 0600);
+  BOOST_REQUIRE(dup2(file, STDOUT_FILENO) >= 0);
+  BOOST_REQUIRE(!io::SetUpLog({ io::log_level::Info, "" }));
+  io::log_event("started").Add("entry", "front-1");
+  io::log_event("stopped");
+  BOOST_REQUIRE(!io::SetUpLog({ io::log_level::Off, "" }));
+  dup2(output, STDOUT_FILENO);
+  close(output);
+  close(file);
+  const auto text = ReadFile(name);
+  std::remove(name.c_str());
+  BOOST_TEST_INFO(text);
+  BOOST_TEST(text.find("Z INFO event=started entry=front-1\n") !=
+             std::string::npos);
+  BOOST_TEST(text.ends_with("Z INFO event=stopped\n"));
+}
+
 BOOST_AUTO_TEST_CASE(a_log_that_cannot_be_opened_is_an_error)
 {
   BOOST_TEST(io::SetUpLog({ io::log_level::Info, "/proc/self/nowhere/log" })
