--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -4,6 +4,7 @@
 #include "entry/control_loop.h"
 #include "entry/effect_runner.h"
 #include "entry/entry_metrics.h"
+#include "libgooseberryio/close_watch.h"
 #include "libgooseberryio/entry_settings.h"
 #include "libgooseberryio/http_server.h"
 #include "libgooseberryio/metrics.h"
@@ -56,6 +57,8 @@
   bool IsLeaving() const { return !mReady; }
   control_loop& Loop() { return mLoop; }
   caller_waiters& Callers() { return mCallers; }
+  /** Tells of callers that leave before their answer. */
+  io::close_watch& Connections() { return mConnections; }
 
 private:
   io::entry_handlers MakeHandlers();
@@ -66,6 +69,7 @@
   io::metrics mMetrics;
   metrics_publisher mPublisher;
   caller_waiters mCallers;
+  io::close_watch mConnections;
   operator_waiters mOperators;
   runner mRunner;
   entry::effects mFirstEffects;
--- a/src/libgooseberryio/http_connections.cpp
+++ b/src/libgooseberryio/http_connections.cpp
@@ -26,7 +26,7 @@
     const std::lock_guard lock(mMutex);
     mStopping = true;
   }
-  mChanged.notify_all();
+  mStopped.notify_all();
   mThread.join();
 }
 
@@ -46,7 +46,7 @@
     const std::lock_guard lock(mMutex);
     mConnections.erase(aClient);
   }
-  mChanged.notify_all();
+  TellIdleWaiter();
 }
 
 int
@@ -72,19 +72,29 @@
       found->second.mSince = Now();
     }
   }
-  mChanged.notify_all();
+  TellIdleWaiter();
 }
 
 void
 http_connections::WaitIdle()
 {
   std::unique_lock lock(mMutex);
-  mChanged.wait(lock, [this] {
+  mAwaitsIdle = true;
+  mRequestEnded.wait(lock, [this] {
     return std::ranges::none_of(
       mConnections, [](const auto& aItem) { return aItem.second.mBusy; });
   });
 }
 
+/** Wakes `WaitIdle`, and nobody while the server runs. */
+void
+http_connections::TellIdleWaiter()
+{
+  if (mAwaitsIdle) {
+    mRequestEnded.notify_all();
+  }
+}
+
 void
 http_connections::CloseLate()
 {
@@ -92,7 +102,7 @@
     std::min(kLongestCheckInterval, mTimeout / kChecksPerTimeout);
   std::unique_lock lock(mMutex);
   while (!mStopping) {
-    mChanged.wait_for(lock, interval, [this] { return mStopping; });
+    mStopped.wait_for(lock, interval, [this] { return mStopping; });
     const auto now = Now();
     for (const auto& [client, connection] : mConnections) {
       if (!connection.mBusy && now - connection.mSince > mTimeout) {
--- a/src/libgooseberryio/http_connections.h
+++ b/src/libgooseberryio/http_connections.h
@@ -2,6 +2,7 @@
 
 #include "libgooseberry/core/time.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
@@ -44,12 +45,15 @@
   };
 
   void CloseLate();
+  void TellIdleWaiter();
 
   const core::duration mTimeout;
   std::mutex mMutex;
-  std::condition_variable mChanged;
+  std::condition_variable mStopped;
+  std::condition_variable mRequestEnded;
   std::map<std::string, connection> mConnections;
   bool mStopping = false;
+  std::atomic<bool> mAwaitsIdle = false;
   std::thread mThread;
 };
 
--- a/src/libgooseberryio/http_server.cpp
+++ b/src/libgooseberryio/http_server.cpp
@@ -321,15 +321,6 @@
            options.data()) == U_OK;
 }
 
-bool
-IsConnectionClosed(int aSocket)
-{
-  char byte = 0;
-  const ssize_t count = recv(aSocket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK &&
-                        errno != EINTR);
-}
-
 http_server::http_server(const http_server_settings& aSettings)
   : mState(std::make_unique<state>(aSettings))
 {
--- a/src/libgooseberryio/http_server.h
+++ b/src/libgooseberryio/http_server.h
@@ -25,10 +25,6 @@
   int mSocket = -1; ///< Of the connection; not to be read from or closed.
 };
 
-/** Whether the other end of a connection has closed it. */
-bool
-IsConnectionClosed(int aSocket);
-
 struct http_response
 {
   unsigned mStatus = 200;
