Up to three tasks of a job go side by side where much is free

Callers of small entries were answered late: a job of eight tasks took eight messages to eight agents, each with wake-ups of three threads. Where the target of the job's task before has four slots free or more, it takes the next one too, up to three in a row; an agent hands starts to its target one after the other, so more would wait there. Nearly full targets are chosen one by one, as before.

--- a/src/libgooseberry/entry/dispatch.cpp
+++ b/src/libgooseberry/entry/dispatch.cpp
@@ -10,6 +10,10 @@
 /** Waiting tasks above which a job takes whatever slot comes first. */
 constexpr std::size_t kWideJob = 32;
 
+/** Tasks of a job that go to one target in a row where much is free: an agent
+ * hands them to its target one after the other. */
+constexpr std::uint32_t kMaxBeside = 3;
+
 /** The starts of one pass, by name of the agent. */
 using batches = std::map<std::string, core::start_batch>;
 
@@ -115,8 +119,9 @@
   start.mPriority = RelativePriority(aControl, aJob, aNow);
   // Where another entry has taken the slot meanwhile, a job that has more
   // tasks than slots are free loses nothing by waiting there.
-  start.mMayQueue = aChoice.mReason != target::placement_reason::FreeSlot ||
-                    aJob.mWaiting.size() > kWideJob;
+  const bool isFree = aChoice.mReason == target::placement_reason::FreeSlot ||
+                      aChoice.mReason == target::placement_reason::Beside;
+  start.mMayQueue = !isFree || aJob.mWaiting.size() > kWideJob;
   LogPlacement(aControl, aJob, aIndex, aChoice, aEffects);
 }
 
@@ -139,6 +144,8 @@
          core::instant aNow,
          effects& aEffects)
 {
+  std::optional<target::target_index> last;
+  std::uint32_t inRow = 0;
   while (!aJob.mWaiting.empty() &&
          !IsTeamFull(aControl, aJob.mSubmission.mTeam)) {
     const std::uint32_t index = aJob.mWaiting.back();
@@ -150,12 +157,15 @@
     request.mIdempotent = aJob.mSubmission.mIdempotent;
     request.mNeeds = aJob.mSubmission.mTasks[index].mNeeds;
     request.mAvoid = task.mAvoid.empty() ? nullptr : &task.mAvoid;
+    request.mBeside = inRow < kMaxBeside ? last : std::nullopt;
     const target::placement placement =
       target::Place(aControl.mTargets, request, aControl.mRandom, aNow);
     const auto* choice = std::get_if<target::placement_choice>(&placement);
     if (choice == nullptr) {
       return false;
     }
+    inRow = last == choice->mTarget ? inRow + 1 : 1;
+    last = choice->mTarget;
     aJob.mWaiting.pop_back();
     --aControl.mTeams[aJob.mSubmission.mTeam].mWaiting;
     PlaceTask(aControl, aJob, index, *choice, aBatches, aNow, aEffects);
--- a/src/libgooseberry/target/placement.cpp
+++ b/src/libgooseberry/target/placement.cpp
@@ -238,9 +238,36 @@
   return std::nullopt;
 }
 
+/**
+ * The target of the job's task before this one, where many slots are free
+ * there: one message then carries both. Targets that fill up are chosen one by
+ * one.
+ */
+std::optional<placement_choice>
+ChooseBeside(search& aSearch)
+{
+  constexpr std::uint32_t kFreeToShare = 4;
+  if (!aSearch.mRequest.mBeside) {
+    return std::nullopt;
+  }
+  const target_index index = *aSearch.mRequest.mBeside;
+  const target_view& target = aSearch.mTable.mTargets[index];
+  if (!target.mStartable || target.mFree < kFreeToShare ||
+      !IsUsable(aSearch, index)) {
+    return std::nullopt;
+  }
+  const double factor = FactorAt(target.mSpeed, aSearch.mNow);
+  return placement_choice{
+    index, placement_reason::Beside, Scale(aSearch.mRunTime, factor), 1
+  };
+}
+
 std::optional<placement_choice>
 ChooseExpectedFinish(search& aSearch, random_source& aRandom)
 {
+  if (auto choice = ChooseBeside(aSearch)) {
+    return choice;
+  }
   const std::size_t start = StartOf(aSearch, aRandom);
   if (auto choice = ChooseFree(aSearch, aSearch.mService.mRoomy, start)) {
     return choice;
--- a/src/libgooseberry/target/placement.h
+++ b/src/libgooseberry/target/placement.h
@@ -6,6 +6,7 @@
 #include "libgooseberry/target/settings.h"
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <variant>
 #include <vector>
@@ -21,9 +22,10 @@
   Prefetch, ///< Waits at the target; nothing was free anywhere.
   Probe,    ///< Tries an ejected target again.
   Random,
+  Beside, ///< Much is free where another task of the job goes.
 };
-inline constexpr core::enum_names<placement_reason, 4> kPlacementReasonNames{
-  { "free_slot", "prefetch", "probe", "random" }
+inline constexpr core::enum_names<placement_reason, 5> kPlacementReasonNames{
+  { "free_slot", "prefetch", "probe", "random", "beside" }
 };
 
 /** Why no target was chosen. */
@@ -48,6 +50,8 @@
   core::resources mNeeds;
   /** Targets where earlier tries of the task have failed. */
   const std::vector<target_index>* mAvoid = nullptr;
+  /** Where another task of the job goes in the same message, if any. */
+  std::optional<target_index> mBeside;
 };
 
 struct placement_choice
