An entry whose own processor is used up refuses at once

Admission knew the targets' load and not the entry's own: it took every job in, each step of each job waited for the processor, the tasks ran, and the answers came too late. Once behind, an entry stayed behind.

Inputs carry the time at which they were handed in. Where they wait over 20 ms in the mean of 100 ms, the share of submissions that is taken falls by a fifth, and rises by 0.03 in each calm window. What is refused is refused on arrival, with 503, "not run" true and Retry-After 1 s; by lot, so that no kind of job starves.

--- a/src/entry/control_loop.cpp
+++ b/src/entry/control_loop.cpp
@@ -2,6 +2,8 @@
 
 #include "libgooseberryio/clock.h"
 
+#include <algorithm>
+
 namespace gooseberry::entry_program {
 
 namespace {
@@ -43,14 +45,16 @@
 bool
 control_loop::Post(input aInput)
 {
-  return mQueue.Push(std::move(aInput));
+  return mQueue.Push({ std::move(aInput), io::Now() });
 }
 
 void
-control_loop::RunInput(const input& aInput)
+control_loop::RunInput(const input& aInput, core::instant aArrived)
 {
   entry::effects effects;
-  aInput(mControl, io::Now(), effects);
+  const core::instant now = io::Now();
+  quota::NoteDelay(mControl.mQueueDelay, now - aArrived, now);
+  aInput(mControl, now, effects);
   mRunner(effects);
 }
 
@@ -59,21 +63,23 @@
 {
   core::instant nextTick = io::Now();
   while (!mStopping) {
-    for (const input& event : mQueue.PopAll(kTickPeriod)) {
-      RunInput(event);
+    const auto untilTick =
+      std::max(nextTick - io::Now(), core::duration::zero());
+    for (const waiting_input& event : mQueue.PopAll(untilTick)) {
+      RunInput(event.mInput, event.mArrived);
     }
     if (const core::instant now = io::Now(); now >= nextTick) {
+      RunInput(
+        [](entry::entry_control& aControl,
+           core::instant aNow,
+           entry::effects& aEffects) { entry::Tick(aControl, aNow, aEffects); },
+        nextTick);
       nextTick = now + kTickPeriod;
-      RunInput([](entry::entry_control& aControl,
-                  core::instant aNow,
-                  entry::effects& aEffects) {
-        entry::Tick(aControl, aNow, aEffects);
-      });
     }
   }
   // Whoever still waits for an answer must get one.
-  for (const input& event : mQueue.PopAll(core::duration::zero())) {
-    RunInput(event);
+  for (const waiting_input& event : mQueue.PopAll(core::duration::zero())) {
+    RunInput(event.mInput, event.mArrived);
   }
 }
 
--- a/src/entry/control_loop.h
+++ b/src/entry/control_loop.h
@@ -64,11 +64,18 @@
 
 private:
   void Run();
-  void RunInput(const input& aInput);
+  void RunInput(const input& aInput, core::instant aArrived);
+
+  /** An input, and since when it waits. */
+  struct waiting_input
+  {
+    input mInput;
+    core::instant mArrived{};
+  };
 
   entry::entry_control mControl;
   effect_runner mRunner;
-  io::event_queue<input> mQueue;
+  io::event_queue<waiting_input> mQueue;
   std::atomic<bool> mStopping{ false };
   std::thread mThread;
 };
--- a/src/libgooseberry/entry/admit.cpp
+++ b/src/libgooseberry/entry/admit.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <random>
 
 /** Whether an entry takes a job in, by what it knows of load and targets. */
 namespace gooseberry::entry {
@@ -161,6 +162,30 @@
   Log(aEffects, "admission_refused", std::move(fields));
 }
 
+/** A job that the entry has no processor time for. */
+core::job_answer
+RefuseForDelay(const entry_control& aControl,
+               const job::submission& aSubmission,
+               effects& aEffects)
+{
+  // Balancers look about once a second, and delays last as long.
+  constexpr core::duration kRetryAfter = std::chrono::seconds(1);
+  constexpr int kPercent = 100;
+  const int share = static_cast<int>(aControl.mQueueDelay.mShare * kPercent);
+  Log(aEffects,
+      "admission_refused",
+      { { "job", aSubmission.mKey },
+        { "reason", "entry_busy" },
+        { "share_percent", std::to_string(share) } });
+  core::job_answer answer =
+    ErrorAnswer(aSubmission.mKey,
+                core::job_outcome::NotRun,
+                { "admit job", aControl.mSelf.mName, "entry is busy" },
+                kStatusUnavailable);
+  answer.mRetryAfter = kRetryAfter;
+  return answer;
+}
+
 } // namespace
 
 std::optional<core::job_answer>
@@ -169,6 +194,10 @@
        core::instant aNow,
        effects& aEffects)
 {
+  std::uniform_real_distribution<double> draw(0, 1);
+  if (!quota::TakesSubmission(aControl.mQueueDelay, draw(aControl.mRandom))) {
+    return RefuseForDelay(aControl, aSubmission, aEffects);
+  }
   const bool known = aControl.mDesired.mServices.contains(aSubmission.mService);
   if (known && AwaitsTargets(aControl, aNow)) {
     return std::nullopt;
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -8,6 +8,7 @@
 #include "libgooseberry/membership/members.h"
 #include "libgooseberry/quota/admission.h"
 #include "libgooseberry/quota/offered_load.h"
+#include "libgooseberry/quota/queue_delay.h"
 #include "libgooseberry/quota/retry_budget.h"
 #include "libgooseberry/target/target_table.h"
 
@@ -165,6 +166,7 @@
   std::map<std::string, std::uint32_t> mTeamShares;
   quota::retry_budget mRetryBudget;
   quota::offered_load mOffered;
+  quota::queue_delay mQueueDelay; ///< Of this entry's own inputs.
 
   std::unordered_map<std::uint64_t, start_call> mCalls;
   std::uint64_t mNextCall = 1;
--- /dev/null
+++ b/src/libgooseberry/quota/queue_delay.cpp
@@ -0,0 +1,42 @@
+#include "libgooseberry/quota/queue_delay.h"
+
+#include <algorithm>
+
+namespace gooseberry::quota {
+
+namespace {
+
+constexpr core::duration kWindow = std::chrono::milliseconds(100);
+/** In the mean of a window. A job waits like this some five times on its way.
+ */
+constexpr core::duration kLongDelay = std::chrono::milliseconds(20);
+/** Factor of the share after a window with a long delay. */
+constexpr double kDecrease = 0.8;
+/** Added to the share after any other window. */
+constexpr double kIncrease = 0.03;
+
+} // namespace
+
+void
+NoteDelay(queue_delay& aDelay, core::duration aWaited, core::instant aNow)
+{
+  aDelay.mSum += aWaited;
+  ++aDelay.mInputs;
+  if (aNow < aDelay.mWindowEnd) {
+    return;
+  }
+  const bool isLong = aDelay.mSum / aDelay.mInputs > kLongDelay;
+  aDelay.mShare = isLong ? std::max(kLeastShare, aDelay.mShare * kDecrease)
+                         : std::min(1.0, aDelay.mShare + kIncrease);
+  aDelay.mSum = {};
+  aDelay.mInputs = 0;
+  aDelay.mWindowEnd = aNow + kWindow;
+}
+
+bool
+TakesSubmission(const queue_delay& aDelay, double aDraw)
+{
+  return aDraw < aDelay.mShare;
+}
+
+} // namespace gooseberry::quota
--- /dev/null
+++ b/tests/libgooseberry/test_queue_delay.cpp
@@ -0,0 +1,121 @@
+#include "libgooseberry/quota/queue_delay.h"
+
+#include "entry_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr core::duration kDeadline = 1500ms;
+
+struct served
+{
+  int mInTime = 0;
+  int mRefused = 0;
+  int mTooLate = 0;
+};
+
+/**
+ * One processor that serves jobs in order for ten seconds; each costs
+ * `aWork`, or a tenth of it where it is refused. `aAdmits`: whether the delay
+ * of its queue decides.
+ */
+served
+Serve(core::duration aWork, core::duration aGap, bool aAdmits)
+{
+  constexpr int kRefusalShare = 10;
+  quota::queue_delay delay;
+  std::mt19937 random(1);
+  std::uniform_real_distribution<double> draw(0, 1);
+  served counts;
+  core::instant free{ 1000s };
+  for (core::instant at{ 1000s }; at < core::instant{ 1010s }; at += aGap) {
+    const core::instant begun = std::max(at, free);
+    quota::NoteDelay(delay, begun - at, begun);
+    if (aAdmits && !quota::TakesSubmission(delay, draw(random))) {
+      ++counts.mRefused;
+      free = begun + aWork / kRefusalShare;
+      continue;
+    }
+    free = begun + aWork;
+    ++(free - at < kDeadline ? counts.mInTime : counts.mTooLate);
+  }
+  return counts;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(queue_delay_suite)
+
+BOOST_AUTO_TEST_CASE(an_entry_with_time_to_spare_refuses_nothing)
+{
+  const served counts = Serve(8ms, 10ms, true);
+  BOOST_TEST(counts.mRefused == 0);
+  BOOST_TEST(counts.mTooLate == 0);
+}
+
+BOOST_AUTO_TEST_CASE(without_it_a_longer_queue_serves_nobody_in_time)
+{
+  const served counts = Serve(15ms, 10ms, false);
+  BOOST_TEST(counts.mTooLate > counts.mInTime);
+}
+
+BOOST_AUTO_TEST_CASE(
+  half_more_load_than_the_processor_carries_is_served_in_time)
+{
+  // It carries two thirds; refusals cost a tenth each.
+  const served counts = Serve(15ms, 10ms, true);
+  BOOST_TEST(counts.mTooLate == 0);
+  BOOST_TEST(counts.mInTime > 500);
+}
+
+BOOST_AUTO_TEST_CASE(a_short_stop_refuses_little)
+{
+  quota::queue_delay delay;
+  const core::instant since{ 1000s };
+  quota::NoteDelay(delay, 0ms, since);
+  // A frozen entry wakes up: all that waited was late, what comes then is not.
+  for (int i = 0; i < 50; ++i) {
+    quota::NoteDelay(delay, 3s, since + 3s);
+  }
+  for (int i = 0; i < 20; ++i) {
+    quota::NoteDelay(delay, 0ms, since + 3s + i * 100ms);
+  }
+  BOOST_TEST(quota::TakesSubmission(delay, 0.99));
+}
+
+BOOST_AUTO_TEST_CASE(some_submissions_are_always_taken)
+{
+  quota::queue_delay delay;
+  for (int i = 0; i < 1000; ++i) {
+    quota::NoteDelay(delay, 1s, core::instant{ 1000s } + i * 100ms);
+  }
+  BOOST_TEST(quota::TakesSubmission(delay, 0.0));
+  BOOST_TEST(!quota::TakesSubmission(delay, 0.5));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_busy_entry_says_at_once_that_the_job_has_not_run,
+                        entry::test::leased_entry)
+{
+  mControl.mQueueDelay.mShare = 0;
+  entry::OnSubmit(
+    mControl, 1, entry::test::MakeSubmission("j", 60ms), mNow, mEffects);
+  const core::job_answer* answer = nullptr;
+  for (const auto& effect : mEffects) {
+    if (const auto* found = std::get_if<entry::answer_caller>(&effect)) {
+      answer = &found->mAnswer;
+    }
+  }
+  BOOST_REQUIRE(answer != nullptr);
+  BOOST_TEST(
+    (answer->mOutcome == core::job_outcome::NotRun && answer->mRetryAfter));
+  BOOST_TEST(answer->mStatus == 503U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
