--- /dev/null
+++ b/tests/platform/test_caller_front.cpp
@@ -0,0 +1,146 @@
+#include "platform/caller_front.h"
+
+#include "libgooseberryio/clock.h"
+#include "libgooseberryio/http_client.h"
+#include "platform/store_client.h"
+#include "store_standin.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr const char* kJob = "0123456789abcdef";
+constexpr const char* kBody = R"({"spec":"x","bestEffort":true,)"
+                              R"("steps":[{"count":1,"cpu":100}]})";
+
+/** The operators' configuration: one queue at `/q/` of a service. */
+entry::configuration_row
+OneQueue()
+{
+  return { { 1,
+             "[state]\nformat = 1\nname = x\n[failure_domain d]\nregion = r\n"
+             "state = in\n[service plans]\ntargets = *\n[queue orders]\n"
+             "host = 127.0.0.1\npath = /q/\nservice = plans\n" },
+           "",
+           "",
+           1 };
+}
+
+entry_program::process_options
+Options(const test::store_standin& aStore)
+{
+  entry_program::process_options options;
+  options.mEntry.mName = "e";
+  options.mEntry.mAddress = "127.0.0.1:0";
+  options.mEntry.mLeasedRuns = true;
+  options.mMakeStore =
+    platform::StoreFactory(aStore.Settings(), io::platform_adapter{});
+  return options;
+}
+
+/** An entry behind the callers' front, with no target yet. */
+struct front_fixture
+{
+  test::store_standin mStore;
+  entry_program::entry_process mEntry{ Options(mStore) };
+  io::http_server mServer{ io::http_server_settings{} };
+
+  front_fixture()
+  {
+    platform::RouteCallers(mServer, mEntry);
+    BOOST_REQUIRE(!mEntry.Start());
+    BOOST_REQUIRE(!mServer.Start());
+  }
+
+  ~front_fixture() { mServer.Stop(); }
+
+  void Configure()
+  {
+    mEntry.Loop().Ask([](auto& aControl, auto aNow, auto& aEffects) {
+      entry::OnConfigurationRead(aControl, OneQueue(), aNow, aNow, aEffects);
+      return true;
+    });
+  }
+
+  /** The status of a POST; 0 without an answer. */
+  unsigned Post(const std::string& aPath,
+                const std::string& aBody,
+                core::duration aDeadline = 5s)
+  {
+    io::http_client client;
+    io::http_call call;
+    call.mMethod = "POST";
+    call.mUrl = "http://127.0.0.1:" + std::to_string(mServer.Port()) + aPath;
+    call.mBody = aBody;
+    call.mDeadline = aDeadline;
+    const auto result = client.Send(call);
+    const auto* reply = std::get_if<io::http_reply>(&result);
+    return reply == nullptr ? 0 : reply->mStatus;
+  }
+
+  /** Waits until the job is open, or not, for five seconds at most. */
+  void AwaitOpen(bool aOpen)
+  {
+    const auto since = io::Now();
+    while (IsOpen() != aOpen && io::Now() - since < 5s) {
+      std::this_thread::sleep_for(1ms);
+    }
+    BOOST_TEST(IsOpen() == aOpen);
+  }
+
+  bool IsOpen()
+  {
+    return mEntry.Loop().Ask([](auto& aControl, auto, auto&) {
+      const auto found = aControl.mLedger.mJobs.find(kJob);
+      return found != aControl.mLedger.mJobs.end() &&
+             found->second->mPhase != job::phase::Ended;
+    });
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(caller_front)
+
+BOOST_FIXTURE_TEST_CASE(without_a_configuration_nothing_is_known, front_fixture)
+{
+  BOOST_TEST(Post("/q/" + std::string(kJob), kBody) == 503U);
+  BOOST_TEST(Post("/q/x", kBody) == 503U);
+}
+
+BOOST_FIXTURE_TEST_CASE(unknown_paths_and_malformed_jobs_are_told_apart,
+                        front_fixture)
+{
+  Configure();
+  const std::string path = "/q/" + std::string(kJob);
+  BOOST_TEST(Post("/other/" + std::string(kJob), kBody) == 404U);
+  BOOST_TEST(Post("/other/" + std::string(kJob), "{") == 404U);
+  BOOST_TEST(Post(path, "{") == 400U);
+  BOOST_TEST(Post("/q/short", kBody) == 400U);
+  BOOST_TEST(Post("/q/more/" + std::string(kJob), kBody) == 400U);
+  BOOST_TEST(!IsOpen());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_caller_that_leaves_ends_its_job_at_once,
+                        front_fixture)
+{
+  Configure();
+  // No target has come yet, so that the job waits.
+  std::thread caller([this] {
+    const unsigned none = 0;
+    BOOST_TEST(Post("/q/" + std::string(kJob), kBody, 300ms) == none);
+  });
+  AwaitOpen(true);
+  caller.join();
+  const auto left = io::Now();
+  AwaitOpen(false);
+  // Of the job's deadline, which is that of its queue, far more is left.
+  BOOST_TEST((io::Now() - left < 1s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
