A busy entry sends callers to entries that have time

Cause: refusing keeps an entry alive, but the balancer, which can move callers, was told that all was well.

An entry that takes less than three quarters of its submissions counts as busy for 15 s, as a balancer needs seconds to move callers. Heartbeats tell it to the other entries. While more than half of those that it hears of have time, it isn't ready, and closes callers' connections with the answer, so that they come back elsewhere; where most are busy or none is known it stays ready. entry_busy and entry_calm say when.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -145,10 +145,13 @@
 bool
 entry_process::IsReady()
 {
-  return mReady && mLoop.Ask([](auto& aControl, auto aNow, auto& aEffects) {
-    static_cast<void>(aEffects);
-    return entry::IsReady(aControl, aNow);
-  });
+  const bool ready =
+    mReady && mLoop.Ask([](auto& aControl, auto aNow, auto& aEffects) {
+      static_cast<void>(aEffects);
+      return entry::IsReady(aControl, aNow);
+    });
+  mSendsElsewhere = !ready;
+  return ready;
 }
 
 void
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -53,8 +53,9 @@
 
   /** Whether it takes jobs: joined, in touch, not leaving. */
   bool IsReady();
-  /** Whether callers are to go elsewhere, though they are still served. */
-  bool IsLeaving() const { return !mReady; }
+  /** Whether callers are to go elsewhere, though they are still served: as the
+   * balancer was told. */
+  bool SendsElsewhere() const { return !mReady || mSendsElsewhere; }
   control_loop& Loop() { return mLoop; }
   caller_waiters& Callers() { return mCallers; }
   /** Tells of callers that leave before their answer. */
@@ -66,6 +67,7 @@
 
   process_options mOptions;
   std::atomic<bool> mReady{ true };
+  std::atomic<bool> mSendsElsewhere{ false };
   io::metrics mMetrics;
   metrics_publisher mPublisher;
   caller_waiters mCallers;
--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -292,6 +292,7 @@
   /** Set in a reply where the caller's generation was older. */
   std::optional<versioned_configuration> mConfiguration;
   bool mLeaving = false;
+  bool mBusy = false; ///< Its own processor is used up, or was lately.
   /**
    * Agents that the sender has heard within the freshness bound, with the
    * generation each of them said it has.
--- a/src/libgooseberry/entry/entry_control.cpp
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -2,6 +2,8 @@
 
 #include "libgooseberry/entry/internal.h"
 
+#include <utility>
+
 namespace gooseberry::entry {
 
 void
@@ -53,11 +55,37 @@
          aNow - aControl.mStartedAt < kTargetsExpectedWithin;
 }
 
+namespace {
+
+/**
+ * Whether callers are better off at other entries: this one is busy, and most
+ * of those that it hears of are not.
+ */
+bool
+SendsCallersElsewhere(const entry_control& aControl, core::instant aNow)
+{
+  if (!quota::IsBusy(aControl.mQueueDelay, aNow)) {
+    return false;
+  }
+  std::size_t calm = 0;
+  std::size_t others = 0;
+  for (const auto& [name, view] : aControl.mMembers.mEntries) {
+    if (!view.mLeaving && IsEntryHeard(aControl, name, aNow)) {
+      ++others;
+      calm += view.mBusy ? 0 : 1;
+    }
+  }
+  return 2 * calm > others;
+}
+
+} // namespace
+
 bool
 IsReady(const entry_control& aControl, core::instant aNow)
 {
   return aControl.mJoining.mStage == join_stage::Open && !aControl.mLeaving &&
-         IsFresh(aControl, aNow) && !AwaitsTargets(aControl, aNow);
+         IsFresh(aControl, aNow) && !AwaitsTargets(aControl, aNow) &&
+         !SendsCallersElsewhere(aControl, aNow);
 }
 
 namespace {
@@ -169,6 +197,21 @@
   SendHeartbeats(aControl, aNow, aEffects);
 }
 
+/** Says when this entry begins and ends to send callers elsewhere. */
+void
+TickBusy(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  constexpr int kPercent = 100;
+  const bool sends = SendsCallersElsewhere(aControl, aNow);
+  if (std::exchange(aControl.mSendsElsewhere, sends) != sends) {
+    Log(aEffects,
+        sends ? "entry_busy" : "entry_calm",
+        { { "share_percent",
+            std::to_string(
+              static_cast<int>(aControl.mQueueDelay.mShare * kPercent)) } });
+  }
+}
+
 } // namespace
 
 void
@@ -183,6 +226,7 @@
   TickDeadlines(aControl, aNow, aEffects);
   TickGiveUps(aControl, aNow, aEffects);
   TickApplies(aControl, aNow, aEffects);
+  TickBusy(aControl, aNow, aEffects);
   job::Expire(aControl.mLedger, aNow);
   Dispatch(aControl, aNow, aEffects);
   FlushOutboxes(aControl, aEffects);
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -167,6 +167,7 @@
   quota::retry_budget mRetryBudget;
   quota::offered_load mOffered;
   quota::queue_delay mQueueDelay; ///< Of this entry's own inputs.
+  bool mSendsElsewhere = false;   ///< As last said in the log.
 
   std::unordered_map<std::uint64_t, start_call> mCalls;
   std::uint64_t mNextCall = 1;
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -62,6 +62,7 @@
     }
   }
   beat.mLeaving = aControl.mLeaving;
+  beat.mBusy = quota::IsBusy(aControl.mQueueDelay, aNow);
   for (const auto& [name, view] : aControl.mMembers.mAgents) {
     if (aNow - view.mHeardAt <= aControl.mOptions.mAgentLost) {
       beat.mAgents.emplace(name, view.mState.mGeneration);
--- a/src/libgooseberry/membership/members.cpp
+++ b/src/libgooseberry/membership/members.cpp
@@ -35,6 +35,7 @@
   view.mTeams = aBeat.mTeams;
   view.mAgents = aBeat.mAgents;
   view.mLeaving = aBeat.mLeaving;
+  view.mBusy = aBeat.mBusy;
 }
 
 bool
--- a/src/libgooseberry/membership/members.h
+++ b/src/libgooseberry/membership/members.h
@@ -42,6 +42,7 @@
   std::map<std::string, core::team_use> mTeams;
   std::map<std::string, core::generation> mAgents;
   bool mLeaving = false;
+  bool mBusy = false; ///< Its own processor is used up, or was lately.
 };
 
 /** An agent as an entry sees it. */
--- a/src/libgooseberry/quota/queue_delay.cpp
+++ b/src/libgooseberry/quota/queue_delay.cpp
@@ -15,6 +15,11 @@
 /** Added to the share after any other window. */
 constexpr double kIncrease = 0.03;
 
+/** Below it, callers are better off at another entry. */
+constexpr double kBusyShare = 0.75;
+/** A balancer needs seconds to move callers: they aren't to come and go. */
+constexpr core::duration kBusyTime = std::chrono::seconds(15);
+
 } // namespace
 
 void
@@ -28,11 +33,20 @@
   const bool isLong = aDelay.mSum / aDelay.mInputs > kLongDelay;
   aDelay.mShare = isLong ? std::max(kLeastShare, aDelay.mShare * kDecrease)
                          : std::min(1.0, aDelay.mShare + kIncrease);
+  if (aDelay.mShare < kBusyShare) {
+    aDelay.mBusyUntil = aNow + kBusyTime;
+  }
   aDelay.mSum = {};
   aDelay.mInputs = 0;
   aDelay.mWindowEnd = aNow + kWindow;
 }
 
+bool
+IsBusy(const queue_delay& aDelay, core::instant aNow)
+{
+  return aNow < aDelay.mBusyUntil;
+}
+
 bool
 TakesSubmission(const queue_delay& aDelay, double aDraw)
 {
--- a/src/libgooseberry/quota/queue_delay.h
+++ b/src/libgooseberry/quota/queue_delay.h
@@ -19,6 +19,7 @@
   core::duration mSum{}; ///< Of the window's inputs.
   std::int64_t mInputs = 0;
   double mShare = 1.0; ///< Of submissions, at least `kLeastShare`.
+  core::instant mBusyUntil{};
 };
 
 /** Enough for the share to be tried again however long it was low. */
@@ -28,6 +29,10 @@
 void
 NoteDelay(queue_delay& aDelay, core::duration aWaited, core::instant aNow);
 
+/** Whether much was refused for the delay, now or lately. */
+bool
+IsBusy(const queue_delay& aDelay, core::instant aNow);
+
 /** Whether a submission is taken; `aDraw` is uniform in [0, 1). */
 bool
 TakesSubmission(const queue_delay& aDelay, double aDraw);
--- a/src/libgooseberryio/protocol/from_wire.cpp
+++ b/src/libgooseberryio/protocol/from_wire.cpp
@@ -290,6 +290,7 @@
     beat.mConfiguration = FromWire(aBeat.configuration);
   }
   beat.mLeaving = aBeat.leaving;
+  beat.mBusy = aBeat.busy;
   for (const auto& [name, generation] : aBeat.agents) {
     beat.mAgents[name] = GenerationFromWire(generation);
   }
--- a/src/libgooseberryio/protocol/to_wire.cpp
+++ b/src/libgooseberryio/protocol/to_wire.cpp
@@ -299,6 +299,7 @@
     beat.__set_configuration(ToWire(*aBeat.mConfiguration));
   }
   beat.leaving = aBeat.mLeaving;
+  beat.busy = aBeat.mBusy;
   for (const auto& [name, generation] : aBeat.mAgents) {
     beat.agents[name] = Bits(generation);
   }
--- a/tests/libgooseberry/test_queue_delay.cpp
+++ b/tests/libgooseberry/test_queue_delay.cpp
@@ -118,4 +118,70 @@
   BOOST_TEST(answer->mStatus == 503U);
 }
 
+BOOST_AUTO_TEST_CASE(an_entry_stays_busy_for_seconds)
+{
+  quota::queue_delay delay;
+  const core::instant since{ 1000s };
+  for (int i = 0; i < 10; ++i) {
+    quota::NoteDelay(delay, 100ms, since + i * 100ms);
+  }
+  BOOST_TEST(quota::IsBusy(delay, since + 1s));
+  BOOST_TEST(quota::IsBusy(delay, since + 10s));
+  BOOST_TEST(!quota::IsBusy(delay, since + 20s));
+}
+
+/** A ready entry with a target and two peers, itself busy. */
+struct busy_entry : entry::test::leased_entry
+{
+  busy_entry()
+  {
+    core::agent_state agent;
+    agent.mAgent = { "w", 1 };
+    agent.mOpen = true;
+    agent.mTargets.resize(1);
+    agent.mTargets[0].mName = "t";
+    entry::OnAnnounce(mControl, agent, mNow, mEffects);
+    mControl.mQueueDelay.mBusyUntil = mNow + 1s;
+  }
+
+  void Hear(const std::string& aPeer, bool aBusy)
+  {
+    core::heartbeat beat;
+    beat.mEntry = { aPeer, 6 };
+    beat.mAddress = aPeer + ":1";
+    beat.mBusy = aBusy;
+    entry::OnHeartbeat(mControl, beat, mNow, mEffects);
+  }
+};
+
+BOOST_FIXTURE_TEST_CASE(a_busy_entry_sends_callers_to_calm_ones, busy_entry)
+{
+  Hear("b", false);
+  Hear("c", true);
+  Hear("d", false);
+  BOOST_TEST(!entry::IsReady(mControl, mNow));
+  BOOST_TEST(entry::IsReady(mControl, mNow + 1s));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_busy_entry_stays_where_others_are_busy_too,
+                        busy_entry)
+{
+  Hear("b", true);
+  Hear("c", true);
+  Hear("d", false);
+  BOOST_TEST(entry::IsReady(mControl, mNow));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_busy_entry_stays_where_there_is_no_other, busy_entry)
+{
+  BOOST_TEST(entry::IsReady(mControl, mNow));
+}
+
+BOOST_FIXTURE_TEST_CASE(peers_hear_that_an_entry_is_busy, busy_entry)
+{
+  core::heartbeat beat;
+  beat.mEntry = { "b", 6 };
+  BOOST_TEST(entry::OnHeartbeat(mControl, beat, mNow, mEffects).mBusy);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgooseberryio/test_convert.cpp
+++ b/tests/libgooseberryio/test_convert.cpp
@@ -125,6 +125,7 @@
   beat.mTeams = { { "a", { 1, 2 } } };
   beat.mConfiguration = core::versioned_configuration{ 4, "text" };
   beat.mAgents = { { "agent-1", 4 } };
+  beat.mBusy = true;
   CheckRoundTrip(beat);
   core::job_answer answer;
   answer.mJob = "team/job";
--- a/tests/libgooseberryio/test_log.cpp
+++ b/tests/libgooseberryio/test_log.cpp
@@ -69,7 +69,9 @@
   BOOST_REQUIRE(dup2(file, STDOUT_FILENO) >= 0);
   BOOST_REQUIRE(!io::SetUpLog({ io::log_level::Info, "" }));
   io::log_event("started").Add("entry", "front-1");
-  io::log_event("stopped");
+  {
+    const io::log_event stopped("stopped");
+  }
   BOOST_REQUIRE(!io::SetUpLog({ io::log_level::Off, "" }));
   dup2(output, STDOUT_FILENO);
   close(output);
