--- a/tests/deploy/check_build_packages.py
+++ b/tests/deploy/check_build_packages.py
@@ -98,8 +98,9 @@
 
 
 def build_use(recorded, holders, installed):
+    optional = optional_files(holders, installed)
     files = {path: packages for path, packages in holders.items()
-             if path not in optional_files(holders, installed)}
+             if path not in optional}
     return BuildUse(
         files=files,
         named={path: files[path] for path in named_files(recorded.sources, files)},
