Observability: a line a second with an entry's load; figures with one decimal

Logs couldn't tell a wait for the control thread from other waits, nor messages of one kind from another. entry_load counts inputs by kind, their mean wait, open jobs and the share taken in.

--- a/src/entry/control_loop.cpp
+++ b/src/entry/control_loop.cpp
@@ -56,12 +56,14 @@
   quota::NoteDelay(mControl.mQueueDelay, now - aArrived, now);
   aInput(mControl, now, effects);
   mRunner(effects);
+  NoteInput(mLoad, now - aArrived, io::Now() - now);
 }
 
 void
 control_loop::Run()
 {
   core::instant nextTick = io::Now();
+  mLoad.mSince = nextTick;
   while (!mStopping) {
     const auto untilTick =
       std::max(nextTick - io::Now(), core::duration::zero());
@@ -75,6 +77,7 @@
            entry::effects& aEffects) { entry::Tick(aControl, aNow, aEffects); },
         nextTick);
       nextTick = now + kTickPeriod;
+      WriteLoadLine(mLoad, mControl, now);
     }
   }
   // Whoever still waits for an answer must get one.
--- a/src/entry/control_loop.h
+++ b/src/entry/control_loop.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/load_line.h"
 #include "libgooseberry/entry/entry_control.h"
 #include "libgooseberryio/event_queue.h"
 
@@ -75,6 +76,7 @@
 
   entry::entry_control mControl;
   effect_runner mRunner;
+  load_meter mLoad;
   io::event_queue<waiting_input> mQueue;
   std::atomic<bool> mStopping{ false };
   std::thread mThread;
--- /dev/null
+++ b/src/entry/load_line.cpp
@@ -0,0 +1,49 @@
+#include "entry/load_line.h"
+
+#include "libgooseberryio/log.h"
+
+#include <algorithm>
+
+namespace gooseberry::entry_program {
+
+void
+NoteInput(load_meter& aMeter, core::duration aWaited, core::duration aBusy)
+{
+  aMeter.mWaited += aWaited;
+  aMeter.mBusy += aBusy;
+  ++aMeter.mInputs;
+}
+
+void
+WriteLoadLine(load_meter& aMeter,
+              const entry::entry_control& aControl,
+              core::instant aNow)
+{
+  constexpr core::duration kInterval = std::chrono::seconds(1);
+  constexpr int kPercent = 100;
+  if (aNow - aMeter.mSince < kInterval) {
+    return;
+  }
+  const entry::entry_counters& now = aControl.mCounters;
+  const entry::entry_counters& before = aMeter.mCounters;
+  const auto inputs =
+    static_cast<double>(std::max<std::uint64_t>(aMeter.mInputs, 1));
+  io::log_event("entry_load")
+    .Add("ms", core::ToMilliseconds(aNow - aMeter.mSince))
+    .Add("control_ms", core::ToMilliseconds(aMeter.mBusy))
+    .Add("wait_ms", core::ToMilliseconds(aMeter.mWaited) / inputs)
+    .Add("inputs", aMeter.mInputs)
+    .Add("submissions", now.mSubmissions - before.mSubmissions)
+    .Add("starts", now.mStarts - before.mStarts)
+    .Add("start_replies", now.mStartReplies - before.mStartReplies)
+    .Add("demands", now.mDemands - before.mDemands)
+    .Add("finishes", now.mFinishBatches - before.mFinishBatches)
+    .Add("announces", now.mAnnounces - before.mAnnounces)
+    .Add("heartbeats", now.mHeartbeats - before.mHeartbeats)
+    .Add("open_jobs", aControl.mOpenJobs)
+    .Add("share_percent",
+         static_cast<int>(aControl.mQueueDelay.mShare * kPercent));
+  aMeter = { aNow, {}, {}, 0, now };
+}
+
+} // namespace gooseberry::entry_program
--- a/src/libgooseberry/entry/admit.cpp
+++ b/src/libgooseberry/entry/admit.cpp
@@ -1,3 +1,4 @@
+#include "libgooseberry/core/decimal.h"
 #include "libgooseberry/entry/entry_control.h"
 #include "libgooseberry/entry/internal.h"
 
@@ -142,7 +143,7 @@
            effects& aEffects)
 {
   const auto milliseconds = [](core::duration aTime) {
-    return std::to_string(core::ToMilliseconds(aTime));
+    return core::FormatMilliseconds(aTime);
   };
   std::vector<log_field> fields{
     { "job", aSubmission.mKey },
@@ -156,8 +157,10 @@
   if (const auto& objective = aRequest.mObjective) {
     fields.push_back(
       { "longest_wait_ms", milliseconds(objective->mLongestWait) });
-    fields.push_back({ "load_above", std::to_string(objective->mLoadAbove) });
-    fields.push_back({ "whole_load", std::to_string(objective->mWholeLoad) });
+    fields.push_back(
+      { "load_above", core::FormatDecimal(objective->mLoadAbove) });
+    fields.push_back(
+      { "whole_load", core::FormatDecimal(objective->mWholeLoad) });
   }
   Log(aEffects, "admission_refused", std::move(fields));
 }
--- a/src/libgooseberry/entry/dispatch.cpp
+++ b/src/libgooseberry/entry/dispatch.cpp
@@ -1,3 +1,4 @@
+#include "libgooseberry/core/decimal.h"
 #include "libgooseberry/entry/entry_control.h"
 #include "libgooseberry/entry/internal.h"
 
@@ -80,8 +81,7 @@
         { "reason",
           std::string(target::kPlacementReasonNames.NameOf(aChoice.mReason)) },
         { "considered", std::to_string(aChoice.mConsidered) },
-        { "expected_ms",
-          std::to_string(core::ToMilliseconds(aChoice.mExpectedFinish)) } });
+        { "expected_ms", core::FormatMilliseconds(aChoice.mExpectedFinish) } });
 }
 
 /** Puts one task of the job on the chosen target. */
@@ -305,14 +305,12 @@
   aControl.mGiveUps.emplace(aJob.mArrived +
                               job::LongestUsefulWait(aJob.mSubmission, longest),
                             aJob.mSubmission.mKey);
-  Log(
-    aEffects,
-    "job_late",
-    { { "job", aJob.mSubmission.mKey },
-      { "waiting", std::to_string(aJob.mWaiting.size()) },
-      { "objective_ms", std::to_string(core::ToMilliseconds(aJob.mObjective)) },
-      { "waited_ms",
-        std::to_string(core::ToMilliseconds(aNow - aJob.mArrived)) } });
+  Log(aEffects,
+      "job_late",
+      { { "job", aJob.mSubmission.mKey },
+        { "waiting", std::to_string(aJob.mWaiting.size()) },
+        { "objective_ms", core::FormatMilliseconds(aJob.mObjective) },
+        { "waited_ms", core::FormatMilliseconds(aNow - aJob.mArrived) } });
 }
 
 } // namespace
@@ -390,10 +388,8 @@
         { "service", aJob.mSubmission.mService },
         { "tasks", std::to_string(aJob.mTasks.size()) },
         { "round", std::to_string(aJob.mBallot.mRound) },
-        { "deadline_ms",
-          std::to_string(core::ToMilliseconds(aJob.mSubmission.mDeadline)) },
-        { "waited_ms",
-          std::to_string(core::ToMilliseconds(aNow - aJob.mArrived)) } });
+        { "deadline_ms", core::FormatMilliseconds(aJob.mSubmission.mDeadline) },
+        { "waited_ms", core::FormatMilliseconds(aNow - aJob.mArrived) } });
 }
 
 void
--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -199,6 +199,7 @@
          core::instant aNow,
          effects& aEffects)
 {
+  ++aControl.mCounters.mFinishBatches;
   HearAgent(aControl, aBatch.mState, aNow, aEffects);
   for (const core::task_result& result : aBatch.mResults) {
     if (result.mEnd == core::task_end::Succeeded ||
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -92,6 +92,7 @@
             core::instant aNow,
             effects& aEffects)
 {
+  ++aControl.mCounters.mHeartbeats;
   membership::HearEntry(aControl.mMembers, aBeat, aNow);
   if (aBeat.mGeneration > aControl.mRow.mConfiguration.mGeneration) {
     // Its reply to the next heartbeat brings the newer configuration.
@@ -110,6 +111,7 @@
                  core::instant aNow,
                  effects& aEffects)
 {
+  ++aControl.mCounters.mHeartbeats;
   membership::HearEntry(aControl.mMembers, aReply, aNow);
   const auto view = aControl.mMembers.mEntries.find(aReply.mEntry.mName);
   // A peer that has no configuration yet cannot tell whether there is a newer.
@@ -227,6 +229,7 @@
            core::instant aNow,
            effects& aEffects)
 {
+  ++aControl.mCounters.mAnnounces;
   HearAgent(aControl, aState, aNow, aEffects);
   Dispatch(aControl, aNow, aEffects);
   return MakeReply(aControl, aState, aNow);
--- a/src/libgooseberry/entry/job_end.cpp
+++ b/src/libgooseberry/entry/job_end.cpp
@@ -1,3 +1,4 @@
+#include "libgooseberry/core/decimal.h"
 #include "libgooseberry/entry/entry_control.h"
 #include "libgooseberry/entry/internal.h"
 
@@ -57,7 +58,7 @@
         { "reason", aAnswer.mReason },
         { "step", aAnswer.mStep },
         { "peer", aAnswer.mPeer },
-        { "ms", std::to_string(core::ToMilliseconds(aNow - aJob.mArrived)) } });
+        { "ms", core::FormatMilliseconds(aNow - aJob.mArrived) } });
 }
 
 /** Takes a job out of all that is under way; it stays in the ledger. */
--- a/src/libgooseberry/entry/start_calls.cpp
+++ b/src/libgooseberry/entry/start_calls.cpp
@@ -157,6 +157,7 @@
   if (!aControl.mCalls.contains(aCall)) {
     return;
   }
+  ++aControl.mCounters.mStartReplies;
   const start_call call = TakeCall(aControl, aCall);
   HearAgent(aControl, aReply.mState, aNow, aEffects);
   const std::size_t count =
--- a/src/libgooseberry/entry/submit.cpp
+++ b/src/libgooseberry/entry/submit.cpp
@@ -1,3 +1,4 @@
+#include "libgooseberry/core/decimal.h"
 #include "libgooseberry/entry/entry_control.h"
 #include "libgooseberry/entry/internal.h"
 
@@ -92,6 +93,7 @@
          core::instant aNow,
          effects& aEffects)
 {
+  ++aControl.mCounters.mSubmissions;
   if (job::job* known = job::Find(aControl.mLedger, aSubmission.mKey)) {
     JoinJob(aToken, aSubmission, *known, aEffects);
     return;
@@ -175,12 +177,11 @@
   if (!left->mWaiters.empty() || !aControl.mOptions.mLeasedRuns) {
     return;
   }
-  Log(
-    aEffects,
-    "caller_left",
-    { { "job", aKey },
-      { "ended", std::to_string(left->mEnded) },
-      { "ms", std::to_string(core::ToMilliseconds(aNow - left->mArrived)) } });
+  Log(aEffects,
+      "caller_left",
+      { { "job", aKey },
+        { "ended", std::to_string(left->mEnded) },
+        { "ms", core::FormatMilliseconds(aNow - left->mArrived) } });
   GiveUp(aControl,
          *left,
          { "run job", "", "the caller left" },
--- a/src/libgooseberryio/log.h
+++ b/src/libgooseberryio/log.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libgooseberry/core/decimal.h"
 #include "libgooseberry/core/enum_names.h"
 #include "libgooseberry/core/error.h"
 
@@ -80,7 +81,11 @@
                                                        Number aValue)
   {
     if (mEnabled) {
-      AddRaw(aKey, std::to_string(aValue));
+      if constexpr (std::is_floating_point_v<Number>) {
+        AddRaw(aKey, core::FormatDecimal(aValue));
+      } else {
+        AddRaw(aKey, std::to_string(aValue));
+      }
     }
     return *this;
   }
--- a/tests/libgooseberryio/test_log.cpp
+++ b/tests/libgooseberryio/test_log.cpp
@@ -61,6 +61,22 @@
   BOOST_TEST(std::count(text.begin(), text.end(), '\n') == 2);
 }
 
+BOOST_AUTO_TEST_CASE(figures_have_one_decimal)
+{
+  const auto name = "/tmp/gooseberry-log-" + std::to_string(getpid());
+  BOOST_REQUIRE(!io::SetUpLog({ io::log_level::Info, name }));
+  io::log_event("load")
+    .Add("ms", 1012.3456)
+    .Add("share", 0.0)
+    .Add("huge", 1e40);
+  BOOST_REQUIRE(!io::SetUpLog({ io::log_level::Off, "" }));
+  const auto text = ReadFile(name);
+  std::remove(name.c_str());
+  BOOST_TEST_INFO(text);
+  BOOST_TEST(text.find("event=load ms=1012.3 share=0.0 huge=1.0e+40\n") !=
+             std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(standard_output_has_each_line)
 {
   const auto name = "/tmp/gooseberry-output-" + std::to_string(getpid());
