Small entries leave callers to much stronger ones that have time

Cause: the balancer spreads callers evenly over entries, and an entry asked for callers whatever its processor until it was over its limit. Balancers need two checks a second apart to notice, and open connections stay: each burst cost a small entry's callers some three seconds, while entries of four times its processor waited (inputs 0.1 to 0.2 ms at 252 jobs/s).

Entries now say in heartbeats how much processor time they may use. One that has less than half of another's is not ready while the strong ones are not busy and have twice the processor time of all the rest, so that no callers have to be moved when load comes; it takes callers as soon as a strong one is busy or missing, and where fewer than half of its domain would be left. Nothing changes among equal entries, or where processors are not known.

--- a/src/entry/process_options.cpp
+++ b/src/entry/process_options.cpp
@@ -13,6 +13,7 @@
   options.mName = aSettings.mName;
   options.mAddress = aSettings.mPeerAddress;
   options.mFailureDomain = aSettings.mFailureDomain;
+  options.mMillicores = aSettings.mMillicores;
   options.mTrustFirstAttempt = aSettings.mProtocol.mTrustFirstAttempt;
   options.mWindow = aSettings.mProtocol.mDeduplicationWindow;
   options.mFreshnessBound = aSettings.mProtocol.mFreshnessBound;
--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -293,6 +293,9 @@
   std::optional<versioned_configuration> mConfiguration;
   bool mLeaving = false;
   bool mBusy = false; ///< Its own processor is used up, or was lately.
+  std::string mFailureDomain;
+  /** Processor time that it may use, in thousandths of a core; 0: unknown. */
+  std::uint32_t mMillicores = 0;
   /**
    * Agents that the sender has heard within the freshness bound, with the
    * generation each of them said it has.
--- a/src/libgooseberry/entry/entry_control.cpp
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -1,6 +1,7 @@
 #include "libgooseberry/entry/entry_control.h"
 
 #include "libgooseberry/entry/internal.h"
+#include "libgooseberry/membership/standby.h"
 
 #include <utility>
 
@@ -57,25 +58,34 @@
 
 namespace {
 
-/**
- * Whether callers are better off at other entries: this one is busy, and most
- * of those that it hears of are not.
- */
-bool
-SendsCallersElsewhere(const entry_control& aControl, core::instant aNow)
+/** What the other entries can take, as last heard. */
+std::vector<membership::entry_strength>
+OtherEntries(const entry_control& aControl, core::instant aNow)
 {
-  if (!quota::IsBusy(aControl.mQueueDelay, aNow)) {
-    return false;
-  }
-  std::size_t calm = 0;
-  std::size_t others = 0;
+  std::vector<membership::entry_strength> others;
   for (const auto& [name, view] : aControl.mMembers.mEntries) {
-    if (!view.mLeaving && IsEntryHeard(aControl, name, aNow)) {
-      ++others;
-      calm += view.mBusy ? 0 : 1;
-    }
+    others.push_back({ view.mFailureDomain,
+                       view.mMillicores,
+                       !view.mLeaving && IsEntryHeard(aControl, name, aNow),
+                       view.mBusy });
+  }
+  return others;
+}
+
+caller_stance
+StanceTowardsCallers(const entry_control& aControl, core::instant aNow)
+{
+  const auto others = OtherEntries(aControl, aNow);
+  const membership::entry_strength self{ aControl.mOptions.mFailureDomain,
+                                         aControl.mOptions.mMillicores,
+                                         true,
+                                         quota::IsBusy(aControl.mQueueDelay,
+                                                       aNow) };
+  if (self.mIsBusy && membership::AreMostlyCalm(others)) {
+    return caller_stance::Busy;
   }
-  return 2 * calm > others;
+  return membership::IsStandby(self, others) ? caller_stance::Standby
+                                             : caller_stance::Takes;
 }
 
 } // namespace
@@ -85,7 +95,7 @@
 {
   return aControl.mJoining.mStage == join_stage::Open && !aControl.mLeaving &&
          IsFresh(aControl, aNow) && !AwaitsTargets(aControl, aNow) &&
-         !SendsCallersElsewhere(aControl, aNow);
+         StanceTowardsCallers(aControl, aNow) == caller_stance::Takes;
 }
 
 namespace {
@@ -199,14 +209,15 @@
 
 /** Says when this entry begins and ends to send callers elsewhere. */
 void
-TickBusy(entry_control& aControl, core::instant aNow, effects& aEffects)
+TickStance(entry_control& aControl, core::instant aNow, effects& aEffects)
 {
   constexpr int kPercent = 100;
-  const bool sends = SendsCallersElsewhere(aControl, aNow);
-  if (std::exchange(aControl.mSendsElsewhere, sends) != sends) {
+  const caller_stance stance = StanceTowardsCallers(aControl, aNow);
+  if (std::exchange(aControl.mStance, stance) != stance) {
     Log(aEffects,
-        sends ? "entry_busy" : "entry_calm",
-        { { "share_percent",
+        "caller_stance",
+        { { "stance", std::string(kCallerStanceNames.NameOf(stance)) },
+          { "share_percent",
             std::to_string(
               static_cast<int>(aControl.mQueueDelay.mShare * kPercent)) } });
   }
@@ -226,7 +237,7 @@
   TickDeadlines(aControl, aNow, aEffects);
   TickGiveUps(aControl, aNow, aEffects);
   TickApplies(aControl, aNow, aEffects);
-  TickBusy(aControl, aNow, aEffects);
+  TickStance(aControl, aNow, aEffects);
   job::Expire(aControl.mLedger, aNow);
   Dispatch(aControl, aNow, aEffects);
   FlushOutboxes(aControl, aEffects);
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -29,6 +29,8 @@
   std::string mName;
   std::string mAddress; ///< `ip:port` of its Thrift server.
   std::string mFailureDomain;
+  /** Processor time that it may use, in thousandths of a core; 0: unknown. */
+  std::uint32_t mMillicores = 0;
   bool mTrustFirstAttempt = true;
   core::duration mWindow = std::chrono::seconds(120);
   core::duration mFreshnessBound = std::chrono::seconds(2);
@@ -100,6 +102,17 @@
   { "registering", "reading_rows", "copying", "open" }
 };
 
+/** Whether an entry asks the balancer for callers. */
+enum class caller_stance : std::uint8_t
+{
+  Takes,   ///< It does.
+  Busy,    ///< Its processor is used up, and others have time.
+  Standby, ///< Much stronger entries can take all.
+};
+inline constexpr core::enum_names<caller_stance, 3> kCallerStanceNames{
+  { "takes", "busy", "standby" }
+};
+
 struct joining
 {
   join_stage mStage = join_stage::Registering;
@@ -171,8 +184,8 @@
   std::map<std::string, std::uint32_t> mTeamShares;
   quota::retry_budget mRetryBudget;
   quota::offered_load mOffered;
-  quota::queue_delay mQueueDelay; ///< Of this entry's own inputs.
-  bool mSendsElsewhere = false;   ///< As last said in the log.
+  quota::queue_delay mQueueDelay;               ///< Of this entry's own inputs.
+  caller_stance mStance = caller_stance::Takes; ///< As last said in the log.
 
   std::unordered_map<std::uint64_t, start_call> mCalls;
   std::uint64_t mNextCall = 1;
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -63,6 +63,8 @@
   }
   beat.mLeaving = aControl.mLeaving;
   beat.mBusy = quota::IsBusy(aControl.mQueueDelay, aNow);
+  beat.mFailureDomain = aControl.mOptions.mFailureDomain;
+  beat.mMillicores = aControl.mOptions.mMillicores;
   for (const auto& [name, view] : aControl.mMembers.mAgents) {
     if (aNow - view.mHeardAt <= aControl.mOptions.mAgentLost) {
       beat.mAgents.emplace(name, view.mState.mGeneration);
--- a/src/libgooseberry/membership/members.cpp
+++ b/src/libgooseberry/membership/members.cpp
@@ -36,6 +36,8 @@
   view.mAgents = aBeat.mAgents;
   view.mLeaving = aBeat.mLeaving;
   view.mBusy = aBeat.mBusy;
+  view.mFailureDomain = aBeat.mFailureDomain;
+  view.mMillicores = aBeat.mMillicores;
 }
 
 bool
--- a/src/libgooseberry/membership/members.h
+++ b/src/libgooseberry/membership/members.h
@@ -43,6 +43,8 @@
   std::map<std::string, core::generation> mAgents;
   bool mLeaving = false;
   bool mBusy = false; ///< Its own processor is used up, or was lately.
+  std::string mFailureDomain;
+  std::uint32_t mMillicores = 0; ///< Thousandths of a core; 0: unknown.
 };
 
 /** An agent as an entry sees it. */
--- /dev/null
+++ b/src/libgooseberry/membership/standby.cpp
@@ -0,0 +1,88 @@
+#include "libgooseberry/membership/standby.h"
+
+namespace gooseberry::membership {
+
+namespace {
+
+/** Times an entry's own processor time that make another much stronger. */
+constexpr std::uint32_t kMuchStronger = 2;
+/** Times the processor time of all the rest that the stronger ones have. */
+constexpr std::uint32_t kMuchMore = 2;
+
+bool
+IsMuchStronger(const entry_strength& aEntry, const entry_strength& aThan)
+{
+  return aEntry.mMillicores >= kMuchStronger * aThan.mMillicores;
+}
+
+/** Whether the stronger entries can take the callers of all. */
+bool
+CanTakeAll(const entry_strength& aSelf,
+           const std::vector<entry_strength>& aOthers)
+{
+  std::uint32_t stronger = 0;
+  std::uint32_t rest = aSelf.mMillicores;
+  for (const entry_strength& entry : aOthers) {
+    if (!entry.mIsHeard) {
+      continue;
+    }
+    if (!IsMuchStronger(entry, aSelf)) {
+      rest += entry.mMillicores;
+      continue;
+    }
+    if (entry.mIsBusy) {
+      return false;
+    }
+    stronger += entry.mMillicores;
+  }
+  return stronger >= kMuchMore * rest;
+}
+
+/** Whether the balancer keeps to the domain's stronger entries; where it has
+ * none, the balancer goes to other domains. */
+bool
+CanLeaveDomain(const entry_strength& aSelf,
+               const std::vector<entry_strength>& aOthers)
+{
+  std::size_t all = 1;
+  std::size_t stronger = 0;
+  std::size_t usable = 0;
+  for (const entry_strength& entry : aOthers) {
+    if (entry.mFailureDomain != aSelf.mFailureDomain) {
+      continue;
+    }
+    ++all;
+    if (IsMuchStronger(entry, aSelf)) {
+      ++stronger;
+      usable += entry.mIsHeard ? 1 : 0;
+    }
+  }
+  return stronger == 0 || 2 * usable >= all;
+}
+
+} // namespace
+
+bool
+IsStandby(const entry_strength& aSelf,
+          const std::vector<entry_strength>& aOthers)
+{
+  return aSelf.mMillicores > 0 && CanTakeAll(aSelf, aOthers) &&
+         CanLeaveDomain(aSelf, aOthers);
+}
+
+bool
+AreMostlyCalm(const std::vector<entry_strength>& aOthers)
+{
+  std::uint32_t all = 0;
+  std::uint32_t calm = 0;
+  for (const entry_strength& entry : aOthers) {
+    if (!entry.mIsHeard) {
+      continue;
+    }
+    ++all;
+    calm += entry.mIsBusy ? 0 : 1;
+  }
+  return 2 * calm > all;
+}
+
+} // namespace gooseberry::membership
--- a/src/libgooseberryio/entry_settings.cpp
+++ b/src/libgooseberryio/entry_settings.cpp
@@ -11,7 +11,7 @@
 constexpr number_range kBodyBytes{ 1'024, 1'073'741'824 };
 constexpr double kPercent = 100.0;
 
-constexpr std::array<rule, 4> kEntryRules{ {
+constexpr std::array<rule, 5> kEntryRules{ {
   { NameSetting("entry", "name", "", "Name of this entry, its own"),
     [](const setting_value& aValue, entry_settings& aSettings) {
       aSettings.mName = aValue.mText;
@@ -28,6 +28,15 @@
     [](const setting_value& aValue, entry_settings& aSettings) {
       aSettings.mFailureDomain = aValue.mText;
     } },
+  { DecimalSetting("entry",
+                   "processor",
+                   "cores",
+                   "0",
+                   { 0, 1'024 },
+                   "Processor time that it may use; 0: not known"),
+    [](const setting_value& aValue, entry_settings& aSettings) {
+      aSettings.mMillicores = ToCount(aValue);
+    } },
 } };
 
 constexpr std::array<rule, 7> kLimitRules{ {
--- a/src/libgooseberryio/entry_settings.h
+++ b/src/libgooseberryio/entry_settings.h
@@ -47,6 +47,7 @@
   std::string mHttpAddress; ///< `IP:PORT` for callers and operators.
   std::string mPeerAddress; ///< `IP:PORT` for agents and entries.
   std::string mFailureDomain;
+  std::uint32_t mMillicores = 0; ///< Thousandths of a core; 0: not known.
   platform_settings mPlatform;
   caller_bounds mLimits;
   entry_protocol mProtocol;
--- a/src/libgooseberryio/protocol/from_wire.cpp
+++ b/src/libgooseberryio/protocol/from_wire.cpp
@@ -291,6 +291,8 @@
   }
   beat.mLeaving = aBeat.leaving;
   beat.mBusy = aBeat.busy;
+  beat.mFailureDomain = aBeat.failureDomain;
+  beat.mMillicores = Count(aBeat.millicores, "millicores");
   for (const auto& [name, generation] : aBeat.agents) {
     beat.mAgents[name] = GenerationFromWire(generation);
   }
--- a/src/libgooseberryio/protocol/gooseberry.thrift
+++ b/src/libgooseberryio/protocol/gooseberry.thrift
@@ -76,7 +76,8 @@
   1: PeerRef entry; 2: string address; 3: i64 generation;
   4: map<string, TeamUse> teams;
   5: optional VersionedConfiguration configuration; 6: bool leaving;
-  7: map<string, i64> agents; 8: bool busy
+  7: map<string, i64> agents; 8: bool busy; 9: string failureDomain;
+  10: i32 millicores
 }
 struct JobAnswer {
   1: string job; 2: i8 outcome; 3: list<binary> results; 4: string reason;
--- a/src/libgooseberryio/protocol/to_wire.cpp
+++ b/src/libgooseberryio/protocol/to_wire.cpp
@@ -300,6 +300,8 @@
   }
   beat.leaving = aBeat.mLeaving;
   beat.busy = aBeat.mBusy;
+  beat.failureDomain = aBeat.mFailureDomain;
+  beat.millicores = Bits(aBeat.mMillicores);
   for (const auto& [name, generation] : aBeat.mAgents) {
     beat.agents[name] = Bits(generation);
   }
--- a/src/libgooseberryio/setting_kinds.h
+++ b/src/libgooseberryio/setting_kinds.h
@@ -74,6 +74,19 @@
            aRange.mMax, "",       aHelp };
 }
 
+constexpr setting
+DecimalSetting(std::string_view aSection,
+               std::string_view aKey,
+               std::string_view aUnit,
+               std::string_view aDefault,
+               number_range aRange,
+               std::string_view aHelp)
+{
+  return { aSection,    aKey,     setting_type::Decimal,
+           aUnit,       aDefault, aRange.mMin,
+           aRange.mMax, "",       aHelp };
+}
+
 constexpr setting
 MillisecondsSetting(std::string_view aSection,
                     std::string_view aKey,
--- a/src/libgooseberryio/settings.cpp
+++ b/src/libgooseberryio/settings.cpp
@@ -6,6 +6,8 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <cmath>
 #include <optional>
 
 namespace gooseberry::io {
@@ -53,6 +55,23 @@
   return std::nullopt;
 }
 
+/** The thousandths of a decimal; its bounds are whole numbers. */
+std::optional<std::uint64_t>
+ReadThousandths(std::string_view aText, std::uint64_t aMin, std::uint64_t aMax)
+{
+  constexpr double kThousandths = 1'000.0;
+  double value = 0;
+  const char* const end = aText.data() + aText.size();
+  const auto [rest, status] =
+    std::from_chars(aText.data(), end, value, std::chars_format::fixed);
+  if (status != std::errc() || rest != end ||
+      !(value >= static_cast<double>(aMin) &&
+        value <= static_cast<double>(aMax))) {
+    return std::nullopt;
+  }
+  return static_cast<std::uint64_t>(std::lround(value * kThousandths));
+}
+
 /** The value, or nothing where the text does not fit the setting. */
 std::optional<setting_value>
 ReadValue(const setting& aSetting, std::string_view aText)
@@ -70,6 +89,9 @@
     case setting_type::Number:
       number = configuration::ReadNumber(aText, aSetting.mMin, aSetting.mMax);
       break;
+    case setting_type::Decimal:
+      number = ReadThousandths(aText, aSetting.mMin, aSetting.mMax);
+      break;
     case setting_type::Switch:
       number = ReadSwitch(aText);
       break;
@@ -117,6 +139,11 @@
              (aSetting.mUnit.empty() ? ""
                                      : " of " + std::string(aSetting.mUnit)) +
              " from " + RangeOf(aSetting);
+    case setting_type::Decimal:
+      return "a number" +
+             (aSetting.mUnit.empty() ? ""
+                                     : " of " + std::string(aSetting.mUnit)) +
+             " from " + RangeOf(aSetting);
     case setting_type::Switch:
       return "on, off, true or false";
     case setting_type::Choice:
@@ -250,6 +277,7 @@
 {
   switch (aSetting.mType) {
     case setting_type::Number:
+    case setting_type::Decimal:
       return RangeOf(aSetting);
     case setting_type::Switch:
       return "on, off";
--- a/src/libgooseberryio/settings.h
+++ b/src/libgooseberryio/settings.h
@@ -21,12 +21,13 @@
   Text,    ///< Not empty.
   Name,    ///< 1 to 64 characters of `[A-Za-z0-9._-]`.
   Number,  ///< Whole, within bounds.
+  Decimal, ///< Up to three decimals, within bounds; kept in thousandths.
   Switch,  ///< `on`, `off`, `true` or `false`.
   Choice,  ///< One of some words.
   Address, ///< `IP:PORT`.
 };
-inline constexpr core::enum_names<setting_type, 6> kSettingTypeNames{
-  { "text", "name", "number", "switch", "choice", "address" }
+inline constexpr core::enum_names<setting_type, 7> kSettingTypeNames{
+  { "text", "name", "number", "decimal", "switch", "choice", "address" }
 };
 
 /** One key of the file. */
@@ -37,8 +38,8 @@
   setting_type mType = setting_type::Text;
   std::string_view mUnit;    ///< Of a number; may be empty.
   std::string_view mDefault; ///< Empty: the file must have the key.
-  std::uint64_t mMin = 0;    ///< Of a number, in its unit.
-  std::uint64_t mMax = 0;    ///< Of a number, in its unit.
+  std::uint64_t mMin = 0;    ///< Of a number, in its unit; a whole one.
+  std::uint64_t mMax = 0;    ///< Of a number, in its unit; a whole one.
   std::string_view mChoices; ///< Of a choice, with `|` between the words.
   std::string_view mHelp;
 };
@@ -47,7 +48,7 @@
 struct setting_value
 {
   std::string mText;
-  /** Of a number; of a switch 0 or 1; else 0. */
+  /** Of a number; of a decimal, in thousandths; of a switch 0 or 1; else 0. */
   std::uint64_t mNumber = 0;
 };
 
--- a/tests/libgooseberryio/test_convert.cpp
+++ b/tests/libgooseberryio/test_convert.cpp
@@ -126,6 +126,8 @@
   beat.mConfiguration = core::versioned_configuration{ 4, "text" };
   beat.mAgents = { { "agent-1", 4 } };
   beat.mBusy = true;
+  beat.mFailureDomain = "cluj";
+  beat.mMillicores = 120;
   CheckRoundTrip(beat);
   core::job_answer answer;
   answer.mJob = "team/job";
--- a/tests/libgooseberryio/test_settings.cpp
+++ b/tests/libgooseberryio/test_settings.cpp
@@ -44,6 +44,27 @@
 
 BOOST_AUTO_TEST_SUITE(settings_files)
 
+BOOST_AUTO_TEST_CASE(processor_time_is_read_in_thousandths)
+{
+  const auto text = Load("examples/entry.ini");
+  const auto with = [&text](const std::string& aValue) {
+    auto changed = text;
+    return changed.insert(changed.find("[entry]") + 7,
+                          "\nprocessor = " + aValue);
+  };
+  BOOST_TEST(Expect(ParseEntrySettings(text, "x")).mMillicores == 0U);
+  BOOST_TEST(Expect(ParseEntrySettings(with("0.12"), "x")).mMillicores == 120U);
+  BOOST_TEST(Expect(ParseEntrySettings(with("2"), "x")).mMillicores == 2000U);
+  for (const char* bad : { "-1", "nan", "0.1x", "1e9", "2000" }) {
+    BOOST_TEST_INFO(bad);
+    const auto read = ParseEntrySettings(with(bad), "x");
+    BOOST_REQUIRE(std::holds_alternative<core::error>(read));
+    BOOST_TEST(core::ToString(std::get<core::error>(read))
+                 .find("expected a number of cores from 0 to 1024") !=
+               std::string::npos);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(entry_example_is_read)
 {
   const auto settings =
