Whether others have time is judged by processor time, not by number

Cause: a busy entry sent callers elsewhere only while more than half of the others were calm, by number. They are weighed by their processor time now. The new test fails before: three small busy entries and a large calm one counted as mostly busy.

--- a/src/libgooseberry/membership/standby.cpp
+++ b/src/libgooseberry/membership/standby.cpp
@@ -1,5 +1,7 @@
 #include "libgooseberry/membership/standby.h"
 
+#include <algorithm>
+
 namespace gooseberry::membership {
 
 namespace {
@@ -79,8 +81,10 @@
     if (!entry.mIsHeard) {
       continue;
     }
-    ++all;
-    calm += entry.mIsBusy ? 0 : 1;
+    // Unknown ones count by their number.
+    const std::uint32_t weight = std::max(entry.mMillicores, 1U);
+    all += weight;
+    calm += entry.mIsBusy ? 0 : weight;
   }
   return 2 * calm > all;
 }
--- a/src/libgooseberry/membership/standby.h
+++ b/src/libgooseberry/membership/standby.h
@@ -29,7 +29,7 @@
 IsStandby(const entry_strength& aSelf,
           const std::vector<entry_strength>& aOthers);
 
-/** Whether most entries that are heard are not busy. */
+/** Whether the entries that are not busy have most of the processor time. */
 bool
 AreMostlyCalm(const std::vector<entry_strength>& aOthers);
 
--- a/tests/libgooseberry/test_unequal_entries.cpp
+++ b/tests/libgooseberry/test_unequal_entries.cpp
@@ -289,4 +289,18 @@
   BOOST_TEST(!membership::IsStandby(Strength("a", 0), { Strength("a", 500) }));
 }
 
+BOOST_AUTO_TEST_CASE(calm_is_counted_by_processor_time)
+{
+  std::vector<membership::entry_strength> others{ Strength("a", 500),
+                                                  Strength("a", 120),
+                                                  Strength("b", 120),
+                                                  Strength("b", 120) };
+  for (std::size_t i = 1; i < others.size(); ++i) {
+    others[i].mIsBusy = true;
+  }
+  BOOST_TEST(membership::AreMostlyCalm(others));
+  others[0].mIsBusy = true;
+  BOOST_TEST(!membership::AreMostlyCalm(others));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
