--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -2,7 +2,9 @@
 
 #include "libgooseberry/configuration/desired_state.h"
 #include "libgooseberry/core/message.h"
+#include "libgooseberry/entry/counters.h"
 #include "libgooseberry/entry/effects.h"
+#include "libgooseberry/entry/options.h"
 #include "libgooseberry/job/ledger.h"
 #include "libgooseberry/job/ready_queue.h"
 #include "libgooseberry/membership/members.h"
@@ -23,42 +25,6 @@
 
 namespace gooseberry::entry {
 
-/** What is set for one entry; validated before it gets here. */
-struct entry_options
-{
-  std::string mName;
-  std::string mAddress; ///< `ip:port` of its Thrift server.
-  std::string mFailureDomain;
-  /** Processor time that it may use, in thousandths of a core; 0: unknown. */
-  std::uint32_t mMillicores = 0;
-  bool mTrustFirstAttempt = true;
-  core::duration mWindow = std::chrono::seconds(120);
-  core::duration mFreshnessBound = std::chrono::seconds(2);
-  core::duration mHeartbeat = std::chrono::milliseconds(500);
-  /** A peer that was not heard for longer is asked no more. */
-  core::duration mPeerSuspect = std::chrono::milliseconds(1500);
-  /** Longest wait for the answers to a locate before agents are asked. */
-  core::duration mLocateTimeout = std::chrono::seconds(1);
-  /** Longest wait for all fences of a recovery. */
-  core::duration mRecoverTimeout = std::chrono::seconds(5);
-  /** An agent not heard for longer has lost what it ran. */
-  core::duration mAgentLost = std::chrono::seconds(10);
-  /** Time in which peers are to confirm a configuration. */
-  core::duration mApplyTimeout = std::chrono::seconds(3);
-  core::duration mMembersPeriod = std::chrono::seconds(1);
-  /**
-   * Targets run tasks under leases, and agents stop what runs for an entry that
-   * is gone: a job that another entry had leaves nothing behind, so that each
-   * submission is a first one (R1 to R4, R6 and R11 are not needed).
-   */
-  bool mLeasedRuns = false;
-  job::order_settings mOrder;
-  target::placement_settings mPlacement;
-  quota::admission_settings mAdmission;
-  quota::retry_budget_settings mRetry;
-  bool mLogDecisions = true;
-};
-
 /** A start call that has not been settled. */
 struct start_call
 {
@@ -126,36 +92,6 @@
   std::optional<core::instant> mBlindUntil;
 };
 
-/** Counts since the start, for metrics. */
-struct entry_counters
-{
-  std::uint64_t mStarts = 0;         ///< Tasks sent, first copy each.
-  std::uint64_t mRepeatedStarts = 0; ///< Tasks sent again unanswered.
-  std::uint64_t mFinishes = 0;       ///< Results taken in.
-  std::uint64_t mRepeatedFinishes = 0;
-  std::uint64_t mRetries = 0;
-  std::uint64_t mDemands = 0;       ///< Calls that only tell of a backlog.
-  std::uint64_t mSubmissions = 0;   ///< Repeated and refused ones too.
-  std::uint64_t mAnnounces = 0;     ///< Calls of agents without a result.
-  std::uint64_t mFinishBatches = 0; ///< Calls of agents with results.
-  std::uint64_t mStartReplies = 0;
-  std::uint64_t mHeartbeats = 0; ///< Of other entries, and replies of theirs.
-  std::uint64_t mLocates = 0;
-  std::uint64_t mFences = 0;
-  std::uint64_t mCancels = 0;
-  std::uint64_t mDelivers = 0;
-  std::array<std::uint64_t, 10> mRefusals{}; ///< By start_verdict.
-  std::array<std::uint64_t, 3> mOutcomes{};  ///< By job_outcome.
-};
-
-/** One ended job, for the histograms. */
-struct ended_sample
-{
-  core::duration mResponse{};
-  core::duration mIdeal{};
-  core::job_outcome mOutcome = core::job_outcome::Complete;
-};
-
 /** All that one entry decides on. One thread owns it. */
 struct entry_control
 {
--- a/src/libgooseberry/entry/internal.h
+++ b/src/libgooseberry/entry/internal.h
@@ -89,6 +89,10 @@
 std::uint32_t
 MaxTries(const entry_control& aControl, const job::job& aJob);
 
+/** Longest expected run time of the job's waiting tasks. */
+core::duration
+LongestWaiting(const job::job& aJob);
+
 /** Makes this entry the home of the job: what is waiting is to be placed. */
 void
 BecomeHome(entry_control& aControl,
--- /dev/null
+++ b/src/libgooseberry/lease/internal.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "libgooseberry/lease/leased_target.h"
+
+/** Steps that the files of the lease's decisions share. */
+namespace gooseberry::lease {
+
+/** `aWait`: how long the target may hold the call beyond its deadline. */
+call_header
+HeaderFor(const leased_target& aTarget, core::duration aWait = {});
+
+void
+SendStop(leased_target& aTarget,
+         const core::task_ref& aTask,
+         std::uint32_t aRun,
+         effects& aOut);
+
+/** Takes a run out and reports how it ended. */
+void
+End(leased_target& aTarget,
+    const core::task_ref& aTask,
+    core::task_end aEnd,
+    core::start_verdict aWhy,
+    std::string aDetail,
+    core::instant aNow,
+    effects& aOut);
+
+/** The run never started and never will. */
+void
+Return(leased_target& aTarget,
+       const core::task_ref& aTask,
+       core::start_verdict aWhy,
+       std::string aDetail,
+       core::instant aNow,
+       effects& aOut);
+
+/** The run of a call, unless it is over or was started anew since. */
+run*
+FindRun(leased_target& aTarget,
+        const core::task_ref& aTask,
+        std::uint32_t aRun);
+
+/** A new life of the target runs nothing of ours and has seen no token. */
+void
+StartNewLife(leased_target& aTarget,
+             std::uint64_t aLife,
+             core::instant aNow,
+             effects& aOut);
+
+/**
+ * The target's clock rises for as long as the target lives, so a token taken
+ * from it outranks those of all earlier agents without anything stored.
+ */
+void
+RaiseToken(leased_target& aTarget, target_time aClock);
+
+} // namespace gooseberry::lease
--- /dev/null
+++ b/src/libgooseberry/lease/report.cpp
@@ -0,0 +1,141 @@
+#include "libgooseberry/lease/internal.h"
+#include "libgooseberry/lease/target_clock.h"
+
+#include <algorithm>
+#include <utility>
+
+/** What a target's report says of its runs. */
+namespace gooseberry::lease {
+
+namespace {
+
+using core::start_verdict;
+using core::task_end;
+
+void
+TakeEnds(leased_target& aTarget,
+         const std::vector<listed_end>& aEnds,
+         core::instant aNow,
+         effects& aOut)
+{
+  for (const listed_end& end : aEnds) {
+    if (end.mNumber <= aTarget.mLastEnd) {
+      continue;
+    }
+    aTarget.mLastEnd = end.mNumber;
+    if (FindRun(aTarget, end.mTask, end.mRun) != nullptr) {
+      End(aTarget,
+          end.mTask,
+          end.mEnd,
+          start_verdict::Accepted,
+          end.mHow,
+          aNow,
+          aOut);
+    }
+  }
+}
+
+/** Marks what the target lists; what is not ours is stopped. */
+void
+TakeRunning(leased_target& aTarget,
+            const std::vector<listed_run>& aRunning,
+            core::instant aNow,
+            effects& aOut)
+{
+  aTarget.mClean = true;
+  for (const listed_run& listed : aRunning) {
+    run* const known = FindRun(aTarget, listed.mTask, listed.mRun);
+    if (known == nullptr) {
+      aTarget.mClean = false;
+      SendStop(aTarget, listed.mTask, listed.mRun, aOut);
+    } else if (known->mState == run_state::Uncertain) {
+      known->mState = run_state::Running;
+      known->mAnsweredAt = aNow;
+    }
+  }
+}
+
+bool
+IsListed(const std::vector<listed_run>& aRunning, const run& aRun)
+{
+  return std::any_of(
+    aRunning.begin(), aRunning.end(), [&](const listed_run& aListed) {
+      return aListed.mTask == aRun.mTask && aListed.mRun == aRun.mRun;
+    });
+}
+
+/**
+ * Settles runs that a report does not list, where it was asked for after the
+ * target had to know of them.
+ */
+void
+SettleMissing(leased_target& aTarget,
+              const target_report& aReport,
+              core::instant aAskedAt,
+              core::instant aNow,
+              effects& aOut)
+{
+  std::vector<core::task_ref> gone;
+  std::vector<core::task_ref> neverStarted;
+  for (const auto& [task, run] : aTarget.mRuns) {
+    if (IsListed(aReport.mRunning, run)) {
+      continue;
+    }
+    if (run.mState == run_state::Running && run.mAnsweredAt &&
+        *run.mAnsweredAt <= aAskedAt) {
+      gone.push_back(task);
+    } else if (run.mState == run_state::Uncertain &&
+               ((run.mStopAnsweredAt && *run.mStopAnsweredAt <= aAskedAt) ||
+                aReport.mClock >= run.mValidUntil + Margin(aTarget))) {
+      neverStarted.push_back(task);
+    }
+  }
+  for (const auto& task : gone) {
+    End(aTarget,
+        task,
+        task_end::Lost,
+        start_verdict::Accepted,
+        "not listed",
+        aNow,
+        aOut);
+  }
+  for (const auto& task : neverStarted) {
+    Return(aTarget,
+           task,
+           start_verdict::Stale,
+           "start was not carried out",
+           aNow,
+           aOut);
+  }
+}
+
+} // namespace
+
+void
+OnReport(leased_target& aTarget,
+         const target_report& aReport,
+         core::instant aAskedAt,
+         core::instant aNow,
+         effects& aOut)
+{
+  aTarget.mRenewing = false;
+  aTarget.mNextRenewal = aNow;
+  if (aReport.mLife != 0 && aReport.mLife != aTarget.mLife) {
+    StartNewLife(aTarget, aReport.mLife, aNow, aOut);
+  }
+  if (std::exchange(aTarget.mFailures, 0U) > 0) {
+    aOut.emplace_back(target_change{ "target_answers", aTarget.mName });
+  }
+  ReadClock(aTarget, aReport.mClock, aAskedAt, aNow);
+  if (aTarget.mFencingToken == 0) {
+    RaiseToken(aTarget, aReport.mClock);
+  }
+  // An earlier call may be answered after a later one.
+  aTarget.mReportAskedAt =
+    std::max(aTarget.mReportAskedAt.value_or(aAskedAt), aAskedAt);
+  TakeEnds(aTarget, aReport.mEnded, aNow, aOut);
+  TakeRunning(aTarget, aReport.mRunning, aNow, aOut);
+  SettleMissing(aTarget, aReport, aAskedAt, aNow, aOut);
+}
+
+} // namespace gooseberry::lease
--- /dev/null
+++ b/src/libgooseberry/lease/run_end.cpp
@@ -0,0 +1,100 @@
+#include "libgooseberry/lease/internal.h"
+
+#include <algorithm>
+#include <utility>
+
+/** How runs end, and with them a target's life. */
+namespace gooseberry::lease {
+
+call_header
+HeaderFor(const leased_target& aTarget, core::duration aWait)
+{
+  return { aTarget.mName,
+           aTarget.mAddress,
+           aTarget.mFencingToken,
+           aTarget.mSettings.mCallDeadline + aWait };
+}
+
+void
+SendStop(leased_target& aTarget,
+         const core::task_ref& aTask,
+         std::uint32_t aRun,
+         effects& aOut)
+{
+  aOut.emplace_back(call(stop_call{ HeaderFor(aTarget), aTask, aRun }));
+}
+
+void
+End(leased_target& aTarget,
+    const core::task_ref& aTask,
+    core::task_end aEnd,
+    core::start_verdict aWhy,
+    std::string aDetail,
+    core::instant aNow,
+    effects& aOut)
+{
+  const auto found = aTarget.mRuns.find(aTask);
+  const run ended = std::move(found->second);
+  aTarget.mRuns.erase(found);
+  aOut.emplace_back(run_end{ ended.mTask,
+                             ended.mTry,
+                             aEnd,
+                             aWhy,
+                             aNow - ended.mSentAt,
+                             std::move(aDetail) });
+}
+
+void
+Return(leased_target& aTarget,
+       const core::task_ref& aTask,
+       core::start_verdict aWhy,
+       std::string aDetail,
+       core::instant aNow,
+       effects& aOut)
+{
+  End(aTarget,
+      aTask,
+      core::task_end::Returned,
+      aWhy,
+      std::move(aDetail),
+      aNow,
+      aOut);
+}
+
+run*
+FindRun(leased_target& aTarget, const core::task_ref& aTask, std::uint32_t aRun)
+{
+  const auto found = aTarget.mRuns.find(aTask);
+  return found != aTarget.mRuns.end() && found->second.mRun == aRun
+           ? &found->second
+           : nullptr;
+}
+
+void
+StartNewLife(leased_target& aTarget,
+             std::uint64_t aLife,
+             core::instant aNow,
+             effects& aOut)
+{
+  if (aTarget.mLife != 0) {
+    aOut.emplace_back(target_change{ "target_restarted", aTarget.mName });
+  }
+  EndAll(aTarget, "target restarted", aNow, aOut);
+  aTarget.mLife = aLife;
+  aTarget.mLastEnd = 0;
+  aTarget.mFencingToken = 0;
+  aTarget.mLeaseUntil = {};
+  aTarget.mClock.reset();
+  aTarget.mClean = false;
+  aTarget.mReportAskedAt.reset();
+  aTarget.mNextRenewal = aNow;
+}
+
+void
+RaiseToken(leased_target& aTarget, target_time aClock)
+{
+  aTarget.mFencingToken =
+    std::max<std::uint64_t>(aTarget.mFencingToken + 1, aClock.count());
+}
+
+} // namespace gooseberry::lease
--- /dev/null
+++ b/src/libgooseberry/lease/target_clock.cpp
@@ -0,0 +1,66 @@
+#include "libgooseberry/lease/target_clock.h"
+
+#include <algorithm>
+
+namespace gooseberry::lease {
+
+using std::chrono::duration_cast;
+
+namespace {
+
+/** When the target's clock has passed `aTime` for certain. */
+core::instant
+PassedAt(const leased_target& aTarget, target_time aTime)
+{
+  const auto& [clock, askedAt, arrivedAt] = *aTarget.mClock;
+  const auto left =
+    std::max(aTime + Margin(aTarget) - clock, target_time::zero());
+  const auto slowest = duration_cast<core::duration>(
+    std::chrono::duration<double, std::milli>(left) * (1 + kMaxClockDrift));
+  return arrivedAt + slowest;
+}
+
+} // namespace
+
+target_time
+ClockAt(const leased_target& aTarget, core::instant aNow)
+{
+  if (!aTarget.mClock) {
+    return {};
+  }
+  const auto& [clock, askedAt, arrivedAt] = *aTarget.mClock;
+  return clock + duration_cast<target_time>(aNow - arrivedAt);
+}
+
+target_time
+Margin(const leased_target& aTarget)
+{
+  return duration_cast<target_time>(aTarget.mSettings.mLapseMargin);
+}
+
+void
+ReadClock(leased_target& aTarget,
+          target_time aClock,
+          core::instant aAskedAt,
+          core::instant aNow)
+{
+  if (!aTarget.mClock || aTarget.mClock->mAskedAt <= aAskedAt) {
+    aTarget.mClock = { aClock, aAskedAt, aNow };
+  }
+}
+
+target_time
+ExtendLease(leased_target& aTarget, core::duration aBy, core::instant aNow)
+{
+  const auto until = ClockAt(aTarget, aNow) + duration_cast<target_time>(aBy);
+  aTarget.mLeaseUntil = std::max(aTarget.mLeaseUntil, until);
+  return until;
+}
+
+bool
+HasLapsed(const leased_target& aTarget, core::instant aNow)
+{
+  return aTarget.mClock && aNow >= PassedAt(aTarget, aTarget.mLeaseUntil);
+}
+
+} // namespace gooseberry::lease
