One text for numbers of settings, one share in percent

What stood twice in the change: the words that an error has for a number and a decimal, the row of both kinds of setting, the share of submissions in percent (three times), a lambda that only passed on.

--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -51,7 +51,7 @@
   bool IsDrained() const;
   void Stop();
 
-  /** Whether it takes jobs: joined, in touch, not leaving. */
+  /** Whether it asks the balancer for callers; see `entry::IsReady`. */
   bool IsReady();
   /** Whether callers are to go elsewhere, though they are still served: as the
    * balancer was told. */
--- a/src/entry/load_line.cpp
+++ b/src/entry/load_line.cpp
@@ -20,7 +20,6 @@
               core::instant aNow)
 {
   constexpr core::duration kInterval = std::chrono::seconds(1);
-  constexpr int kPercent = 100;
   if (aNow - aMeter.mSince < kInterval) {
     return;
   }
@@ -41,8 +40,7 @@
     .Add("announces", now.mAnnounces - before.mAnnounces)
     .Add("heartbeats", now.mHeartbeats - before.mHeartbeats)
     .Add("open_jobs", aControl.mOpenJobs)
-    .Add("share_percent",
-         static_cast<int>(aControl.mQueueDelay.mShare * kPercent));
+    .Add("share_percent", quota::SharePercent(aControl.mQueueDelay));
   aMeter = { aNow, {}, {}, 0, now };
 }
 
--- a/src/libgooseberry/entry/admit.cpp
+++ b/src/libgooseberry/entry/admit.cpp
@@ -142,21 +142,18 @@
            const quota::refused& aRefused,
            effects& aEffects)
 {
-  const auto milliseconds = [](core::duration aTime) {
-    return core::FormatMilliseconds(aTime);
-  };
   std::vector<log_field> fields{
     { "job", aSubmission.mKey },
     { "reason",
       std::string(quota::kAdmissionReasonNames.NameOf(aRefused.mReason)) },
-    { "work_ms", milliseconds(aRequest.mWork) },
-    { "work_ahead_ms", milliseconds(aRequest.mWorkAhead) },
+    { "work_ms", core::FormatMilliseconds(aRequest.mWork) },
+    { "work_ahead_ms", core::FormatMilliseconds(aRequest.mWorkAhead) },
     { "slots", std::to_string(aRequest.mSlots) },
-    { "retry_after_ms", milliseconds(aRefused.mRetryAfter) }
+    { "retry_after_ms", core::FormatMilliseconds(aRefused.mRetryAfter) }
   };
   if (const auto& objective = aRequest.mObjective) {
     fields.push_back(
-      { "longest_wait_ms", milliseconds(objective->mLongestWait) });
+      { "longest_wait_ms", core::FormatMilliseconds(objective->mLongestWait) });
     fields.push_back(
       { "load_above", core::FormatDecimal(objective->mLoadAbove) });
     fields.push_back(
@@ -173,8 +170,7 @@
 {
   // Balancers look about once a second, and delays last as long.
   constexpr core::duration kRetryAfter = std::chrono::seconds(1);
-  constexpr int kPercent = 100;
-  const int share = static_cast<int>(aControl.mQueueDelay.mShare * kPercent);
+  const int share = quota::SharePercent(aControl.mQueueDelay);
   Log(aEffects,
       "admission_refused",
       { { "job", aSubmission.mKey },
--- a/src/libgooseberry/entry/entry_control.cpp
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -211,15 +211,13 @@
 void
 TickStance(entry_control& aControl, core::instant aNow, effects& aEffects)
 {
-  constexpr int kPercent = 100;
   const caller_stance stance = StanceTowardsCallers(aControl, aNow);
   if (std::exchange(aControl.mStance, stance) != stance) {
     Log(aEffects,
         "caller_stance",
         { { "stance", std::string(kCallerStanceNames.NameOf(stance)) },
           { "share_percent",
-            std::to_string(
-              static_cast<int>(aControl.mQueueDelay.mShare * kPercent)) } });
+            std::to_string(quota::SharePercent(aControl.mQueueDelay)) } });
   }
 }
 
--- a/src/libgooseberry/quota/queue_delay.cpp
+++ b/src/libgooseberry/quota/queue_delay.cpp
@@ -50,6 +50,13 @@
   return aNow < aDelay.mBusyUntil;
 }
 
+int
+SharePercent(const queue_delay& aDelay)
+{
+  constexpr int kPercent = 100;
+  return static_cast<int>(aDelay.mShare * kPercent);
+}
+
 bool
 TakesSubmission(const queue_delay& aDelay, double aDraw)
 {
--- a/src/libgooseberry/quota/queue_delay.h
+++ b/src/libgooseberry/quota/queue_delay.h
@@ -33,6 +33,10 @@
 bool
 IsBusy(const queue_delay& aDelay, core::instant aNow);
 
+/** The share of submissions that is taken, for logs. */
+int
+SharePercent(const queue_delay& aDelay);
+
 /** Whether a submission is taken; `aDraw` is uniform in [0, 1). */
 bool
 TakesSubmission(const queue_delay& aDelay, double aDraw);
--- a/src/libgooseberryio/setting_kinds.h
+++ b/src/libgooseberryio/setting_kinds.h
@@ -82,9 +82,10 @@
                number_range aRange,
                std::string_view aHelp)
 {
-  return { aSection,    aKey,     setting_type::Decimal,
-           aUnit,       aDefault, aRange.mMin,
-           aRange.mMax, "",       aHelp };
+  setting decimal =
+    NumberSetting(aSection, aKey, aUnit, aDefault, aRange, aHelp);
+  decimal.mType = setting_type::Decimal;
+  return decimal;
 }
 
 constexpr setting
--- a/src/libgooseberryio/settings.cpp
+++ b/src/libgooseberryio/settings.cpp
@@ -125,6 +125,14 @@
   return text;
 }
 
+/** Completes "a number". */
+std::string
+UnitAndRange(const setting& aSetting)
+{
+  return (aSetting.mUnit.empty() ? "" : " of " + std::string(aSetting.mUnit)) +
+         " from " + RangeOf(aSetting);
+}
+
 /** Completes "expected ..." in errors. */
 std::string
 Expected(const setting& aSetting)
@@ -135,15 +143,9 @@
     case setting_type::Name:
       return "a name of 1 to 64 characters of [A-Za-z0-9._-]";
     case setting_type::Number:
-      return "a whole number" +
-             (aSetting.mUnit.empty() ? ""
-                                     : " of " + std::string(aSetting.mUnit)) +
-             " from " + RangeOf(aSetting);
+      return "a whole number" + UnitAndRange(aSetting);
     case setting_type::Decimal:
-      return "a number" +
-             (aSetting.mUnit.empty() ? ""
-                                     : " of " + std::string(aSetting.mUnit)) +
-             " from " + RangeOf(aSetting);
+      return "a number" + UnitAndRange(aSetting);
     case setting_type::Switch:
       return "on, off, true or false";
     case setting_type::Choice:
