--- a/src/agent/event_line.cpp
+++ b/src/agent/event_line.cpp
@@ -79,7 +79,9 @@
       return AddEnd(line, aEvent);
     case agent_event::TaskStopped:
       AddTask(line, aEvent);
-      line.Add("why", aEvent.mDetail).Add("entry", aEvent.mPeer);
+      line.Add("why", aEvent.mDetail)
+        .Add("entry", aEvent.mPeer)
+        .Add("evidence_age_ms", core::ToMilliseconds(aEvent.mEvidenceAge));
       return;
     case agent_event::TaskReturned:
       AddTask(line, aEvent);
--- a/src/libgooseberry/agent/effects.h
+++ b/src/libgooseberry/agent/effects.h
@@ -117,6 +117,8 @@
   bool mQueued = false; ///< Accepted, and waits for a slot.
   core::task_end mEnd = core::task_end::Succeeded;
   core::duration mRunTime{};
+  /** Of `TaskStopped`: age of the evidence that its entry wants the run. */
+  core::duration mEvidenceAge{};
   std::string mTarget;
   std::string mPeer;
   core::generation mGeneration = 0;
--- a/src/libgooseberry/agent/leased_runs.cpp
+++ b/src/libgooseberry/agent/leased_runs.cpp
@@ -66,15 +66,16 @@
           aRegistration.mSequence < aTarget.mSequence);
 }
 
-bool
-IsSilent(const agent_control& aControl,
-         const std::string& aEntryAddress,
-         core::instant aNow)
+/** Time since an entry was last heard; the longest there is where unknown. */
+core::duration
+SilenceOf(const agent_control& aControl,
+          const std::string& aEntryAddress,
+          core::instant aNow)
 {
   const auto& entries = aControl.mEntries.mByAddress;
   const auto found = entries.find(aEntryAddress);
-  return found == entries.end() ||
-         aNow - found->second.mLastHeard > aControl.mSettings.mEntrySilence;
+  return found == entries.end() ? core::duration::max()
+                                : aNow - found->second.mLastHeard;
 }
 
 /** The entry that the result of a run goes to; empty where unknown. */
@@ -105,6 +106,7 @@
     event.mTry = run.mTry;
     event.mTarget = aTarget.mName;
     event.mPeer = HolderOf(aControl, task);
+    event.mEvidenceAge = SilenceOf(aControl, event.mPeer, aNow);
     event.mDetail = aReason;
     aOut.emplace_back(std::move(event));
     lease::StopRun(aTarget, task, aNow, calls);
@@ -274,7 +276,8 @@
 TickLeases(agent_control& aControl, core::instant aNow, effects& aOut)
 {
   const auto isOrphan = [&](const core::task_ref& aTask) {
-    return IsSilent(aControl, HolderOf(aControl, aTask), aNow);
+    return SilenceOf(aControl, HolderOf(aControl, aTask), aNow) >
+           aControl.mSettings.mEntrySilence;
   };
   for (auto& [name, target] : aControl.mTargets) {
     if (!target.mLeased) {
--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -1,3 +1,4 @@
+#include "libgooseberry/core/decimal.h"
 #include "libgooseberry/entry/entry_control.h"
 #include "libgooseberry/entry/internal.h"
 
@@ -36,14 +37,42 @@
          quota::TakeRetry(aControl.mRetryBudget, aNow);
 }
 
+/** Why a task is started again. */
+enum class retry_reason : std::uint8_t
+{
+  Failed,    ///< The target reported failure.
+  RunLost,   ///< Its agent reported that the run ended unfinished.
+  AgentLost, ///< Its agent was not heard for too long, or is another run now.
+};
+constexpr core::enum_names<retry_reason, 3> kRetryReasonNames{
+  { "failed", "run_lost", "agent_lost" }
+};
+
+/** Time since the agent of a task was last heard. */
+core::duration
+UnheardTime(const entry_control& aControl,
+            const job::task& aTask,
+            core::instant aNow)
+{
+  const auto view = aControl.mMembers.mAgents.find(aTask.mAgent.mName);
+  return view == aControl.mMembers.mAgents.end()
+           ? core::duration::zero()
+           : aNow - view->second.mHeardAt;
+}
+
 /** Makes a task wait again after a start that is over, for a new one. */
 void
 StartAgain(entry_control& aControl,
            job::job& aJob,
            std::uint32_t aIndex,
+           retry_reason aReason,
+           core::instant aNow,
            effects& aEffects)
 {
   job::task& task = aJob.mTasks[aIndex];
+  const std::string state(job::kTaskStateNames.NameOf(task.mState));
+  const core::peer_ref agent = task.mAgent;
+  const core::duration unheard = UnheardTime(aControl, task, aNow);
   const std::string failedOn =
     task.mTarget ? aControl.mTargets.mTargets[*task.mTarget].mName : "";
   if (task.mTarget) {
@@ -58,7 +87,11 @@
         { "task", std::to_string(aIndex) },
         { "try", std::to_string(task.mTry) },
         { "failures", std::to_string(task.mFailures) },
-        { "failed_on", failedOn } });
+        { "failed_on", failedOn },
+        { "why", std::string(kRetryReasonNames.NameOf(aReason)) },
+        { "was", state },
+        { "agent", ToString(agent) },
+        { "unheard_ms", core::FormatMilliseconds(unheard) } });
 }
 
 /** Retries a definitely failed task, or ends its job. */
@@ -73,7 +106,7 @@
   job::task& task = aJob.mTasks[index];
   ++task.mFailures;
   if (TakeTry(aControl, aJob, task, aNow)) {
-    StartAgain(aControl, aJob, index, aEffects);
+    StartAgain(aControl, aJob, index, retry_reason::Failed, aNow, aEffects);
     return;
   }
   FailJob(
@@ -148,7 +181,12 @@
       ReturnTask(aControl, *found, aResult.mTask.mIndex);
       break;
     case core::task_end::Lost:
-      StartAgain(aControl, *found, aResult.mTask.mIndex, aEffects);
+      StartAgain(aControl,
+                 *found,
+                 aResult.mTask.mIndex,
+                 retry_reason::RunLost,
+                 aNow,
+                 aEffects);
       break;
     case core::task_end::Unknown:
       FailJob(aControl,
@@ -231,7 +269,12 @@
       continue;
     }
     if (aControl.mOptions.mLeasedRuns) {
-      StartAgain(aControl, *found, ref.mIndex, aEffects);
+      StartAgain(aControl,
+                 *found,
+                 ref.mIndex,
+                 retry_reason::AgentLost,
+                 aNow,
+                 aEffects);
       continue;
     }
     if (found->mTasks[ref.mIndex].mState != job::task_state::Running) {
