TWICE: a run lives only as long as its entry is known to want it

Cause: the entry dates an agent's silence by the last message that it received from it; the agent dated the entry's by the last that arrived from the entry, also starts sent by an entry that had not heard the agent for long. With one direction lost the agent's 1.0 s began later than the entry's 1.2 s, without bound while starts went on arriving. The same class beside it: an entry process that follows another at the address kept the former's runs alive; a reply counted from its arrival; a stop that is not answered let a run go on under renewals made for others.

Why this works: evidence is dated by the agent's own clock at sending: the stamp that a start echoes, or that of the message a reply answers. The entry cannot have heard it earlier, so its silence begins no earlier than the agent's. It is kept for each job and process of an entry.

--- a/src/agent/daemon_settings.cpp
+++ b/src/agent/daemon_settings.cpp
@@ -1,5 +1,6 @@
 #include "agent/daemon_settings.h"
 
+#include <algorithm>
 #include <random>
 
 namespace gooseberry::agentd {
@@ -14,6 +15,17 @@
   return (std::uint64_t{ device() } << kWordBits) ^ device();
 }
 
+/**
+ * Parts of the time after which a job may run elsewhere. Up to the first, a run
+ * goes on without word of its entry. By the second its lease has lapsed, if
+ * nothing else has ended it; the rest is for the drift of a target's clock.
+ */
+constexpr int kSilencePercent = 70;
+constexpr int kHoldPercent = 92;
+constexpr int kPercent = 100;
+/** Announces that may be lost before an entry counts as silent. */
+constexpr int kAnnouncesInSilence = 3;
+
 } // namespace
 
 daemon_settings
@@ -36,9 +48,16 @@
   control.mRack = aSettings.mRack;
   control.mFreshnessBound = aSettings.mProtocol.mFreshnessBound;
   control.mDeduplicationWindow = aSettings.mProtocol.mDeduplicationWindow;
-  control.mAnnounceInterval = aSettings.mProtocol.mAnnounce;
   control.mLeasedRuns = aSettings.mProtocol.mLeasedRuns;
-  control.mEntrySilence = aSettings.mProtocol.mEntrySilence;
+  control.mEntrySilence =
+    aSettings.mProtocol.mResubmit * kSilencePercent / kPercent;
+  control.mLease.mRunHold =
+    aSettings.mProtocol.mResubmit * kHoldPercent / kPercent;
+  control.mAnnounceInterval = aSettings.mProtocol.mAnnounce;
+  if (control.mLeasedRuns) {
+    control.mAnnounceInterval = std::min(
+      control.mAnnounceInterval, control.mEntrySilence / kAnnouncesInSilence);
+  }
   control.mLease.mLease = aSettings.mProtocol.mLease;
   control.mQueuePerTarget = aSettings.mLimits.mQueuePerTarget;
   control.mMaxTargets = aSettings.mLimits.mMaxTargets;
--- a/src/agent/effect_performer.cpp
+++ b/src/agent/effect_performer.cpp
@@ -1,7 +1,6 @@
 #include "agent/effect_performer.h"
 
 #include "agent/event_line.h"
-#include "libgooseberryio/clock.h"
 
 #include <memory>
 #include <utility>
@@ -76,14 +75,13 @@
       std::make_shared<core::finish_batch>(std::move(aEffect.mFinish));
     const auto call = [&control = mParts.mControl, id, address, fail, finish](
                         io::entry_client& aClient) {
-      const auto sentAt = io::Now();
       const auto result = aClient.Finish(*finish);
       if (const auto* reply = std::get_if<core::entry_reply>(&result)) {
         control.Post([=, answer = *reply](agent_control& aState,
                                           core::instant aNow,
                                           effects& aOut) {
           agent::OnFinishAnswered(
-            aState, id, address, answer, sentAt, aNow, aOut);
+            aState, id, address, answer, finish->mState.mStamp, aNow, aOut);
         });
       } else {
         control.Post(fail);
@@ -105,14 +103,13 @@
       std::make_shared<core::agent_state>(std::move(aEffect.mState));
     const auto call = [&control = mParts.mControl, address, fail, state](
                         io::entry_client& aClient) {
-      const auto sentAt = io::Now();
       const auto result = aClient.Announce(*state);
       if (const auto* reply = std::get_if<core::entry_reply>(&result)) {
         control.Post([=, answer = *reply](agent_control& aState,
                                           core::instant aNow,
                                           effects& aOut) {
           agent::OnAnnounceAnswered(
-            aState, address, answer, sentAt, aNow, aOut);
+            aState, address, answer, state->mStamp, aNow, aOut);
         });
       } else {
         control.Post(fail);
--- a/src/libgooseberry/agent/admission.cpp
+++ b/src/libgooseberry/agent/admission.cpp
@@ -189,7 +189,10 @@
   if (aControl.mJoin.mPhase != join_phase::Open) {
     return Refused(start_verdict::NotOpen);
   }
-  if (!IsStampFresh(aBatch.mAgentStamp, aNow, settings.mFreshnessBound)) {
+  const auto oldest = settings.mLeasedRuns ? std::min(settings.mFreshnessBound,
+                                                      settings.mEntrySilence)
+                                           : settings.mFreshnessBound;
+  if (!IsStampFresh(aBatch.mAgentStamp, aNow, oldest)) {
     return Refused(start_verdict::Stale);
   }
   if (const auto verdict = CheckStart(aControl, aStart, aNow);
--- a/src/libgooseberry/agent/agent_control.cpp
+++ b/src/libgooseberry/agent/agent_control.cpp
@@ -85,12 +85,19 @@
     }
     return;
   }
-  RaiseBallot(aControl,
-              aStart.mTask.mJob,
-              aStart.mBallot,
-              aBatch.mEntryAddress,
-              aNow,
-              aOut);
+  const bool isCopy = aAdmission.mAction == admission_action::Repeat &&
+                      aAdmission.mVerdict == core::start_verdict::Accepted;
+  if (isCopy && aControl.mSettings.mLeasedRuns) {
+    return; // Another entry may have the job by now.
+  }
+  RaiseBallot(
+    aControl,
+    aStart.mTask.mJob,
+    aStart.mBallot,
+    { aBatch.mEntryAddress, aBatch.mEntry.mIncarnation, aBatch.mAgentStamp },
+    aNow,
+    aOut);
+  TellWanted(aControl, aStart.mTask.mJob);
   ReturnSuperseded(aControl, aStart, aNow, aOut);
   switch (aAdmission.mAction) {
     case admission_action::Start:
@@ -214,7 +221,11 @@
                        aBatch.mJobs.end(),
                        aTask.mStart.mTask.mJob) != aBatch.mJobs.end();
     });
-  StopJobs(aControl, aBatch.mJobs, aBatch.mEntryAddress, aNow, aOut);
+  StopJobs(aControl,
+           aBatch.mJobs,
+           { aBatch.mEntryAddress, aBatch.mEntry.mIncarnation, {} },
+           aNow,
+           aOut);
   Settle(aControl, aNow, aOut);
 }
 
@@ -227,12 +238,13 @@
   const auto* known = FindJob(aControl.mBook, aRequest.mJob);
   const bool isRefused = known != nullptr && aRequest.mBallot < known->mBallot;
   if (!isRefused) {
-    auto& job = RaiseBallot(aControl,
-                            aRequest.mJob,
-                            aRequest.mBallot,
-                            aRequest.mEntryAddress,
-                            aNow,
-                            aOut);
+    auto& job =
+      RaiseBallot(aControl,
+                  aRequest.mJob,
+                  aRequest.mBallot,
+                  { aRequest.mEntryAddress, aRequest.mEntry.mIncarnation, {} },
+                  aNow,
+                  aOut);
     job.mFenced = true;
   }
   LogJob(agent_event::Fence, aRequest.mJob, aRequest.mEntry.mName, aOut);
@@ -241,7 +253,7 @@
   reply.mAgent = aControl.mSettings.mAgent;
   reply.mJob = aRequest.mJob;
   reply.mBallot = job.mBallot;
-  reply.mHolder = job.mHolder;
+  reply.mHolder = job.mHolder.mAddress;
   for (const auto& [index, task] : job.mTasks) {
     reply.mStarted.push_back(task.mStarted);
   }
--- a/src/libgooseberry/agent/agent_inputs.cpp
+++ b/src/libgooseberry/agent/agent_inputs.cpp
@@ -1,5 +1,6 @@
 #include "libgooseberry/agent/admission.h"
 #include "libgooseberry/agent/agent_control.h"
+#include "libgooseberry/agent/leased_runs.h"
 #include "libgooseberry/agent/target_run.h"
 #include "libgooseberry/agent/upkeep.h"
 
@@ -15,6 +16,7 @@
  * generation that the entry has. */
 void
 TakeReply(agent_control& aControl,
+          const std::string& aAddress,
           const core::entry_reply& aReply,
           core::instant aSentAt,
           core::instant aNow,
@@ -29,6 +31,7 @@
   for (const auto& [name, address] : aReply.mEntries) {
     LearnEntry(aControl.mEntries, name, address, aNow);
   }
+  NoteAnswered(aControl, { aAddress, aReply.mEntry.mIncarnation, aSentAt });
 }
 
 core::duration
@@ -86,7 +89,8 @@
   for (const auto& note : aReply.mNotes) {
     const auto* known = FindJob(aControl.mBook, note.mJob);
     if (known == nullptr || known->mBallot < note.mBallot) {
-      RaiseBallot(aControl, note.mJob, note.mBallot, note.mHolder, aNow, aOut)
+      RaiseBallot(
+        aControl, note.mJob, note.mBallot, { note.mHolder, 0, {} }, aNow, aOut)
         .mFenced = true;
     }
   }
@@ -137,7 +141,7 @@
                    effects& aOut)
 {
   NoteAnnounceEnd(aControl.mEntries, aAddress, true, aNow);
-  TakeReply(aControl, aReply, aSentAt, aNow, aOut);
+  TakeReply(aControl, aAddress, aReply, aSentAt, aNow, aOut);
   Settle(aControl, aNow, aOut);
 }
 
@@ -171,7 +175,7 @@
       entry != aControl.mEntries.mByAddress.end()) {
     entry->second.mLastHeard = aNow;
   }
-  TakeReply(aControl, aReply, aSentAt, aNow, aOut);
+  TakeReply(aControl, aAddress, aReply, aSentAt, aNow, aOut);
   Settle(aControl, aNow, aOut);
 }
 
--- a/src/libgooseberry/agent/control_settings.h
+++ b/src/libgooseberry/agent/control_settings.h
@@ -45,8 +45,8 @@
    * (R1 to R4, R6) nor evidence (R11) are needed.
    */
   bool mLeasedRuns = false;
-  /** An entry not heard for longer is gone; what runs for it is stopped. */
-  core::duration mEntrySilence = 1s;
+  /** What its entry is not known to want for longer is stopped. */
+  core::duration mEntrySilence = 910ms;
   lease::lease_settings mLease;
 };
 
--- a/src/libgooseberry/agent/delivery.cpp
+++ b/src/libgooseberry/agent/delivery.cpp
@@ -16,7 +16,7 @@
     return returned->mEntryAddress;
   }
   const auto* job = FindJob(aBook, aKey.mTask.mJob);
-  return job == nullptr ? std::string() : job->mHolder;
+  return job == nullptr ? std::string() : job->mHolder.mAddress;
 }
 
 /** The result to send; none where it is superseded, forgotten or too old. */
--- a/src/libgooseberry/agent/leased_runs.cpp
+++ b/src/libgooseberry/agent/leased_runs.cpp
@@ -66,24 +66,12 @@
           aRegistration.mSequence < aTarget.mSequence);
 }
 
-/** Time since an entry was last heard; the longest there is where unknown. */
-core::duration
-SilenceOf(const agent_control& aControl,
-          const std::string& aEntryAddress,
-          core::instant aNow)
-{
-  const auto& entries = aControl.mEntries.mByAddress;
-  const auto found = entries.find(aEntryAddress);
-  return found == entries.end() ? core::duration::max()
-                                : aNow - found->second.mLastHeard;
-}
-
-/** The entry that the result of a run goes to; empty where unknown. */
-std::string
+/** The entry that the result of a run goes to; nobody where unknown. */
+job_holder
 HolderOf(const agent_control& aControl, const core::task_ref& aTask)
 {
   const auto* job = FindJob(aControl.mBook, aTask.mJob);
-  return job == nullptr ? std::string() : job->mHolder;
+  return job == nullptr ? job_holder{} : job->mHolder;
 }
 
 template<typename Predicate>
@@ -97,7 +85,7 @@
 {
   lease::effects calls;
   for (const auto& [task, run] : aTarget.mRuns) {
-    if (run.mStopWanted || !aPredicate(task)) {
+    if (run.mStopWanted || !aPredicate(run)) {
       continue;
     }
     log_event event;
@@ -105,8 +93,8 @@
     event.mTask = task;
     event.mTry = run.mTry;
     event.mTarget = aTarget.mName;
-    event.mPeer = HolderOf(aControl, task);
-    event.mEvidenceAge = SilenceOf(aControl, event.mPeer, aNow);
+    event.mPeer = HolderOf(aControl, task).mAddress;
+    event.mEvidenceAge = aNow - run.mWantedAt;
     event.mDetail = aReason;
     aOut.emplace_back(std::move(event));
     lease::StopRun(aTarget, task, aNow, calls);
@@ -249,21 +237,25 @@
             effects& aOut)
 {
   lease::effects calls;
-  lease::StartRun(
-    *aControl.mTargets.at(aStart.mTarget).mLeased, aStart, aNow, calls);
+  lease::StartRun(*aControl.mTargets.at(aStart.mTarget).mLeased,
+                  aStart,
+                  HolderOf(aControl, aStart.mTask).mWantedAt,
+                  aNow,
+                  calls);
   Carry(aControl, aStart.mTarget, calls, aNow, aOut);
 }
 
 void
 StopJobs(agent_control& aControl,
          const std::vector<std::string>& aJobs,
-         const std::string& aEntryAddress,
+         const job_holder& aEntry,
          core::instant aNow,
          effects& aOut)
 {
-  const auto isCancelled = [&](const core::task_ref& aTask) {
-    return std::find(aJobs.begin(), aJobs.end(), aTask.mJob) != aJobs.end() &&
-           HolderOf(aControl, aTask) == aEntryAddress;
+  const auto isCancelled = [&](const lease::run& aRun) {
+    const core::task_ref& task = aRun.mTask;
+    return std::find(aJobs.begin(), aJobs.end(), task.mJob) != aJobs.end() &&
+           IsSameProcess(HolderOf(aControl, task), aEntry);
   };
   for (auto& [name, target] : aControl.mTargets) {
     if (target.mLeased) {
@@ -272,12 +264,46 @@
   }
 }
 
+void
+NoteAnswered(agent_control& aControl, const job_holder& aEntry)
+{
+  for (auto& [name, target] : aControl.mTargets) {
+    if (!target.mLeased) {
+      continue;
+    }
+    for (auto& [task, run] : target.mLeased->mRuns) {
+      const auto found = aControl.mBook.mJobs.find(task.mJob);
+      if (found != aControl.mBook.mJobs.end() &&
+          IsSameProcess(found->second.mHolder, aEntry)) {
+        auto& wantedAt = found->second.mHolder.mWantedAt;
+        wantedAt = std::max(wantedAt, aEntry.mWantedAt);
+        lease::NoteWanted(run, wantedAt);
+      }
+    }
+  }
+}
+
+void
+TellWanted(agent_control& aControl, const std::string& aJob)
+{
+  const auto* job = FindJob(aControl.mBook, aJob);
+  for (auto& [name, target] : aControl.mTargets) {
+    if (!target.mLeased) {
+      continue;
+    }
+    for (auto& [task, run] : target.mLeased->mRuns) {
+      if (task.mJob == aJob) {
+        lease::NoteWanted(run, job->mHolder.mWantedAt);
+      }
+    }
+  }
+}
+
 void
 TickLeases(agent_control& aControl, core::instant aNow, effects& aOut)
 {
-  const auto isOrphan = [&](const core::task_ref& aTask) {
-    return SilenceOf(aControl, HolderOf(aControl, aTask), aNow) >
-           aControl.mSettings.mEntrySilence;
+  const auto isOrphan = [&](const lease::run& aRun) {
+    return aNow - aRun.mWantedAt > aControl.mSettings.mEntrySilence;
   };
   for (auto& [name, target] : aControl.mTargets) {
     if (!target.mLeased) {
--- a/src/libgooseberry/agent/leased_runs.h
+++ b/src/libgooseberry/agent/leased_runs.h
@@ -66,14 +66,25 @@
             core::instant aNow,
             effects& aOut);
 
-/** Stops what runs for jobs that the entry at this address cancels. */
+/** Stops what runs for jobs that this entry process cancels. */
 void
 StopJobs(agent_control& aControl,
          const std::vector<std::string>& aJobs,
-         const std::string& aEntryAddress,
+         const job_holder& aEntry,
          core::instant aNow,
          effects& aOut);
 
+/**
+ * An entry process has answered a message that was sent at `mWantedAt`: it
+ * wants all that runs for it, but for what it has cancelled.
+ */
+void
+NoteAnswered(agent_control& aControl, const job_holder& aEntry);
+
+/** Passes on to the runs of a job since when it is known to be wanted. */
+void
+TellWanted(agent_control& aControl, const std::string& aJob);
+
 /**
  * Renewals that are due, and stops for entries that have gone silent: a caller
  * of such an entry asks another one, which starts the same tasks elsewhere.
--- a/src/libgooseberry/agent/record.cpp
+++ b/src/libgooseberry/agent/record.cpp
@@ -99,6 +99,13 @@
 
 } // namespace
 
+bool
+IsSameProcess(const job_holder& aLeft, const job_holder& aRight)
+{
+  return aLeft.mAddress == aRight.mAddress &&
+         aLeft.mIncarnation == aRight.mIncarnation;
+}
+
 placement_key
 KeyOf(const core::task_start& aStart)
 {
@@ -233,7 +240,7 @@
   std::vector<core::fence_note> notes;
   for (const auto& [name, job] : aBook.mJobs) {
     if (job.mFenced) {
-      notes.push_back({ name, job.mBallot, job.mHolder });
+      notes.push_back({ name, job.mBallot, job.mHolder.mAddress });
     }
   }
   std::sort(
--- a/src/libgooseberry/agent/record.h
+++ b/src/libgooseberry/agent/record.h
@@ -42,12 +42,29 @@
   core::resources mNeeds{};
 };
 
+/** The entry process that the results of a job go to. */
+struct job_holder
+{
+  std::string mAddress;
+  std::uint64_t mIncarnation = 0; ///< Another may follow it at the address.
+  /**
+   * The job was wanted there then, by this agent's clock: the time of sending
+   * of the latest of its messages that the entry had when it said so. Dated by
+   * when the entry was heard, a silence would begin later here than there.
+   */
+  core::instant mWantedAt{};
+};
+
+/** Whether both mean the same run of the same entry. */
+bool
+IsSameProcess(const job_holder& aLeft, const job_holder& aRight);
+
 /** All that is known of one job. */
 struct job_record
 {
   core::ballot mBallot; ///< Highest of all starts and fences.
   bool mFenced = false; ///< A fence raised it: joining agents copy it.
-  std::string mHolder;  ///< Address of the entry behind the ballot.
+  job_holder mHolder;   ///< The entry behind the ballot.
   core::instant mLastChange{};
   std::map<std::uint32_t, task_record> mTasks;
 };
--- a/src/libgooseberry/agent/target_inputs.cpp
+++ b/src/libgooseberry/agent/target_inputs.cpp
@@ -36,7 +36,8 @@
   returned.mResult.mEnd = core::task_end::Returned;
   returned.mResult.mWhy = aWhy;
   returned.mBallot = aRecord.mBallot;
-  returned.mEntryAddress = FindJob(aControl.mBook, result.mTask.mJob)->mHolder;
+  returned.mEntryAddress =
+    FindJob(aControl.mBook, result.mTask.mJob)->mHolder.mAddress;
   returned.mReturnedAt = aNow;
   const placement_key key{
     result.mTask, aRecord.mBallot, result.mTry, result.mPlacement
--- a/src/libgooseberry/agent/target_run.cpp
+++ b/src/libgooseberry/agent/target_run.cpp
@@ -224,7 +224,7 @@
 RaiseBallot(agent_control& aControl,
             const std::string& aJob,
             const core::ballot& aBallot,
-            const std::string& aHolder,
+            const job_holder& aHolder,
             core::instant aNow,
             effects& aOut)
 {
@@ -240,7 +240,11 @@
                           aTask.mStart.mBallot < aBallot;
                  });
   }
+  const auto knownAt = IsSameProcess(job.mHolder, aHolder)
+                         ? job.mHolder.mWantedAt
+                         : aHolder.mWantedAt;
   job.mHolder = aHolder;
+  job.mHolder.mWantedAt = std::max(knownAt, aHolder.mWantedAt);
   return job;
 }
 
--- a/src/libgooseberry/agent/target_run.h
+++ b/src/libgooseberry/agent/target_run.h
@@ -46,7 +46,7 @@
 RaiseBallot(agent_control& aControl,
             const std::string& aJob,
             const core::ballot& aBallot,
-            const std::string& aHolder,
+            const job_holder& aHolder,
             core::instant aNow,
             effects& aOut);
 
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -89,17 +89,27 @@
 void
 StartRun(leased_target& aTarget,
          const core::task_start& aStart,
+         core::instant aWantedAt,
          core::instant aNow,
          effects& aOut)
 {
   run& added = aTarget.mRuns[aStart.mTask];
   added.mTask = aStart.mTask;
+  added.mWantedAt = aWantedAt;
   added.mTry = aStart.mTry;
   added.mRun = aStart.mTry;
   added.mPayload = aStart.mPayload;
   SendStart(aTarget, added, aNow, aOut);
 }
 
+void
+NoteWanted(run& aRun, core::instant aWantedAt)
+{
+  if (!aRun.mStopWanted) {
+    aRun.mWantedAt = aWantedAt;
+  }
+}
+
 void
 StopRun(leased_target& aTarget,
         const core::task_ref& aTask,
--- a/src/libgooseberry/lease/leased_target.h
+++ b/src/libgooseberry/lease/leased_target.h
@@ -36,6 +36,8 @@
   std::uint32_t mRun = 1;
   std::string mPayload;
   run_state mState = run_state::Starting;
+  /** Its entry is known to have wanted it then. */
+  core::instant mWantedAt{};
   core::instant mSentAt{};
   std::optional<core::instant> mAnsweredAt;
   target_time mValidUntil{};
@@ -116,13 +118,20 @@
                core::instant aNow,
                effects& aOut);
 
-/** Starts a run of a task of which none is there. */
+/** Starts a run of a task of which none is there; `aWantedAt` is when its entry
+ * is known to have wanted it. */
 void
 StartRun(leased_target& aTarget,
          const core::task_start& aStart,
+         core::instant aWantedAt,
          core::instant aNow,
          effects& aOut);
 
+/** When the run's entry, which may be another now, is known to have wanted it;
+ * a run that is being stopped is not wanted any more. */
+void
+NoteWanted(run& aRun, core::instant aWantedAt);
+
 /** Ends the run of a task, if there is one; `run_end` follows when it is over.
  */
 void
--- a/src/libgooseberry/lease/settings.h
+++ b/src/libgooseberry/lease/settings.h
@@ -24,6 +24,11 @@
   core::duration mCallDeadline = 250ms;
   /** Pause between two calls that stop the same run. */
   core::duration mStopRetry = 150ms;
+  /**
+   * A run is over this long after its entry was last known to want it: no
+   * lease is extended beyond that, whatever becomes of calls that stop it.
+   */
+  core::duration mRunHold = 1'196ms;
   /** Added to the computed end of a lease: timers fire late. */
   core::duration mLapseMargin = 30ms;
 };
--- a/src/libgooseberry/lease/target_clock.cpp
+++ b/src/libgooseberry/lease/target_clock.cpp
@@ -49,10 +49,22 @@
   }
 }
 
+core::duration
+LongestLease(const leased_target& aTarget, core::instant aNow)
+{
+  core::duration longest = aTarget.mSettings.mLease;
+  for (const auto& [task, run] : aTarget.mRuns) {
+    longest =
+      std::min(longest, run.mWantedAt + aTarget.mSettings.mRunHold - aNow);
+  }
+  return std::max(longest, core::duration::zero());
+}
+
 target_time
 ExtendLease(leased_target& aTarget, core::duration aBy, core::instant aNow)
 {
-  const auto until = ClockAt(aTarget, aNow) + duration_cast<target_time>(aBy);
+  const auto by = std::min(aBy, LongestLease(aTarget, aNow));
+  const auto until = ClockAt(aTarget, aNow) + duration_cast<target_time>(by);
   aTarget.mLeaseUntil = std::max(aTarget.mLeaseUntil, until);
   return until;
 }
--- a/src/libgooseberry/lease/target_clock.h
+++ b/src/libgooseberry/lease/target_clock.h
@@ -20,6 +20,11 @@
           core::instant aAskedAt,
           core::instant aNow);
 
+/** How much longer what runs there may go on: until the first run of which it
+ * is not known for long that its entry wants it. */
+core::duration
+LongestLease(const leased_target& aTarget, core::instant aNow);
+
 /** The time up to which a call may extend the lease. */
 target_time
 ExtendLease(leased_target& aTarget, core::duration aBy, core::instant aNow);
--- a/src/libgooseberryio/agent_settings.cpp
+++ b/src/libgooseberryio/agent_settings.cpp
@@ -82,12 +82,13 @@
       aSettings.mProtocol.mLease = ToDuration(aValue);
     } },
   { MillisecondsSetting("protocol",
-                        "entry_silence_ms",
-                        "1000",
+                        "resubmit_ms",
+                        "1300",
                         kPeriodMs,
-                        "What runs for an entry silent for longer is stopped"),
+                        "A job may run elsewhere after it; no run lasts so long"
+                        " unwanted"),
     [](const setting_value& aValue, agent_settings& aSettings) {
-      aSettings.mProtocol.mEntrySilence = ToDuration(aValue);
+      aSettings.mProtocol.mResubmit = ToDuration(aValue);
     } },
 } };
 
--- a/src/libgooseberryio/agent_settings.h
+++ b/src/libgooseberryio/agent_settings.h
@@ -20,9 +20,10 @@
   core::duration mPeerDeadline{}; ///< Of one call to a peer.
   core::duration mAnnounce{};     ///< Between two announces.
   core::duration mDeduplicationWindow{};
-  bool mLeasedRuns = false;       ///< Targets run tasks under leases.
-  core::duration mLease{};        ///< Longest lease that a target grants.
-  core::duration mEntrySilence{}; ///< An entry silent for longer is gone.
+  bool mLeasedRuns = false; ///< Targets run tasks under leases.
+  core::duration mLease{};  ///< Longest lease that a target grants.
+  /** Time after which a job may be started elsewhere. */
+  core::duration mResubmit{};
 };
 
 /** `[limits]` of an agent. */
--- a/tests/libgooseberry/test_agent_leased.cpp
+++ b/tests/libgooseberry/test_agent_leased.cpp
@@ -68,18 +68,19 @@
       mEffects);
   }
 
+  /** `aHeardBefore`: how long ago the entry has heard this agent. */
   core::start_verdict Start(const std::string& aJob,
                             std::uint64_t aEntry,
                             const char* aAddress,
-                            std::uint32_t aIndex = 0)
+                            core::duration aHeardBefore = 0ms)
   {
     core::start_batch batch;
     batch.mEntry = { aAddress, aEntry };
     batch.mEntryAddress = aAddress;
     batch.mAgentIncarnation = 5;
-    batch.mAgentStamp = mNow;
+    batch.mAgentStamp = mNow - aHeardBefore;
     core::task_start start;
-    start.mTask = { aJob, aIndex };
+    start.mTask = { aJob, 0 };
     start.mBallot = { 1, aEntry };
     start.mPlacement = ++mPlacements;
     start.mService = "press";
@@ -90,9 +91,24 @@
     return agent::OnStart(mControl, batch, mNow, mEffects).mVerdicts.front();
   }
 
-  void Hear(const char* aAddress)
+  /** An entry answers what was sent `aSentBefore` ago. */
+  void Hear(std::uint64_t aEntry,
+            const char* aAddress,
+            core::duration aSentBefore = 0ms)
   {
-    agent::OnAnnounceAnswered(mControl, aAddress, {}, mNow, mNow, mEffects);
+    core::entry_reply reply;
+    reply.mEntry = { aAddress, aEntry };
+    agent::OnAnnounceAnswered(
+      mControl, aAddress, reply, mNow - aSentBefore, mNow, mEffects);
+  }
+
+  /** Stops that are asked for within this time. */
+  std::size_t StopsWithin(core::duration aTime)
+  {
+    mEffects.clear();
+    mNow += aTime;
+    agent::TickLeases(mControl, mNow, mEffects);
+    return Count<lease::stop_call>();
   }
 
   /** Calls of a kind since the effects were last cleared. */
@@ -141,7 +157,7 @@
   Start("a", 1, kFirstEntry);
   Start("b", 2, kSecondEntry);
   mNow += 900ms;
-  Hear(kSecondEntry);
+  Hear(2, kSecondEntry);
   mEffects.clear();
   agent::Tick(mControl, mNow, mEffects);
   BOOST_TEST(Count<lease::stop_call>() == 0U);
@@ -150,6 +166,59 @@
   BOOST_TEST(Count<lease::stop_call>() == 1U);
 }
 
+// TWICE: the entry counts an agent's silence from what it has heard of it.
+BOOST_AUTO_TEST_CASE(a_start_counts_from_what_its_entry_had_heard)
+{
+  Start("a", 1, kFirstEntry, 600ms);
+  BOOST_TEST(StopsWithin(305ms) == 0U);
+  BOOST_TEST(StopsWithin(10ms) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_reply_counts_from_when_it_was_asked_for)
+{
+  Start("a", 1, kFirstEntry);
+  mNow += 800ms;
+  Report({ { { "a", 0 }, 1 } });
+  Hear(1, kFirstEntry, 500ms);
+  BOOST_TEST(StopsWithin(405ms) == 0U);
+  BOOST_TEST(StopsWithin(10ms) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(starts_of_other_jobs_do_not_prove_that_one_is_wanted)
+{
+  Start("a", 1, kFirstEntry);
+  mNow += 900ms;
+  Register(false);
+  Report({ { { "a", 0 }, 1 } });
+  Start("b", 1, kFirstEntry);
+  BOOST_TEST(StopsWithin(15ms) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_started_anew_does_not_want_what_ran_before)
+{
+  Start("a", 1, kFirstEntry);
+  mNow += 900ms;
+  Hear(2, kFirstEntry);
+  BOOST_TEST(StopsWithin(15ms) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(a_start_as_old_as_a_silence_is_refused)
+{
+  BOOST_TEST((Start("a", 1, kFirstEntry, 911ms) == core::start_verdict::Stale));
+}
+
+BOOST_AUTO_TEST_CASE(a_repeated_start_does_not_take_a_job_back)
+{
+  Start("a", 1, kFirstEntry);
+  const auto placement = mPlacements;
+  Start("a", 2, kSecondEntry);
+  mPlacements = placement - 1; // The first entry's start once more.
+  BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::Accepted));
+  mNow += 900ms;
+  Hear(1, kFirstEntry);
+  BOOST_TEST(StopsWithin(15ms) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(another_entry_may_start_a_task_again_once_it_is_over)
 {
   Start("a", 9, kFirstEntry);
--- a/tests/libgooseberry/test_lease.cpp
+++ b/tests/libgooseberry/test_lease.cpp
@@ -48,7 +48,7 @@
   {
     core::task_start start;
     start.mTask = { "job", aIndex };
-    lease::StartRun(mTarget, start, mNow, mEffects);
+    lease::StartRun(mTarget, start, mNow, mNow, mEffects);
     return Last<lease::start_call>();
   }
 
@@ -191,6 +191,34 @@
   BOOST_TEST((Ends().front().mEnd == core::task_end::Lost));
 }
 
+// TWICE: a stop that is not answered must not let a run outlive its entry.
+BOOST_AUTO_TEST_CASE(no_lease_outlasts_what_an_entry_is_known_to_want)
+{
+  const core::instant wantedAt = mNow;
+  const core::instant over = wantedAt + mTarget.mSettings.mRunHold;
+  mNow += 500ms;
+  core::task_start start;
+  start.mTask = kTask;
+  lease::StartRun(mTarget, start, wantedAt, mNow, mEffects);
+  Answer(Last<lease::start_call>(), lease::start_answer::Accepted);
+  while (mNow < over + 20ms) {
+    Pass(20ms);
+    const auto until = Last<lease::renew_call>().mLeaseUntil - Clock();
+    BOOST_TEST((mNow + until <= std::max(over, mNow)));
+    Report({ { kTask, 1 } });
+  }
+  BOOST_TEST((Last<lease::start_call>().mValidUntil - 5'000ms <=
+              std::chrono::duration_cast<lease::target_time>(over - kStart)));
+}
+
+BOOST_AUTO_TEST_CASE(a_run_that_is_being_stopped_is_not_wanted_again)
+{
+  Answer(Start(), lease::start_answer::Accepted);
+  lease::StopRun(mTarget, kTask, mNow, mEffects);
+  lease::NoteWanted(mTarget.mRuns.at(kTask), mNow + 500ms);
+  BOOST_TEST((mTarget.mRuns.at(kTask).mWantedAt == mNow));
+}
+
 BOOST_AUTO_TEST_CASE(a_new_life_of_the_target_runs_nothing_of_the_old_one)
 {
   Answer(Start(), lease::start_answer::Accepted);
