REFUSED: a start that was sent and not answered may have been carried out

Cause: when an agent is given up as lost, its tasks wait again as if they had never been sent, so that a job all of whose tasks wait is refused as not run when it can only be late. That is no question of dating: the start is known to have left.

Why this works: a task that is started again counts as one that may have been started, whatever its start's answer was; only a definite refusal by the agent or a connection that was never made leaves "not run" true.

Test: a_start_at_a_lost_agent_is_never_said_not_to_have_run, fails without it.

--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -78,6 +78,8 @@
   if (task.mTarget) {
     task.mAvoid.push_back(*task.mTarget);
   }
+  // A start that was sent and not answered may have been carried out.
+  task.mEverStarted = true;
   ReturnTask(aControl, aJob, aIndex);
   ++task.mTry;
   ++aControl.mCounters.mRetries;
--- a/src/libgooseberry/job/job.h
+++ b/src/libgooseberry/job/job.h
@@ -34,7 +34,7 @@
   core::peer_ref mAgent;
   /** A send of the present placement ended without an answer. */
   bool mMaybeDelivered = false;
-  bool mEverStarted = false;
+  bool mEverStarted = false; ///< Or may have been.
   core::duration mExpected{};
   std::vector<target::target_index> mAvoid; ///< Failed there before.
   std::string mResult;
--- /dev/null
+++ b/tests/libgooseberry/test_entry_resubmission.cpp
@@ -0,0 +1,102 @@
+#include "entry_fixture.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+
+/** What an entry says and does about starts of which it hears nothing more. */
+namespace {
+
+constexpr core::duration kAgentLost = 1'300ms;
+constexpr core::duration kTick = 20ms;
+
+/** An entry with one agent, which has one target. */
+struct resubmission_fixture : entry::test::leased_entry
+{
+  core::agent_state mAgent;
+
+  resubmission_fixture()
+  {
+    mControl.mOptions.mAgentLost = kAgentLost;
+    mAgent.mAgent = { "w", 1 };
+    mAgent.mAddress = "w:1";
+    mAgent.mFailureDomain = "d";
+    mAgent.mOpen = true;
+    core::target_load load;
+    load.mName = "t";
+    load.mServices = { entry::test::kService };
+    load.mSlots = 4;
+    mAgent.mTargets = { load };
+    Announce();
+  }
+
+  core::entry_reply Announce()
+  {
+    mAgent.mStamp = mNow;
+    return entry::OnAnnounce(mControl, mAgent, mNow, mEffects);
+  }
+
+  /** Submits a job of one task and gives the call that starts it. */
+  entry::send_start Submit(std::uint64_t aToken, const std::string& aKey)
+  {
+    entry::OnSubmit(mControl,
+                    aToken,
+                    entry::test::MakeSubmission(aKey, 500ms),
+                    mNow,
+                    mEffects);
+    const auto found =
+      std::find_if(mEffects.rbegin(), mEffects.rend(), [](const auto& aEffect) {
+        return std::holds_alternative<entry::send_start>(aEffect);
+      });
+    BOOST_REQUIRE(found != mEffects.rend());
+    return std::get<entry::send_start>(*found);
+  }
+
+  void Pass(core::duration aTime)
+  {
+    for (const core::instant end = mNow + aTime; mNow < end;) {
+      mNow += kTick;
+      entry::Tick(mControl, mNow, mEffects);
+    }
+  }
+
+  std::vector<core::job_answer> Answers() const
+  {
+    std::vector<core::job_answer> answers;
+    for (const auto& effect : mEffects) {
+      if (const auto* answer = std::get_if<entry::answer_caller>(&effect)) {
+        answers.push_back(answer->mAnswer);
+      }
+    }
+    return answers;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(entry_resubmission, resubmission_fixture)
+
+// REFUSED: "not run" was said of a job whose task had been started.
+BOOST_AUTO_TEST_CASE(a_start_at_a_lost_agent_is_never_said_not_to_have_run)
+{
+  const auto start = Submit(1, "job");
+  entry::OnStartFailed(mControl, start.mCall, true, mNow, mEffects);
+  Pass(6s); // The job's deadline is 5 s.
+  BOOST_REQUIRE_EQUAL(Answers().size(), 1U);
+  BOOST_TEST((Answers().front().mOutcome == core::job_outcome::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(a_start_that_never_left_is_said_not_to_have_run)
+{
+  const auto start = Submit(1, "job");
+  mControl.mTargets.mTargets.front().mLoad.mLeaving = true;
+  entry::OnStartFailed(mControl, start.mCall, false, mNow, mEffects);
+  Pass(6s);
+  BOOST_REQUIRE_EQUAL(Answers().size(), 1U);
+  BOOST_TEST((Answers().front().mOutcome == core::job_outcome::NotRun));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
