TWICE: what is said to an agent says what was cancelled, and starts may be overtaken

A caller leaves, its job is cancelled, and after resubmit_ms another entry starts the same tasks while the first run goes on.

Cause: a cancellation travels on its own connection. It is lost there while replies on another one prove that the entry wants all that runs for it; and it may overtake the start that it is meant for, which is then run to its end. The entry forgot it once the agent was silent, whatever was still under way.

Why this works: an unconfirmed cancellation stands in each reply to the agent, so a reply either says that the job is given up or was made before: evidence of a cancelled run never passes the time when it was given up, and with the bound on leases the run is over before resubmit_ms. A start of a job cancelled by the same entry process is refused unless it echoes a stamp later than the cancellation. Cancellations are repeated for agent_lost_ms, then no run is left.

Tests that fail without it: a_reply_says_what_was_cancelled_meanwhile, a_start_that_its_cancellation_overtook_is_refused, replies_name_a_cancelled_job_until_it_is_confirmed.

--- a/src/entry/effect_runner.cpp
+++ b/src/entry/effect_runner.cpp
@@ -75,17 +75,25 @@
 {
   const auto failed = [address = aEffect.mAddress, jobs = aEffect.mBatch.mJobs](
                         auto& aControl, auto aNow, auto& aEffects) {
+    static_cast<void>(aNow);
     static_cast<void>(aEffects);
-    entry::OnCancelFailed(aControl, address, jobs, aNow);
+    entry::OnCancelFailed(aControl, address, jobs);
   };
   const bool posted = mAgents.Post(
     aEffect.mAddress,
     io::lane::Control,
-    [this, failed, batch = aEffect.mBatch](io::agent_client& aClient) {
+    [this, failed, address = aEffect.mAddress, batch = aEffect.mBatch](
+      io::agent_client& aClient) {
       const auto result = aClient.Cancel(batch);
       if (std::holds_alternative<io::call_error>(result)) {
-        Feed(failed);
+        return Feed(failed);
       }
+      Feed([address,
+            jobs = batch.mJobs](auto& aControl, auto aNow, auto& aEffects) {
+        static_cast<void>(aNow);
+        static_cast<void>(aEffects);
+        entry::OnCancelAnswered(aControl, address, jobs);
+      });
     });
   if (!posted) {
     Feed(failed);
--- a/src/libgooseberry/agent/admission.cpp
+++ b/src/libgooseberry/agent/admission.cpp
@@ -114,6 +114,18 @@
            service->second, aStart.mTarget, aControl.mSettings.mFailureDomain);
 }
 
+/** Whether the start was sent before its entry cancelled the job. */
+bool
+IsCancelled(const agent_control& aControl,
+            const core::start_batch& aBatch,
+            const core::task_start& aStart)
+{
+  const auto* job = FindJob(aControl.mBook, aStart.mTask.mJob);
+  return job != nullptr && job->mCancelledBy != 0 &&
+         job->mCancelledBy == aBatch.mEntry.mIncarnation &&
+         aBatch.mAgentStamp <= job->mCancelledAt;
+}
+
 } // namespace
 
 bool
@@ -186,6 +198,9 @@
   if (const auto byHistory = DecideByHistory(aControl, aStart); byHistory) {
     return *byHistory;
   }
+  if (IsCancelled(aControl, aBatch, aStart)) {
+    return Refused(start_verdict::Cancelled);
+  }
   if (aControl.mJoin.mPhase != join_phase::Open) {
     return Refused(start_verdict::NotOpen);
   }
--- a/src/libgooseberry/agent/agent_control.cpp
+++ b/src/libgooseberry/agent/agent_control.cpp
@@ -221,11 +221,11 @@
                        aBatch.mJobs.end(),
                        aTask.mStart.mTask.mJob) != aBatch.mJobs.end();
     });
-  StopJobs(aControl,
-           aBatch.mJobs,
-           { aBatch.mEntryAddress, aBatch.mEntry.mIncarnation, {} },
-           aNow,
-           aOut);
+  CancelJobs(aControl,
+             aBatch.mJobs,
+             { aBatch.mEntryAddress, aBatch.mEntry.mIncarnation, {} },
+             aNow,
+             aOut);
   Settle(aControl, aNow, aOut);
 }
 
--- a/src/libgooseberry/agent/agent_inputs.cpp
+++ b/src/libgooseberry/agent/agent_inputs.cpp
@@ -31,7 +31,9 @@
   for (const auto& [name, address] : aReply.mEntries) {
     LearnEntry(aControl.mEntries, name, address, aNow);
   }
-  NoteAnswered(aControl, { aAddress, aReply.mEntry.mIncarnation, aSentAt });
+  const job_holder entry{ aAddress, aReply.mEntry.mIncarnation, aSentAt };
+  CancelJobs(aControl, aReply.mCancelled, entry, aNow, aOut);
+  NoteAnswered(aControl, entry);
 }
 
 core::duration
--- a/src/libgooseberry/agent/leased_runs.cpp
+++ b/src/libgooseberry/agent/leased_runs.cpp
@@ -246,12 +246,20 @@
 }
 
 void
-StopJobs(agent_control& aControl,
-         const std::vector<std::string>& aJobs,
-         const job_holder& aEntry,
-         core::instant aNow,
-         effects& aOut)
+CancelJobs(agent_control& aControl,
+           const std::vector<std::string>& aJobs,
+           const job_holder& aEntry,
+           core::instant aNow,
+           effects& aOut)
 {
+  if (aJobs.empty() || !aControl.mSettings.mLeasedRuns) {
+    return;
+  }
+  for (const std::string& name : aJobs) {
+    auto& job = TouchJob(aControl.mBook, name, aNow);
+    job.mCancelledBy = aEntry.mIncarnation;
+    job.mCancelledAt = aNow;
+  }
   const auto isCancelled = [&](const lease::run& aRun) {
     const core::task_ref& task = aRun.mTask;
     return std::find(aJobs.begin(), aJobs.end(), task.mJob) != aJobs.end() &&
--- a/src/libgooseberry/agent/leased_runs.h
+++ b/src/libgooseberry/agent/leased_runs.h
@@ -66,13 +66,14 @@
             core::instant aNow,
             effects& aOut);
 
-/** Stops what runs for jobs that this entry process cancels. */
+/** Stops what runs for jobs that this entry process cancels, and refuses what
+ * it has sent for them before. */
 void
-StopJobs(agent_control& aControl,
-         const std::vector<std::string>& aJobs,
-         const job_holder& aEntry,
-         core::instant aNow,
-         effects& aOut);
+CancelJobs(agent_control& aControl,
+           const std::vector<std::string>& aJobs,
+           const job_holder& aEntry,
+           core::instant aNow,
+           effects& aOut);
 
 /**
  * An entry process has answered a message that was sent at `mWantedAt`: it
--- a/src/libgooseberry/agent/record.h
+++ b/src/libgooseberry/agent/record.h
@@ -65,6 +65,9 @@
   core::ballot mBallot; ///< Highest of all starts and fences.
   bool mFenced = false; ///< A fence raised it: joining agents copy it.
   job_holder mHolder;   ///< The entry behind the ballot.
+  /** The entry process that cancelled it last; zero: none has. */
+  std::uint64_t mCancelledBy = 0;
+  core::instant mCancelledAt{};
   core::instant mLastChange{};
   std::map<std::uint32_t, task_record> mTasks;
 };
--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -106,7 +106,7 @@
   Leaving,          ///< The target or the agent takes nothing new.
   WrongIncarnation, ///< Meant for another run of the agent.
   NotOpen,          ///< The agent has not joined yet.
-  Cancelled,        ///< Waited in a queue when its job was cancelled.
+  Cancelled,        ///< Its job was cancelled while it waited or was sent.
 };
 inline constexpr enum_names<start_verdict, 11> kStartVerdictNames{
   { "accepted",
@@ -175,6 +175,8 @@
   std::optional<versioned_configuration> mConfiguration;
   /** Names and addresses of the entries that this one knows. */
   std::map<std::string, std::string> mEntries;
+  /** Jobs that the entry has given up, and the agent has not confirmed. */
+  std::vector<std::string> mCancelled;
 };
 
 /** Entry to agent: drop these jobs' queued tasks; of the running ones, those
--- a/src/libgooseberry/entry/effects.h
+++ b/src/libgooseberry/entry/effects.h
@@ -24,7 +24,7 @@
   core::start_batch mBatch;
 };
 
-/** Call `cancel` on an agent; a failure is not reported back. */
+/** Call `cancel` on an agent; OnCancelAnswered or OnCancelFailed. */
 struct send_cancel
 {
   std::string mAddress;
--- a/src/libgooseberry/entry/entry_control.cpp
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -237,6 +237,7 @@
   TickApplies(aControl, aNow, aEffects);
   TickStance(aControl, aNow, aEffects);
   job::Expire(aControl.mLedger, aNow);
+  Expire(aControl.mCancellations, aNow, aControl.mOptions.mAgentLost);
   Dispatch(aControl, aNow, aEffects);
   FlushOutboxes(aControl, aEffects);
   if (aControl.mLeaving && aControl.mOpenJobs == 0) {
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -2,6 +2,7 @@
 
 #include "libgooseberry/configuration/desired_state.h"
 #include "libgooseberry/core/message.h"
+#include "libgooseberry/entry/cancellations.h"
 #include "libgooseberry/entry/counters.h"
 #include "libgooseberry/entry/effects.h"
 #include "libgooseberry/entry/options.h"
@@ -132,8 +133,8 @@
   std::set<std::string> mInquiring; ///< Jobs that locate or recover.
   std::set<std::string> mAttached;  ///< Jobs that wait for another home.
   std::size_t mOpenJobs = 0;        ///< In the ledger and not ended.
+  cancellations mCancellations;
   /** Gathered between ticks, by address, so that a wave costs few calls. */
-  std::map<std::string, std::vector<std::string>> mCancelOutbox;
   std::map<core::peer_ref, std::vector<core::fence_request>> mFenceOutbox;
   std::map<core::peer_ref, std::vector<core::locate_request>> mLocateOutbox;
   std::map<std::string, std::vector<core::job_answer>> mDeliverOutbox;
@@ -227,12 +228,17 @@
               core::instant aNow,
               effects& aEffects);
 
-/** A cancellation was not answered: it is sent again while the agent lives. */
+/** An agent has confirmed a cancellation. */
+void
+OnCancelAnswered(entry_control& aControl,
+                 const std::string& aAgentAddress,
+                 const std::vector<std::string>& aJobs);
+
+/** A cancellation was not answered: it is sent again. */
 void
 OnCancelFailed(entry_control& aControl,
                const std::string& aAgentAddress,
-               const std::vector<std::string>& aJobs,
-               core::instant aNow);
+               const std::vector<std::string>& aJobs);
 
 void
 OnFenceReplies(entry_control& aControl,
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -186,6 +186,7 @@
   if (TakeTurnToTell(aControl, aState.mAgent, aNow)) {
     reply.mEntries = EntryAddresses(aControl);
   }
+  reply.mCancelled = Unconfirmed(aControl.mCancellations, aState.mAddress);
   return reply;
 }
 
@@ -256,20 +257,20 @@
 
 } // namespace
 
+void
+OnCancelAnswered(entry_control& aControl,
+                 const std::string& aAgentAddress,
+                 const std::vector<std::string>& aJobs)
+{
+  Confirm(aControl.mCancellations, aAgentAddress, aJobs);
+}
+
 void
 OnCancelFailed(entry_control& aControl,
                const std::string& aAgentAddress,
-               const std::vector<std::string>& aJobs,
-               core::instant aNow)
+               const std::vector<std::string>& aJobs)
 {
-  for (const auto& [name, view] : aControl.mMembers.mAgents) {
-    if (view.mState.mAddress == aAgentAddress &&
-        aNow - view.mHeardAt <= aControl.mOptions.mAgentLost) {
-      auto& outbox = aControl.mCancelOutbox[aAgentAddress];
-      outbox.insert(outbox.end(), aJobs.begin(), aJobs.end());
-      return;
-    }
-  }
+  SendAgain(aControl.mCancellations, aAgentAddress, aJobs);
 }
 
 void
@@ -291,13 +292,12 @@
                   std::move(requests) });
   }
   aControl.mFenceOutbox.clear();
-  for (auto& [address, jobs] : aControl.mCancelOutbox) {
+  for (auto& [address, jobs] : TakeUnsent(aControl.mCancellations)) {
     aControl.mCounters.mCancels += jobs.size();
     aEffects.emplace_back(send_cancel{
       address,
       { aControl.mSelf, std::move(jobs), aControl.mOptions.mAddress } });
   }
-  aControl.mCancelOutbox.clear();
   for (auto& [address, answers] : aControl.mDeliverOutbox) {
     aEffects.emplace_back(
       send_deliver{ address, { aControl.mSelf, std::move(answers) } });
--- a/src/libgooseberry/entry/job_end.cpp
+++ b/src/libgooseberry/entry/job_end.cpp
@@ -63,14 +63,16 @@
 
 /** Takes a job out of all that is under way; it stays in the ledger. */
 void
-StopJob(entry_control& aControl, job::job& aJob)
+StopJob(entry_control& aControl, job::job& aJob, core::instant aNow)
 {
   const std::set<std::string> agents = ReleaseJob(aControl, aJob);
   for (const std::string& name : agents) {
     const auto view = aControl.mMembers.mAgents.find(name);
     if (view != aControl.mMembers.mAgents.end()) {
-      aControl.mCancelOutbox[view->second.mState.mAddress].push_back(
-        aJob.mSubmission.mKey);
+      Cancel(aControl.mCancellations,
+             view->second.mState.mAddress,
+             aJob.mSubmission.mKey,
+             aNow);
     }
   }
   aControl.mInquiring.erase(aJob.mSubmission.mKey);
@@ -87,7 +89,7 @@
        core::instant aNow,
        effects& aEffects)
 {
-  StopJob(aControl, aJob);
+  StopJob(aControl, aJob, aNow);
   aJob.mPhase = job::phase::Ended;
   aJob.mEndedAt = aNow;
   aJob.mAnswer = std::move(aAnswer);
@@ -145,7 +147,7 @@
   const std::string key = aJob.mSubmission.mKey;
   const core::job_answer answer =
     ErrorAnswer(key, core::job_outcome::NotRun, aError, aStatus);
-  StopJob(aControl, aJob);
+  StopJob(aControl, aJob, aNow);
   ++aControl.mCounters
       .mOutcomes[static_cast<std::size_t>(core::job_outcome::NotRun)];
   LogOutcome(aJob, answer, aNow, aEffects);
@@ -172,7 +174,7 @@
   }
   // Attached entries go on asking: this is no outcome of the job.
   aJob.mAttachedEntries.clear();
-  StopJob(aControl, aJob);
+  StopJob(aControl, aJob, aNow);
   ++aControl.mCounters
       .mOutcomes[static_cast<std::size_t>(core::job_outcome::Failed)];
   TellWaiters(aControl, aJob, answer, aEffects);
--- a/src/libgooseberryio/protocol/from_wire.cpp
+++ b/src/libgooseberryio/protocol/from_wire.cpp
@@ -192,6 +192,7 @@
     reply.mConfiguration = FromWire(aReply.configuration);
   }
   reply.mEntries = aReply.entries;
+  reply.mCancelled = aReply.cancelled;
   return reply;
 }
 
--- a/src/libgooseberryio/protocol/gooseberry.thrift
+++ b/src/libgooseberryio/protocol/gooseberry.thrift
@@ -45,7 +45,7 @@
 struct EntryReply {
   1: PeerRef entry; 2: i64 generation; 3: optional i64 evidenceAge;
   4: optional VersionedConfiguration configuration;
-  5: map<string, string> entries
+  5: map<string, string> entries; 6: list<string> cancelled
 }
 
 struct CancelBatch {
--- a/src/libgooseberryio/protocol/to_wire.cpp
+++ b/src/libgooseberryio/protocol/to_wire.cpp
@@ -192,6 +192,7 @@
     reply.__set_configuration(ToWire(*aReply.mConfiguration));
   }
   reply.entries = aReply.mEntries;
+  reply.cancelled = aReply.mCancelled;
   return reply;
 }
 
--- a/tests/libgooseberry/test_agent_leased.cpp
+++ b/tests/libgooseberry/test_agent_leased.cpp
@@ -238,6 +238,39 @@
   BOOST_TEST(Count<lease::stop_call>() == 0U);
 }
 
+// TWICE: a cancellation was lost while replies went on arriving.
+BOOST_AUTO_TEST_CASE(a_reply_says_what_was_cancelled_meanwhile)
+{
+  Start("a", 1, kFirstEntry);
+  mEffects.clear();
+  core::entry_reply reply;
+  reply.mEntry = { kFirstEntry, 1 };
+  reply.mCancelled = { "a" };
+  agent::OnAnnounceAnswered(
+    mControl, kFirstEntry, reply, mNow + 1ms, mNow + 2ms, mEffects);
+  BOOST_TEST(Count<lease::stop_call>() == 1U);
+  const auto& runs = mControl.mTargets.at("t-1").mLeased->mRuns;
+  BOOST_TEST((runs.begin()->second.mWantedAt == mNow));
+}
+
+// TWICE: a cancellation overtook the start that it was meant for.
+BOOST_AUTO_TEST_CASE(a_start_that_its_cancellation_overtook_is_refused)
+{
+  agent::OnCancel(
+    mControl, { { "e", 1 }, { "a" }, kFirstEntry }, mNow, mEffects);
+  BOOST_TEST(
+    (Start("a", 1, kFirstEntry, 1ms) == core::start_verdict::Cancelled));
+  BOOST_TEST((Start("a", 2, kSecondEntry) == core::start_verdict::Accepted));
+}
+
+BOOST_AUTO_TEST_CASE(a_job_submitted_again_after_its_cancellation_is_started)
+{
+  agent::OnCancel(
+    mControl, { { "e", 1 }, { "a" }, kFirstEntry }, mNow, mEffects);
+  mNow += 20ms;
+  BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::Accepted));
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_target_takes_nothing_and_stays_so)
 {
   Register(true);
--- a/tests/libgooseberry/test_entry_resubmission.cpp
+++ b/tests/libgooseberry/test_entry_resubmission.cpp
@@ -99,4 +99,41 @@
   BOOST_TEST((Answers().front().mOutcome == core::job_outcome::NotRun));
 }
 
+// TWICE: a cancellation was lost while replies went on arriving.
+BOOST_AUTO_TEST_CASE(replies_name_a_cancelled_job_until_it_is_confirmed)
+{
+  Submit(1, "job");
+  entry::OnCallerLeft(mControl, 1, "job", mNow, mEffects);
+  const std::vector<std::string> cancelled{ "job" };
+  BOOST_TEST(Announce().mCancelled == cancelled);
+  Pass(kTick);
+  entry::OnCancelFailed(mControl, "w:1", cancelled);
+  BOOST_TEST(Announce().mCancelled == cancelled);
+  entry::OnCancelAnswered(mControl, "w:1", cancelled);
+  BOOST_TEST(Announce().mCancelled.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_cancellation_is_repeated_while_a_run_may_be_there)
+{
+  Submit(1, "job");
+  entry::OnCallerLeft(mControl, 1, "job", mNow, mEffects);
+  const auto cancels = [this] {
+    return std::count_if(
+      mEffects.begin(), mEffects.end(), [](const auto& aEffect) {
+        return std::holds_alternative<entry::send_cancel>(aEffect);
+      });
+  };
+  Pass(kTick);
+  BOOST_TEST(cancels() == 1);
+  Pass(kTick);
+  BOOST_TEST(cancels() == 1);
+  entry::OnCancelFailed(mControl, "w:1", { "job" });
+  Pass(kTick);
+  BOOST_TEST(cancels() == 2);
+  Pass(kAgentLost);
+  entry::OnCancelFailed(mControl, "w:1", { "job" });
+  Pass(kTick);
+  BOOST_TEST(cancels() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgooseberryio/test_convert.cpp
+++ b/tests/libgooseberryio/test_convert.cpp
@@ -112,7 +112,8 @@
                                     8,
                                     core::duration(0),
                                     core::versioned_configuration{ 8, "[x]" },
-                                    { { "entry-2", "127.0.0.1:3" } } });
+                                    { { "entry-2", "127.0.0.1:3" } },
+                                    { "team/job" } });
   CheckRoundTrip(core::locate_request{
     { "entry-1", 1 }, "127.0.0.1:2", "team/job", ~0ULL, { 2, 1 } });
   CheckRoundTrip(core::locate_reply{ { "entry-1", 1 },
