TWICE: only the target itself says that a life of it is over

Cause: an agent took all runs at a target for over on a registration of another life, on a report of any other life, also one asked for before, and on an unregistration, which names no life. Each may be late, or of another writer; the entry starts the tasks elsewhere while they run on. Answers to calls made to a life before could also settle runs of the present one, and the fencing token came from a registration's clock: one far ahead shut out every later agent.

Evidence: by reading.

Why this works: a registration of another life waits until a report asked for after it confirms or refutes it, the target refuses connections, or the lease has lapsed. An unregistration only stops new starts. Reports and answers count for the life that they were asked in. The token is taken from a report, and nothing starts before the target has seen it. A registration is outdated only while newer ones come: a wrong one shuts the true ones out for one lease.

--- a/src/libgooseberry/agent/agent_control.h
+++ b/src/libgooseberry/agent/agent_control.h
@@ -40,6 +40,7 @@
   core::resources mUsed;       ///< By what runs or is being stopped.
   double mMeanCpu = 0;         ///< Of the tasks started lately; zero: none yet.
   std::uint64_t mSequence = 0; ///< Of the latest registration.
+  std::uint64_t mSequenceLife = 0; ///< The target's life that it counts in.
   std::uint32_t mConsecutiveFailures = 0;
   /** Set where the target runs tasks under leases. */
   std::optional<lease::leased_target> mLeased;
--- a/src/libgooseberry/agent/leased_runs.cpp
+++ b/src/libgooseberry/agent/leased_runs.cpp
@@ -53,16 +53,21 @@
   }
 }
 
-/** A registration of an earlier life, or one that was overtaken. */
+/**
+ * A registration of an earlier life, or one that was overtaken. Where none
+ * newer has come for a whole lease, what seemed newer was wrong.
+ */
 bool
 IsOutdated(const agent_target& aTarget,
-           const lease::registration& aRegistration)
+           const lease::registration& aRegistration,
+           core::instant aNow)
 {
-  if (!aTarget.mLeased || aRegistration.mLife == 0) {
+  if (!aTarget.mLeased || aRegistration.mLife == 0 ||
+      aTarget.mLeaseEnd <= aNow) {
     return false;
   }
   return aRegistration.mLife < aTarget.mLeased->mLife ||
-         (aRegistration.mLife == aTarget.mLeased->mLife &&
+         (aRegistration.mLife == aTarget.mSequenceLife &&
           aRegistration.mSequence < aTarget.mSequence);
 }
 
@@ -114,7 +119,7 @@
 {
   const auto known = aControl.mTargets.find(aAnnouncement.mName);
   const bool isNew = known == aControl.mTargets.end();
-  if (!isNew && IsOutdated(known->second, aRegistration)) {
+  if (!isNew && IsOutdated(known->second, aRegistration, aNow)) {
     LogEvent(
       agent_event::TargetChanged, known->first, "late_registration", aOut);
     return true;
@@ -134,6 +139,7 @@
     target.mLeased->mSettings = aControl.mSettings.mLease;
   }
   target.mSequence = aRegistration.mSequence;
+  target.mSequenceLife = aRegistration.mLife;
   lease::effects calls;
   lease::OnRegistration(*target.mLeased, aRegistration, aNow, calls);
   Carry(aControl, aAnnouncement.mName, calls, aNow, aOut);
@@ -153,13 +159,13 @@
   if (leased == nullptr) {
     return;
   }
-  lease::effects calls;
-  lease::EndAll(*leased, "target left", aNow, calls);
-  Carry(aControl, aName, calls, aNow, aOut);
-  LogEvent(agent_event::TargetGone, aName, "left", aOut);
-  aControl.mTargets.erase(aName);
+  auto& target = aControl.mTargets.at(aName);
+  LogEvent(agent_event::TargetLeaving, aName, "unregistered", aOut);
+  target.mSuspect = true;
+  target.mLeaseEnd = aNow;
+  leased->mNextRenewal = aNow;
   WantAllAnnounces(aControl.mEntries);
-  Settle(aControl, aNow, aOut);
+  Tick(aControl, aNow, aOut);
 }
 
 void
--- a/src/libgooseberry/agent/leased_runs.h
+++ b/src/libgooseberry/agent/leased_runs.h
@@ -21,7 +21,10 @@
                core::instant aNow,
                effects& aOut);
 
-/** A target has left for good: what ran there is over. */
+/**
+ * A target says that it leaves for good, or another hand does: no life is
+ * named. What runs there is over when its calls or its lease show so.
+ */
 void
 OnTargetLeft(agent_control& aControl,
              const std::string& aName,
--- a/src/libgooseberry/lease/call.h
+++ b/src/libgooseberry/lease/call.h
@@ -24,6 +24,7 @@
   std::string mAddress; ///< `ip:port` of its HTTP server.
   /** The target ignores calls with a lower token than it has seen. */
   std::uint64_t mFencingToken = 0;
+  std::uint64_t mLife = 0;    ///< Of the target, as known when it was made.
   core::duration mDeadline{}; ///< Of the whole call.
 };
 
--- a/src/libgooseberry/lease/internal.h
+++ b/src/libgooseberry/lease/internal.h
@@ -40,6 +40,21 @@
         const core::task_ref& aTask,
         std::uint32_t aRun);
 
+/** Whether a call was made for the life that the target is known to be in. */
+bool
+IsOfThisLife(const leased_target& aTarget, const call_header& aHeader);
+
+/** Takes a registration of another life for true. */
+void
+Succeed(leased_target& aTarget,
+        const registration& aRegistration,
+        core::instant aNow,
+        effects& aOut);
+
+/** The same with one that waits for that, if there is one. */
+void
+TakeSuccessor(leased_target& aTarget, core::instant aNow, effects& aOut);
+
 /** A new life of the target runs nothing of ours and has seen no token. */
 void
 StartNewLife(leased_target& aTarget,
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -64,7 +64,7 @@
 bool
 IsReady(const leased_target& aTarget, core::instant aNow)
 {
-  return aTarget.mClean && aTarget.mReportAskedAt &&
+  return aTarget.mClean && !aTarget.mSuccessor && aTarget.mReportAskedAt &&
          aNow - *aTarget.mReportAskedAt < aTarget.mSettings.mLease;
 }
 
@@ -74,15 +74,16 @@
                core::instant aNow,
                effects& aOut)
 {
-  if (aTarget.mName != aRegistration.mName ||
-      aTarget.mLife != aRegistration.mLife) {
-    StartNewLife(aTarget, aRegistration.mLife, aNow, aOut);
-    aTarget.mName = aRegistration.mName;
-  }
-  aTarget.mAddress = aRegistration.mAddress;
-  if (aTarget.mFencingToken == 0) {
-    ReadClock(aTarget, aRegistration.mClock, aNow, aNow);
-    RaiseToken(aTarget, aRegistration.mClock);
+  const bool isSameLife =
+    aRegistration.mLife == 0 || aRegistration.mLife == aTarget.mLife;
+  if (isSameLife && aTarget.mName == aRegistration.mName) {
+    aTarget.mAddress = aRegistration.mAddress;
+  } else if (aTarget.mRuns.empty()) {
+    Succeed(aTarget, aRegistration, aNow, aOut);
+  } else {
+    aTarget.mSuccessor = { aRegistration, aNow };
+    aTarget.mRenewing = false; // A report asked for from now on decides.
+    aTarget.mNextRenewal = aNow;
   }
 }
 
@@ -136,10 +137,11 @@
               effects& aOut)
 {
   run* const started = FindRun(aTarget, aCall.mTask, aCall.mRun);
-  if (aAnswer == start_answer::Fenced && aClock) {
+  if (aAnswer == start_answer::Fenced && aClock &&
+      IsOfThisLife(aTarget, aCall.mHeader)) {
     RaiseToken(aTarget, *aClock);
   }
-  if (started == nullptr || aCall.mHeader.mTarget != aTarget.mName) {
+  if (started == nullptr || !IsOfThisLife(aTarget, aCall.mHeader)) {
     return;
   }
   const std::string detail(kStartAnswerNames.NameOf(aAnswer));
@@ -189,7 +191,8 @@
 OnStopAnswer(leased_target& aTarget, const stop_call& aCall, core::instant aNow)
 {
   if (run* const stopped = FindRun(aTarget, aCall.mTask, aCall.mRun);
-      stopped != nullptr && !stopped->mStopAnsweredAt) {
+      stopped != nullptr && !stopped->mStopAnsweredAt &&
+      IsOfThisLife(aTarget, aCall.mHeader)) {
     stopped->mStopAnsweredAt = aNow;
   }
 }
@@ -202,6 +205,9 @@
                 core::instant aNow,
                 effects& aOut)
 {
+  if (aAskedAt < aTarget.mLifeSince) {
+    return; // It says nothing of the present life.
+  }
   if (aFailure == renewal_failure::NoAnswer &&
       aAskedAt < aTarget.mRenewalSentAt) {
     return; // It was taken for lost before; a later one is under way.
@@ -221,6 +227,7 @@
     // No process of that life listens any more, so nothing of it runs.
     aTarget.mClean = false;
     EndAll(aTarget, "target is gone", aNow, aOut);
+    TakeSuccessor(aTarget, aNow, aOut);
   }
 }
 
@@ -233,6 +240,9 @@
   if (!aTarget.mRuns.empty() && HasLapsed(aTarget, aNow)) {
     EndAll(aTarget, "lease lapsed", aNow, aOut);
   }
+  if (aTarget.mRuns.empty()) {
+    TakeSuccessor(aTarget, aNow, aOut);
+  }
   for (auto& [task, run] : aTarget.mRuns) {
     const bool isDue = run.mStopWanted || run.mState == run_state::Uncertain;
     if (isDue && !run.mStopAnsweredAt && run.mNextStop <= aNow) {
--- a/src/libgooseberry/lease/leased_target.h
+++ b/src/libgooseberry/lease/leased_target.h
@@ -76,6 +76,22 @@
 using effect = std::variant<call, run_end, target_change>;
 using effects = std::vector<effect>;
 
+/** What a target says of itself when it registers. */
+struct registration
+{
+  std::string mName;
+  std::string mAddress;
+  std::uint64_t mLife = 0;     ///< Start of this life; zero: not told.
+  std::uint64_t mSequence = 0; ///< Rises within a life; zero: not told.
+};
+
+/** A registration of another life, which the target has not confirmed yet. */
+struct successor
+{
+  registration mRegistration;
+  core::instant mSince{};
+};
+
 /** All that an agent knows of the runs at one target. */
 struct leased_target
 {
@@ -83,6 +99,8 @@
   std::string mName;
   std::string mAddress;
   std::uint64_t mLife = 0;
+  core::instant mLifeSince{}; ///< Answers to earlier calls are of another life.
+  std::optional<successor> mSuccessor;
   std::uint64_t mFencingToken = 0; ///< Zero: not chosen yet.
   std::optional<clock_reading> mClock;
   target_time mLeaseUntil{}; ///< The latest that any call has asked for.
@@ -97,21 +115,14 @@
   std::uint32_t mFailures = 0; ///< Renewals without a report, in a row.
 };
 
-/** What a target says of itself when it registers. */
-struct registration
-{
-  std::string mName;
-  std::string mAddress;
-  std::uint64_t mLife = 0;
-  target_time mClock{};
-  std::uint64_t mSequence = 0; ///< Rises within a life; zero: not told.
-};
-
 /** Whether runs may be started there now. */
 bool
 IsReady(const leased_target& aTarget, core::instant aNow);
 
-/** The target registers or renews its registration. */
+/**
+ * The target registers or renews its registration. One of another life may be
+ * late or by another hand: what runs is over only once the target says so.
+ */
 void
 OnRegistration(leased_target& aTarget,
                const registration& aRegistration,
--- a/src/libgooseberry/lease/report.cpp
+++ b/src/libgooseberry/lease/report.cpp
@@ -109,6 +109,28 @@
   }
 }
 
+/** What a report says of the target's life goes before any registration. */
+void
+TakeLife(leased_target& aTarget,
+         std::uint64_t aLife,
+         core::instant aAskedAt,
+         core::instant aNow,
+         effects& aOut)
+{
+  const bool isOther = aLife != 0 && aLife != aTarget.mLife;
+  const auto& next = aTarget.mSuccessor;
+  if (next && aAskedAt >= next->mSince) {
+    if (isOther && aLife == next->mRegistration.mLife) {
+      return TakeSuccessor(aTarget, aNow, aOut);
+    }
+    aOut.emplace_back(target_change{ "registration_refuted", aTarget.mName });
+    aTarget.mSuccessor.reset();
+  }
+  if (isOther) {
+    StartNewLife(aTarget, aLife, aNow, aOut);
+  }
+}
+
 } // namespace
 
 void
@@ -118,17 +140,21 @@
          core::instant aNow,
          effects& aOut)
 {
+  if (aAskedAt < aTarget.mLifeSince) {
+    return; // Of the life before, answered late.
+  }
   aTarget.mRenewing = false;
   aTarget.mNextRenewal = aNow;
-  if (aReport.mLife != 0 && aReport.mLife != aTarget.mLife) {
-    StartNewLife(aTarget, aReport.mLife, aNow, aOut);
-  }
+  TakeLife(aTarget, aReport.mLife, aAskedAt, aNow, aOut);
   if (std::exchange(aTarget.mFailures, 0U) > 0) {
     aOut.emplace_back(target_change{ "target_answers", aTarget.mName });
   }
   ReadClock(aTarget, aReport.mClock, aAskedAt, aNow);
   if (aTarget.mFencingToken == 0) {
+    // Until the target has seen the token, it may still take starts of an
+    // earlier agent.
     RaiseToken(aTarget, aReport.mClock);
+    return;
   }
   // An earlier call may be answered after a later one.
   aTarget.mReportAskedAt =
--- a/src/libgooseberry/lease/run_end.cpp
+++ b/src/libgooseberry/lease/run_end.cpp
@@ -12,6 +12,7 @@
   return { aTarget.mName,
            aTarget.mAddress,
            aTarget.mFencingToken,
+           aTarget.mLife,
            aTarget.mSettings.mCallDeadline + aWait };
 }
 
@@ -70,6 +71,32 @@
            : nullptr;
 }
 
+bool
+IsOfThisLife(const leased_target& aTarget, const call_header& aHeader)
+{
+  return aHeader.mTarget == aTarget.mName && aHeader.mLife == aTarget.mLife;
+}
+
+void
+Succeed(leased_target& aTarget,
+        const registration& aRegistration,
+        core::instant aNow,
+        effects& aOut)
+{
+  StartNewLife(aTarget, aRegistration.mLife, aNow, aOut);
+  aTarget.mName = aRegistration.mName;
+  aTarget.mAddress = aRegistration.mAddress;
+}
+
+void
+TakeSuccessor(leased_target& aTarget, core::instant aNow, effects& aOut)
+{
+  if (aTarget.mSuccessor) {
+    const registration next = aTarget.mSuccessor->mRegistration;
+    Succeed(aTarget, next, aNow, aOut);
+  }
+}
+
 void
 StartNewLife(leased_target& aTarget,
              std::uint64_t aLife,
@@ -81,6 +108,9 @@
   }
   EndAll(aTarget, "target restarted", aNow, aOut);
   aTarget.mLife = aLife;
+  aTarget.mLifeSince = aNow;
+  aTarget.mSuccessor.reset();
+  aTarget.mRenewing = false;
   aTarget.mLastEnd = 0;
   aTarget.mFencingToken = 0;
   aTarget.mLeaseUntil = {};
--- a/tests/libgooseberry/test_agent_leased.cpp
+++ b/tests/libgooseberry/test_agent_leased.cpp
@@ -35,6 +35,7 @@
     agent::OnConfiguration(
       mControl, { 1, configuration::Format(state) }, mNow, mEffects);
     Register(false);
+    Report(); // Brings the clock, from which the token is taken.
     Report();
   }
 
@@ -47,13 +48,12 @@
     announcement.mSlots = 8;
     announcement.mLease = 5s;
     announcement.mCapacity = { 4'000, 1'024, 0 };
-    return agent::OnLeasedTarget(
-      mControl,
-      announcement,
-      { "t-1", "127.0.0.1:1", aLife, 1'000ms, ++mSequence },
-      aIsDraining,
-      mNow,
-      mEffects);
+    return agent::OnLeasedTarget(mControl,
+                                 announcement,
+                                 { "t-1", "127.0.0.1:1", aLife, ++mSequence },
+                                 aIsDraining,
+                                 mNow,
+                                 mEffects);
   }
 
   void Report(std::vector<lease::listed_run> aRunning = {},
@@ -279,6 +279,47 @@
   BOOST_TEST((Start("b", 1, kFirstEntry) == core::start_verdict::Leaving));
 }
 
+// TWICE: a late or false goodbye made runs count as over that went on.
+BOOST_AUTO_TEST_CASE(a_goodbye_ends_nothing_that_the_target_still_runs)
+{
+  Start("a", 1, kFirstEntry);
+  agent::OnTargetLeft(mControl, "t-1", mNow, mEffects);
+  Report({ { { "a", 0 }, 1 } });
+  BOOST_TEST(mControl.mTargets.at("t-1").mRunning == 1U);
+  BOOST_TEST((Start("b", 1, kFirstEntry) == core::start_verdict::NoTarget));
+  Register(false); // It is there after all.
+  BOOST_TEST((Start("c", 1, kFirstEntry) == core::start_verdict::Accepted));
+}
+
+BOOST_AUTO_TEST_CASE(a_target_that_has_left_is_forgotten_once_nothing_runs)
+{
+  Start("a", 1, kFirstEntry);
+  agent::OnTargetLeft(mControl, "t-1", mNow, mEffects);
+  BOOST_TEST(mControl.mTargets.contains("t-1"));
+  agent::OnRenewalFailed(mControl,
+                         "t-1",
+                         lease::renewal_failure::NotSent,
+                         std::nullopt,
+                         mNow,
+                         mNow,
+                         mEffects);
+  agent::Tick(mControl, mNow, mEffects);
+  BOOST_TEST(!mControl.mTargets.contains("t-1"));
+}
+
+BOOST_AUTO_TEST_CASE(a_registration_ahead_of_all_others_shuts_none_out_for_long)
+{
+  const auto sequence = mSequence;
+  mSequence = 1'000'000'000;
+  Register(false);
+  mSequence = sequence;
+  mNow += 5'001ms;
+  Report();
+  Register(false);
+  Report();
+  BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::Accepted));
+}
+
 BOOST_AUTO_TEST_CASE(a_registration_of_an_earlier_life_changes_nothing)
 {
   Register(true, 6);
