--- a/src/libgooseberryio/close_watch.cpp
+++ b/src/libgooseberryio/close_watch.cpp
@@ -7,6 +7,7 @@
 #include <cstring>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace gooseberry::io {
@@ -32,6 +33,14 @@
 
 } // namespace
 
+bool
+IsClosedByPeer(int aSocket)
+{
+  char next = 0;
+  const auto read = recv(aSocket, &next, 1, MSG_PEEK | MSG_DONTWAIT);
+  return read == 0 || (read < 0 && errno != EAGAIN && errno != EINTR);
+}
+
 close_watch::close_watch()
   : mPoll(epoll_create1(EPOLL_CLOEXEC))
   , mWake(eventfd(0, EFD_CLOEXEC))
--- a/src/libgooseberryio/close_watch.h
+++ b/src/libgooseberryio/close_watch.h
@@ -8,6 +8,10 @@
 
 namespace gooseberry::io {
 
+/** Whether the other end of a connection is known to have closed it. */
+bool
+IsClosedByPeer(int aSocket);
+
 /**
  * Tells when the other end of a connection has closed it, on one thread for all
  * connections. Nothing wakes up for a connection that stays open.
--- a/tests/libgooseberryio/test_close_watch.cpp
+++ b/tests/libgooseberryio/test_close_watch.cpp
@@ -41,6 +41,18 @@
 
 BOOST_AUTO_TEST_SUITE(close_watch_suite)
 
+BOOST_AUTO_TEST_CASE(a_closed_connection_is_seen_behind_nothing_unread)
+{
+  socket_pair sockets;
+  BOOST_TEST(!io::IsClosedByPeer(sockets.mEnds[0]));
+  BOOST_REQUIRE(send(sockets.mEnds[1], "x", 1, 0) == 1);
+  BOOST_TEST(!io::IsClosedByPeer(sockets.mEnds[0]));
+  char read = 0;
+  BOOST_REQUIRE(recv(sockets.mEnds[0], &read, 1, 0) == 1);
+  sockets.CloseOther();
+  BOOST_TEST(io::IsClosedByPeer(sockets.mEnds[0]));
+}
+
 BOOST_AUTO_TEST_CASE(a_closed_connection_is_told_once)
 {
   socket_pair left;
--- a/tests/platform/test_caller_front.cpp
+++ b/tests/platform/test_caller_front.cpp
@@ -7,7 +7,12 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace gooseberry;
 using namespace std::chrono_literals;
@@ -93,6 +98,37 @@
     BOOST_TEST(IsOpen() == aOpen);
   }
 
+  /** Sends a request and its end in one segment; waits for the answer. */
+  void SendAndLeave(const std::string& aRequest)
+  {
+    const int connection = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(mServer.Port());
+    BOOST_REQUIRE(connect(connection,
+                          reinterpret_cast<const sockaddr*>(&address), // NOLINT
+                          sizeof address) == 0);
+    const int isCorked = 1;
+    BOOST_REQUIRE(
+      setsockopt(
+        connection, IPPROTO_TCP, TCP_CORK, &isCorked, sizeof isCorked) == 0);
+    BOOST_REQUIRE(send(connection, aRequest.data(), aRequest.size(), 0) ==
+                  static_cast<ssize_t>(aRequest.size()));
+    shutdown(connection, SHUT_WR);
+    std::array<char, 1024> answer{};
+    while (recv(connection, answer.data(), answer.size(), 0) > 0) {
+    }
+    close(connection);
+  }
+
+  std::uint64_t Submissions()
+  {
+    return mEntry.Loop().Ask([](auto& aControl, auto, auto&) {
+      return aControl.mCounters.mSubmissions;
+    });
+  }
+
   bool IsOpen()
   {
     return mEntry.Loop().Ask([](auto& aControl, auto, auto&) {
@@ -143,4 +179,17 @@
   BOOST_TEST((io::Now() - left < 1s));
 }
 
+// TWICE: an entry that had stood still took up what its caller had sent
+// elsewhere since.
+BOOST_FIXTURE_TEST_CASE(a_job_whose_caller_has_left_before_is_not_taken_up,
+                        front_fixture)
+{
+  Configure();
+  SendAndLeave("POST /q/" + std::string(kJob) +
+               " HTTP/1.1\r\nHost: 127.0.0.1\r\nContent-Length: " +
+               std::to_string(std::string_view(kBody).size()) + "\r\n\r\n" +
+               kBody);
+  BOOST_TEST(Submissions() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
