A target's life that nobody answers for shuts no other one out

What callers saw: nothing yet. After a registration of a life that seems newer and is not there (another writer's, or the clock has jumped since), those of the target that is there counted as outdated for one lease of 6 s.

Why this works: a refused connection, or another target that answers, shows that nothing of that life is there, so that the next registration counts, whatever its number.

Test: a_life_that_nobody_answers_for_shuts_none_out fails without it.

--- a/src/libgooseberry/agent/leased_runs.cpp
+++ b/src/libgooseberry/agent/leased_runs.cpp
@@ -79,6 +79,19 @@
   return job == nullptr ? job_holder{} : job->mHolder;
 }
 
+template<typename Action>
+void
+ForEachRun(agent_control& aControl, Action aAction)
+{
+  for (auto& [name, target] : aControl.mTargets) {
+    if (target.mLeased) {
+      for (auto& [task, run] : target.mLeased->mRuns) {
+        aAction(run);
+      }
+    }
+  }
+}
+
 template<typename Predicate>
 void
 StopRuns(agent_control& aControl,
@@ -281,36 +294,25 @@
 void
 NoteAnswered(agent_control& aControl, const job_holder& aEntry)
 {
-  for (auto& [name, target] : aControl.mTargets) {
-    if (!target.mLeased) {
-      continue;
-    }
-    for (auto& [task, run] : target.mLeased->mRuns) {
-      const auto found = aControl.mBook.mJobs.find(task.mJob);
-      if (found != aControl.mBook.mJobs.end() &&
-          IsSameProcess(found->second.mHolder, aEntry)) {
-        auto& wantedAt = found->second.mHolder.mWantedAt;
-        wantedAt = std::max(wantedAt, aEntry.mWantedAt);
-        lease::NoteWanted(run, wantedAt);
-      }
+  ForEachRun(aControl, [&](lease::run& aRun) {
+    const auto found = aControl.mBook.mJobs.find(aRun.mTask.mJob);
+    if (found != aControl.mBook.mJobs.end() &&
+        IsSameProcess(found->second.mHolder, aEntry)) {
+      auto& wantedAt = found->second.mHolder.mWantedAt;
+      wantedAt = std::max(wantedAt, aEntry.mWantedAt);
+      lease::NoteWanted(aRun, wantedAt);
     }
-  }
+  });
 }
 
 void
 TellWanted(agent_control& aControl, const std::string& aJob)
 {
-  const auto* job = FindJob(aControl.mBook, aJob);
-  for (auto& [name, target] : aControl.mTargets) {
-    if (!target.mLeased) {
-      continue;
+  ForEachRun(aControl, [&](lease::run& aRun) {
+    if (aRun.mTask.mJob == aJob) {
+      lease::NoteWanted(aRun, HolderOf(aControl, aRun.mTask).mWantedAt);
     }
-    for (auto& [task, run] : target.mLeased->mRuns) {
-      if (task.mJob == aJob) {
-        lease::NoteWanted(run, job->mHolder.mWantedAt);
-      }
-    }
-  }
+  });
 }
 
 void
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -227,6 +227,7 @@
     // No process of that life listens any more, so nothing of it runs.
     aTarget.mClean = false;
     EndAll(aTarget, "target is gone", aNow, aOut);
+    aTarget.mLife = 0; // Any may register next, also one that seems older.
     TakeSuccessor(aTarget, aNow, aOut);
   }
 }
--- a/tests/libgooseberry/test_agent_leased.cpp
+++ b/tests/libgooseberry/test_agent_leased.cpp
@@ -320,6 +320,23 @@
   BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::Accepted));
 }
 
+BOOST_AUTO_TEST_CASE(a_life_that_nobody_answers_for_shuts_none_out)
+{
+  Register(false, 1'000'000);
+  agent::OnRenewalFailed(mControl,
+                         "t-1",
+                         lease::renewal_failure::NotSent,
+                         std::nullopt,
+                         mNow,
+                         mNow,
+                         mEffects);
+  Register(false);
+  BOOST_TEST(mControl.mTargets.at("t-1").mLeased->mLife == 7U);
+  Report();
+  Report();
+  BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::Accepted));
+}
+
 BOOST_AUTO_TEST_CASE(a_registration_of_an_earlier_life_changes_nothing)
 {
   Register(true, 6);
