TWICE: no run starts under a lease that outlasts its entry's word

What callers saw: nothing yet. A run whose entry is lost and whose stop is not answered could go on to the end of a lease granted before it started, up to 1.0 s after a start whose entry had heard the agent 0.7 s before.

Cause: a lease cannot be shortened, and the bound by what entries are known to want was taken over the runs that were there when it was granted.

Why this works: a start is refused as stale where the granted lease ends later than the run's hold; leases are at most 58% of resubmit_ms (754 ms), so that an entry's word may always be 442 ms old.

--- a/src/agent/daemon_settings.cpp
+++ b/src/agent/daemon_settings.cpp
@@ -18,10 +18,13 @@
 /**
  * Parts of the time after which a job may run elsewhere. Up to the first, a run
  * goes on without word of its entry. By the second its lease has lapsed, if
- * nothing else has ended it; the rest is for the drift of a target's clock.
+ * nothing else has ended it; the rest is for the drift of a target's clock. The
+ * last is the longest lease: what is left of the hold beside it is how old an
+ * entry's word may be at a start.
  */
 constexpr int kSilencePercent = 70;
 constexpr int kHoldPercent = 92;
+constexpr int kLeasePercent = 58;
 constexpr int kPercent = 100;
 /** Announces that may be lost before an entry counts as silent. */
 constexpr int kAnnouncesInSilence = 3;
@@ -58,7 +61,9 @@
     control.mAnnounceInterval = std::min(
       control.mAnnounceInterval, control.mEntrySilence / kAnnouncesInSilence);
   }
-  control.mLease.mLease = aSettings.mProtocol.mLease;
+  control.mLease.mLease =
+    std::min(aSettings.mProtocol.mLease,
+             aSettings.mProtocol.mResubmit * kLeasePercent / kPercent);
   control.mQueuePerTarget = aSettings.mLimits.mQueuePerTarget;
   control.mMaxTargets = aSettings.mLimits.mMaxTargets;
   control.mMaxResultBytes = aSettings.mLimits.mResultBytes;
--- a/src/libgooseberry/agent/admission.cpp
+++ b/src/libgooseberry/agent/admission.cpp
@@ -215,6 +215,10 @@
     return Refused(verdict);
   }
   const auto& target = aControl.mTargets.at(aStart.mTarget);
+  if (target.mLeased &&
+      !lease::MayStart(*target.mLeased, aBatch.mAgentStamp, aNow)) {
+    return Refused(start_verdict::Stale);
+  }
   if (HasRoom(target, aStart, aBatch.mEntryAddress, aNow)) {
     return { admission_action::Start, start_verdict::Accepted };
   }
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -68,6 +68,15 @@
          aNow - *aTarget.mReportAskedAt < aTarget.mSettings.mLease;
 }
 
+bool
+MayStart(const leased_target& aTarget,
+         core::instant aWantedAt,
+         core::instant aNow)
+{
+  const auto granted = aTarget.mLeaseUntil - ClockAt(aTarget, aNow);
+  return aNow + granted <= aWantedAt + aTarget.mSettings.mRunHold;
+}
+
 void
 OnRegistration(leased_target& aTarget,
                const registration& aRegistration,
--- a/src/libgooseberry/lease/leased_target.h
+++ b/src/libgooseberry/lease/leased_target.h
@@ -119,6 +119,15 @@
 bool
 IsReady(const leased_target& aTarget, core::instant aNow);
 
+/**
+ * Whether a run that its entry is known to have wanted at this time may start:
+ * not where the lease that the target has been granted outlasts the run's hold.
+ */
+bool
+MayStart(const leased_target& aTarget,
+         core::instant aWantedAt,
+         core::instant aNow);
+
 /**
  * The target registers or renews its registration. One of another life may be
  * late or by another hand: what runs is over only once the target says so.
--- a/src/libgooseberry/lease/settings.h
+++ b/src/libgooseberry/lease/settings.h
@@ -9,8 +9,11 @@
 /** Bounds of the leases under which a target runs tasks. */
 struct lease_settings
 {
-  /** Longest lease that a target grants; it ends what runs when that lapses. */
-  core::duration mLease = 1s;
+  /**
+   * Longest lease that is asked for; the target ends what runs when it lapses.
+   * The shorter, the older the word of an entry may be for which a run starts.
+   */
+  core::duration mLease = 754ms;
   /** A renewal is answered after this time where no task has ended. */
   core::duration mRenewWait = 100ms;
   /** Not answered for longer than its wait and this, a renewal is taken for
