TWICE: the end of a run for another entry is not that of this one's

What callers saw: nothing yet. A job's first entry is killed; its agents stop what ran and keep the ends for it. The caller sends the job to a second entry, which places some tasks at one of these agents; the ends of all others then go to it too, and a task that runs elsewhere is started again beside its run.

Cause: results were matched by the number of the try, and each entry begins with the first one.

Evidence: by review, and the test: without the check the task is retried.

Why this works: under leases a result counts only where it comes from the agent process that the task is placed at.

Test: a_result_of_another_agent_is_not_that_of_the_run.

--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -55,9 +55,8 @@
             core::instant aNow)
 {
   const auto view = aControl.mMembers.mAgents.find(aTask.mAgent.mName);
-  return view == aControl.mMembers.mAgents.end()
-           ? core::duration::zero()
-           : aNow - view->second.mHeardAt;
+  return view == aControl.mMembers.mAgents.end() ? core::duration::zero()
+                                                 : aNow - view->second.mHeardAt;
 }
 
 /** Makes a task wait again after a start that is over, for a new one. */
@@ -139,13 +138,21 @@
   CompleteJob(aControl, aJob, aNow, aEffects);
 }
 
-/** Whether the result is about what the task is doing now. */
+/**
+ * Whether the result is about what the task is doing now. Under leases, each
+ * entry that gets a job begins with the first try: a result of a run for
+ * another one is told apart by the agent that it comes from.
+ */
 bool
-IsCurrent(const job::task& aTask, const core::task_result& aResult)
+IsCurrent(const entry_control& aControl,
+          const job::task& aTask,
+          const core::task_result& aResult,
+          const core::peer_ref& aAgent)
 {
   const bool open = aTask.mState == job::task_state::Sent ||
                     aTask.mState == job::task_state::Running;
-  if (!open || aTask.mTry != aResult.mTry) {
+  if (!open || aTask.mTry != aResult.mTry ||
+      (aControl.mOptions.mLeasedRuns && aTask.mAgent != aAgent)) {
     return false;
   }
   return aResult.mEnd != core::task_end::Returned ||
@@ -155,6 +162,7 @@
 void
 TakeResult(entry_control& aControl,
            const core::task_result& aResult,
+           const core::peer_ref& aAgent,
            core::instant aNow,
            effects& aEffects)
 {
@@ -166,7 +174,8 @@
   }
   if (found == nullptr || found->mPhase != job::phase::Running ||
       aResult.mTask.mIndex >= found->mTasks.size() ||
-      !IsCurrent(found->mTasks[aResult.mTask.mIndex], aResult)) {
+      !IsCurrent(
+        aControl, found->mTasks[aResult.mTask.mIndex], aResult, aAgent)) {
     ++aControl.mCounters.mRepeatedFinishes;
     return;
   }
@@ -246,7 +255,7 @@
         result.mEnd == core::task_end::Failed) {
       Learn(aControl, result, aNow);
     }
-    TakeResult(aControl, result, aNow, aEffects);
+    TakeResult(aControl, result, aBatch.mState.mAgent, aNow, aEffects);
   }
   Dispatch(aControl, aNow, aEffects);
   return MakeReply(aControl, aBatch.mState, aNow);
@@ -271,12 +280,8 @@
       continue;
     }
     if (aControl.mOptions.mLeasedRuns) {
-      StartAgain(aControl,
-                 *found,
-                 ref.mIndex,
-                 retry_reason::AgentLost,
-                 aNow,
-                 aEffects);
+      StartAgain(
+        aControl, *found, ref.mIndex, retry_reason::AgentLost, aNow, aEffects);
       continue;
     }
     if (found->mTasks[ref.mIndex].mState != job::task_state::Running) {
--- a/tests/libgooseberry/test_entry_resubmission.cpp
+++ b/tests/libgooseberry/test_entry_resubmission.cpp
@@ -136,4 +136,26 @@
   BOOST_TEST(cancels() == 2);
 }
 
+// TWICE: the end of a run for another entry was taken for that of this one's.
+BOOST_AUTO_TEST_CASE(a_result_of_another_agent_is_not_that_of_the_run)
+{
+  Submit(1, "job");
+  core::finish_batch batch;
+  batch.mState = mAgent;
+  batch.mState.mAgent = { "v", 1 };
+  batch.mState.mAddress = "v:1";
+  batch.mState.mTargets.clear();
+  core::task_result lost;
+  lost.mTask = { "job", 0 };
+  lost.mTry = 1;
+  lost.mEnd = core::task_end::Lost;
+  batch.mResults = { lost };
+  const auto retries = mControl.mCounters.mRetries;
+  entry::OnFinish(mControl, batch, mNow, mEffects);
+  BOOST_TEST(mControl.mCounters.mRetries == retries);
+  batch.mState = mAgent;
+  entry::OnFinish(mControl, batch, mNow, mEffects);
+  BOOST_TEST(mControl.mCounters.mRetries == retries + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
