TWICE: after a standstill an entry first sees which callers have left

What callers saw: nothing yet. An entry is frozen while a job waits; its caller leaves and sends the job to another entry. On waking an agent's message is handled before the end of the connection, and the job's tasks are started beside their other runs until the cancellation arrives.

Cause: nothing orders what came in during the standstill, and the check before a job is handed in does not cover one that waits.

Why this works: a gap of 300 ms between two looks at the ready queue, which each tick of 20 ms takes, is a standstill; nothing is placed for the next 60 ms, in which all connections that were closed meanwhile are told.

Test: after_a_standstill_callers_that_left_are_seen_first.

--- a/src/libgooseberry/entry/dispatch.cpp
+++ b/src/libgooseberry/entry/dispatch.cpp
@@ -3,6 +3,7 @@
 #include "libgooseberry/entry/internal.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gooseberry::entry {
 
@@ -302,12 +303,33 @@
         { "waited_ms", core::FormatMilliseconds(aNow - aJob.mArrived) } });
 }
 
+/**
+ * Whether tasks may be placed. After a standstill of the process they wait for
+ * a moment: its connections tell which callers have left, and may have handed
+ * their jobs in elsewhere.
+ */
+bool
+MayDispatch(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  constexpr core::duration kStandstill = std::chrono::milliseconds(300);
+  constexpr core::duration kLookAround = std::chrono::milliseconds(60);
+  const core::instant last = std::exchange(aControl.mLastDispatch, aNow);
+  if (last != core::instant{} && aNow - last > kStandstill) {
+    aControl.mDispatchFrom = aNow + kLookAround;
+    Log(aEffects,
+        "stood_still",
+        { { "ms", core::FormatMilliseconds(aNow - last) } });
+  }
+  return aNow >= aControl.mDispatchFrom && IsFresh(aControl, aNow);
+}
+
 } // namespace
 
 void
 Dispatch(entry_control& aControl, core::instant aNow, effects& aEffects)
 {
-  if (aControl.mReady.mServices.empty() || !IsFresh(aControl, aNow)) {
+  if (!MayDispatch(aControl, aNow, aEffects) ||
+      aControl.mReady.mServices.empty()) {
     return;
   }
   for (const std::string& late : job::DemoteLate(
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -139,6 +139,10 @@
   std::map<core::peer_ref, std::vector<core::locate_request>> mLocateOutbox;
   std::map<std::string, std::vector<core::job_answer>> mDeliverOutbox;
   std::set<core::peer_ref> mEndedRuns; ///< Agents' runs known to be over.
+  /** Of the latest tick or input that looked for tasks to place. */
+  core::instant mLastDispatch{};
+  /** After a standstill: callers that left meanwhile are seen first. */
+  core::instant mDispatchFrom{};
   bool mMembersReading = false;
   bool mMembersWanted = false; ///< Again, as soon as the present read ends.
   bool mStoreRead = false;     ///< The configuration row was read once.
--- a/tests/libgooseberry/test_entry_resubmission.cpp
+++ b/tests/libgooseberry/test_entry_resubmission.cpp
@@ -136,6 +136,29 @@
   BOOST_TEST(cancels() == 2);
 }
 
+// TWICE: an entry that had stood still started a job whose caller had sent it
+// elsewhere since, before it saw that the caller had left.
+BOOST_AUTO_TEST_CASE(after_a_standstill_callers_that_left_are_seen_first)
+{
+  auto submission = entry::test::MakeSubmission("job", 4s);
+  submission.mTasks.assign(8, submission.mTasks.front());
+  entry::OnSubmit(mControl, 1, std::move(submission), mNow, mEffects);
+  BOOST_REQUIRE(!job::Find(mControl.mLedger, "job")->mWaiting.empty());
+  mNow += 400ms;
+  mAgent.mTargets.push_back(mAgent.mTargets.front());
+  mAgent.mTargets.back().mName = "u";
+  mEffects.clear();
+  Announce();
+  mNow += 20ms;
+  entry::OnCallerLeft(mControl, 1, "job", mNow, mEffects);
+  Pass(200ms);
+  BOOST_TEST(
+    std::none_of(mEffects.begin(), mEffects.end(), [](const auto& aEffect) {
+      return std::holds_alternative<entry::send_start>(aEffect);
+    }));
+  Submit(2, "next");
+}
+
 // TWICE: the end of a run for another entry was taken for that of this one's.
 BOOST_AUTO_TEST_CASE(a_result_of_another_agent_is_not_that_of_the_run)
 {
