json: read numbers within a range, or name the field

NumberField, FractionField and TextField convert nothing: a value that is missing, of another type, fractional or outside the range throws with the field's name.

--- a/src/libgooseberryio/json.cpp
+++ b/src/libgooseberryio/json.cpp
@@ -1,6 +1,6 @@
 #include "libgooseberryio/json.h"
 
-#include <optional>
+#include <cmath>
 
 namespace gooseberry::io {
 namespace {
@@ -32,6 +32,32 @@
   return std::nullopt;
 }
 
+[[noreturn]] void
+Refuse(const char* aName, const std::string& aExpected)
+{
+  constexpr int kOutOfRange = 401; // As the library numbers it.
+  throw nlohmann::json::out_of_range::create(
+    kOutOfRange, std::string(aName) + ": expected " + aExpected, nullptr);
+}
+
+/** Throws where `aObject` is none. */
+const nlohmann::json*
+FindField(const nlohmann::json& aObject, const char* aName)
+{
+  if (!aObject.is_object()) {
+    Refuse(aName, "an object that has it");
+  }
+  const auto found = aObject.find(aName);
+  return found == aObject.end() ? nullptr : &*found;
+}
+
+std::string
+ToString(const number_range& aRange)
+{
+  return "a whole number from " + std::to_string(aRange.mMin) + " to " +
+         std::to_string(aRange.mMax);
+}
+
 } // namespace
 
 std::variant<nlohmann::json, json_error>
@@ -51,4 +77,89 @@
   }
 }
 
+std::optional<std::uint64_t>
+ToNumber(const nlohmann::json& aValue, const number_range& aRange)
+{
+  std::uint64_t number = 0;
+  if (aValue.is_number_unsigned()) {
+    number = aValue.get<std::uint64_t>();
+  } else if (aValue.is_number_integer()) {
+    const auto asSigned = aValue.get<std::int64_t>();
+    if (asSigned < 0) {
+      return std::nullopt;
+    }
+    number = static_cast<std::uint64_t>(asSigned);
+  } else if (aValue.is_number_float()) {
+    // 8.0 is a whole number as well; only such as doubles hold are converted.
+    const auto fraction = aValue.get<double>();
+    if (!(fraction >= 0 && fraction <= static_cast<double>(kMaxExactNumber)) ||
+        std::trunc(fraction) != fraction) {
+      return std::nullopt;
+    }
+    number = static_cast<std::uint64_t>(fraction);
+  } else {
+    return std::nullopt;
+  }
+  return number >= aRange.mMin && number <= aRange.mMax ? std::optional(number)
+                                                        : std::nullopt;
+}
+
+std::uint64_t
+NumberField(const nlohmann::json& aObject,
+            const char* aName,
+            const number_range& aRange)
+{
+  const auto* const field = FindField(aObject, aName);
+  const auto number =
+    field == nullptr ? std::nullopt : ToNumber(*field, aRange);
+  if (!number) {
+    Refuse(aName, ToString(aRange));
+  }
+  return *number;
+}
+
+std::uint64_t
+NumberField(const nlohmann::json& aObject,
+            const char* aName,
+            const number_range& aRange,
+            std::uint64_t aDefault)
+{
+  return FindField(aObject, aName) == nullptr
+           ? aDefault
+           : NumberField(aObject, aName, aRange);
+}
+
+double
+FractionField(const nlohmann::json& aObject,
+              const char* aName,
+              const fraction_range& aRange,
+              double aDefault)
+{
+  const auto* const field = FindField(aObject, aName);
+  if (field == nullptr) {
+    return aDefault;
+  }
+  const double number = field->is_number() ? field->get<double>() : NAN;
+  if (!(number >= aRange.mMin && number <= aRange.mMax)) {
+    Refuse(aName,
+           "a number from " + std::to_string(aRange.mMin) + " to " +
+             std::to_string(aRange.mMax));
+  }
+  return number;
+}
+
+std::string
+TextField(const nlohmann::json& aObject,
+          const char* aName,
+          std::size_t aMaxBytes)
+{
+  const auto* const field = FindField(aObject, aName);
+  if (field == nullptr || !field->is_string() ||
+      field->get_ref<const std::string&>().empty() ||
+      field->get_ref<const std::string&>().size() > aMaxBytes) {
+    Refuse(aName, "a text of 1 to " + std::to_string(aMaxBytes) + " bytes");
+  }
+  return field->get<std::string>();
+}
+
 } // namespace gooseberry::io
