Operators' rows: numbers and names that the product cannot hold

An operator could see a whole configuration refused by the entries with a message about the product's own format (priority -1 became, and 999999 was beyond its bounds as well), or a number other than the one written (attempts taken as 1). slackFactor 1e300 went into lround, which is undefined there. A path with a line break wrote keys of its own into the product's text of the configuration.

What is beyond any route makes the configuration unreadable, with the field's name; what is only beyond the product's bounds is cut to them, so that one route cannot cost all. One unreadable route does cost the configuration: the store takes valid ones only, and a part of it would answer 404 for routes in force.

--- a/tests/platform/test_operator_rows.cpp
+++ b/tests/platform/test_operator_rows.cpp
@@ -1,6 +1,7 @@
 #include "platform/operator_rows.h"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace gooseberry;
 
@@ -16,6 +17,31 @@
 
 const platform::domain_names kDomains{ { "north", "south" }, "region" };
 
+using nlohmann::json;
+
+/** The configuration with a field of its first route changed. */
+std::string
+WithRoute(const char* aField, const json& aValue)
+{
+  json configuration = json::parse(kConfiguration);
+  configuration["routes"][0][aField] = aValue;
+  return configuration.dump();
+}
+
+core::result<configuration::desired_state>
+Read(const std::string& aText)
+{
+  return platform::ToDesiredState({ { "config", aText } }, kDomains);
+}
+
+configuration::queue
+FirstQueue(const std::string& aText)
+{
+  const auto read = Read(aText);
+  BOOST_REQUIRE(std::holds_alternative<configuration::desired_state>(read));
+  return std::get<configuration::desired_state>(read).mQueues.at("r-1");
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(operator_rows)
@@ -78,4 +104,105 @@
     platform::ToDesiredState({}, kDomains)));
 }
 
+BOOST_AUTO_TEST_CASE(numbers_out_of_range_are_errors)
+{
+  for (const char* const field : { "priority",
+                                   "attempts",
+                                   "timeoutMs",
+                                   "targetLatencyMs",
+                                   "slackFactor" }) {
+    for (const json& value : { json(-1),
+                               json(1e300),
+                               json(-1e300),
+                               json(~0ULL),
+                               json(4'294'967'297ULL),
+                               json("1"),
+                               json(true),
+                               json(nullptr),
+                               json::array({ 1 }) }) {
+      BOOST_TEST_CONTEXT(field << ": " << value.dump())
+      {
+        const auto read = Read(WithRoute(field, value));
+        const auto* error = std::get_if<core::error>(&read);
+        BOOST_REQUIRE(error != nullptr);
+        BOOST_TEST(error->mReason.find(field) != std::string::npos);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(numbers_beyond_the_products_bounds_are_cut_to_them)
+{
+  BOOST_TEST(FirstQueue(WithRoute("priority", 5'000)).mPriority == 1'000U);
+  BOOST_TEST(FirstQueue(WithRoute("attempts", 0)).mMaxTries == 1U);
+  BOOST_TEST(FirstQueue(WithRoute("attempts", 40)).mMaxTries == 10U);
+  BOOST_TEST((FirstQueue(WithRoute("timeoutMs", 3'600'000)).mTimeout ==
+              std::chrono::minutes(10)));
+  BOOST_TEST((FirstQueue(WithRoute("timeoutMs", 0)).mTimeout ==
+              std::chrono::milliseconds(1)));
+  BOOST_TEST(FirstQueue(WithRoute("slackFactor", 1e5)).mSlackPercent ==
+             100'000U);
+  BOOST_TEST(FirstQueue(WithRoute("slackFactor", 0)).mSlackPercent == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(names_and_paths_that_the_product_cannot_hold_are_errors)
+{
+  for (const char* const field : { "name", "host", "service", "pathPrefix" }) {
+    for (const json& value : { json(""),
+                               json(7),
+                               json("a b"),
+                               json("/a\nslack_percent = 1\n/"),
+                               json(std::string(201, '/')) }) {
+      BOOST_TEST_CONTEXT(field << ": " << value.dump())
+      {
+        BOOST_TEST(
+          std::holds_alternative<core::error>(Read(WithRoute(field, value))));
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(what_is_taken_is_read_back_by_the_product)
+{
+  for (const char* const field : { "priority",
+                                   "attempts",
+                                   "timeoutMs",
+                                   "targetLatencyMs",
+                                   "slackFactor" }) {
+    for (const json& value : { json(0), json(1), json(999'999), json(7.0) }) {
+      BOOST_TEST_CONTEXT(field << ": " << value.dump())
+      {
+        const auto read = Read(WithRoute(field, value));
+        BOOST_REQUIRE(
+          std::holds_alternative<configuration::desired_state>(read));
+        const auto& state = std::get<configuration::desired_state>(read);
+        const auto again =
+          configuration::Parse(configuration::Format(state), "test");
+        BOOST_REQUIRE(
+          std::holds_alternative<configuration::desired_state>(again));
+        BOOST_TEST((std::get<configuration::desired_state>(again) == state));
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(odd_rows_beside_the_configuration_do_not_cost_it)
+{
+  const auto read =
+    platform::ToDesiredState({ { "", "" },
+                               { "\xff", "\xff" },
+                               { "evacuate/", "" },
+                               { "evacuate/nowhere", "[]" },
+                               { "config2", "[" },
+                               { "config/", "{}" },
+                               { "config", kConfiguration },
+                               { "zzz", std::string(100'000, '[') } },
+                             kDomains);
+  BOOST_REQUIRE(std::holds_alternative<configuration::desired_state>(read));
+  const auto& state = std::get<configuration::desired_state>(read);
+  BOOST_TEST(state.mQueues.size() == 2U);
+  BOOST_TEST(configuration::IsDomainIn(state, "north"));
+  BOOST_TEST(configuration::IsDomainIn(state, "south"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
