--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -78,6 +78,13 @@
   mTables[aTable][aKey] = { platform::EncodeBase64(aText), ++mVersion };
 }
 
+void
+store_standin::Say(std::deque<std::string> aBodies)
+{
+  const std::lock_guard lock(mMutex);
+  mBodies = std::move(aBodies);
+}
+
 std::size_t
 store_standin::Calls() const
 {
@@ -100,6 +107,13 @@
     if (fault == store_fault::Unavailable || fault == store_fault::TooMany) {
       return Status(fault == store_fault::TooMany ? 429 : 503);
     }
+    if (!mBodies.empty()) {
+      response.mBody = mBodies.front();
+      if (mBodies.size() > 1) {
+        mBodies.pop_front();
+      }
+      return response;
+    }
     response = aIsRead ? Read(aRequest) : Write(aRequest);
   }
   if (fault == store_fault::Unreadable) {
--- a/tests/platform/store_standin.h
+++ b/tests/platform/store_standin.h
@@ -41,6 +41,9 @@
            const std::string& aKey,
            const std::string& aText);
 
+  /** The next calls are answered with these bodies, the last one for ever. */
+  void Say(std::deque<std::string> aBodies);
+
   std::size_t Calls() const;
 
 private:
@@ -59,6 +62,7 @@
   std::uint64_t mVersion = 0;
   std::size_t mCalls = 0;
   std::deque<store_fault> mFaults;
+  std::deque<std::string> mBodies;
   io::http_server mServer;
 };
 
