Jobs: numbers that cannot be true are refused with 400

A caller that asked for count got a job of one task, and cpu -1 asked for thousandths of a core; estimateMs 1e300 was undefined. Cause: value() of the JSON library converts without a check.

--- a/tests/platform/test_job_body.cpp
+++ b/tests/platform/test_job_body.cpp
@@ -77,6 +77,50 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(numbers_that_cannot_be_true_are_refused)
+{
+  for (const char* const field :
+       { "count", "cpu", "memMb", "gpus", "estimateMs" }) {
+    for (const char* const number : { "-1",
+                                      "1e300",
+                                      "-1e300",
+                                      "4294967297",
+                                      "18446744073709551615",
+                                      "18446744073709551616",
+                                      "true",
+                                      "null",
+                                      "\"1\"",
+                                      "[1]" }) {
+      BOOST_TEST_CONTEXT(field << ": " << number)
+      {
+        const std::string rest =
+          std::string(field) == "count" ? "" : R"("count":1,)";
+        BOOST_TEST(IsMalformed(R"({"spec":"","bestEffort":true,"steps":[{)" +
+                               rest + '"' + field + "\":" + number + "}]}"));
+      }
+    }
+  }
+  for (const char* const number : { "-1", "1e300", "\"1\"", "4294967296.5" }) {
+    BOOST_TEST_CONTEXT(number)
+    {
+      BOOST_TEST(IsMalformed(
+        R"({"spec":"","bestEffort":true,"steps":[{"count":1}],"repeatCount":)" +
+        std::string(number) + "}"));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_rough_estimate_need_not_be_whole)
+{
+  const auto parsed =
+    platform::ParseJob(kName,
+                       R"({"spec":"","bestEffort":true,"steps":[)"
+                       R"({"count":1,"cpu":500.0,"estimateMs":903.7}]})");
+  const auto& task = Taken(parsed).mTasks.front();
+  BOOST_TEST((task.mDeclared == std::chrono::milliseconds(903)));
+  BOOST_TEST(task.mNeeds.mCpu == 500U);
+}
+
 BOOST_AUTO_TEST_CASE(the_callers_own_deadline_goes_before_the_queues)
 {
   configuration::named_queue queue{ "q", {} };
