Callers' deadlines: one beyond all times is that of the queue

A caller whose deadline header said more than 292,000 years in milliseconds got 504 at once: the time in microseconds overflowed to the past.

--- a/tests/platform/test_caller_front.cpp
+++ b/tests/platform/test_caller_front.cpp
@@ -75,7 +75,8 @@
   /** The status of a POST; 0 without an answer. */
   unsigned Post(const std::string& aPath,
                 const std::string& aBody,
-                core::duration aDeadline = 5s)
+                core::duration aDeadline = 5s,
+                const std::string& aCallerDeadline = {})
   {
     io::http_client client;
     io::http_call call;
@@ -83,6 +84,9 @@
     call.mUrl = "http://127.0.0.1:" + std::to_string(mServer.Port()) + aPath;
     call.mBody = aBody;
     call.mDeadline = aDeadline;
+    if (!aCallerDeadline.empty()) {
+      call.mHeaders["Gooseberrywing-Deadline-Ms"] = aCallerDeadline;
+    }
     const auto result = client.Send(call);
     const auto* reply = std::get_if<io::http_reply>(&result);
     return reply == nullptr ? 0 : reply->mStatus;
@@ -179,6 +183,25 @@
   BOOST_TEST((io::Now() - left < 1s));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_deadline_beyond_all_times_is_that_of_the_queue,
+                        front_fixture)
+{
+  Configure();
+  for (const char* const deadline : { "9223372036854775807",
+                                      "9223372036854776",
+                                      "99999999999999999999",
+                                      "-5",
+                                      "1e9",
+                                      "5x" }) {
+    BOOST_TEST_CONTEXT(deadline)
+    {
+      const unsigned none = 0; // The job waits for a target.
+      BOOST_TEST(Post("/q/" + std::string(kJob), kBody, 100ms, deadline) ==
+                 none);
+    }
+  }
+}
+
 // TWICE: an entry that had stood still took up what its caller had sent
 // elsewhere since.
 BOOST_FIXTURE_TEST_CASE(a_job_whose_caller_has_left_before_is_not_taken_up,
