Members: rows of another writer are left out, and logged once

An odd row of the table of members was taken with what could be made of it: incarnation -1 as, 7x as 7, ports 0 and 65536, an address that is none, an empty name. Entries then called such addresses, counted such entries among the registered ones, and asked the table to delete the row under the key that its member would have, not the one that it has: it stayed. What could not be read at all gave a log line with each read.

Entry and agent read rows with the same function; it logs a row once for each version.

--- a/src/agent/member_table.cpp
+++ b/src/agent/member_table.cpp
@@ -18,21 +18,6 @@
   io::log_event("member_table", io::log_level::Warning).Add(aError);
 }
 
-std::vector<membership::member_row>
-Parse(const std::vector<io::table_row>& aRows)
-{
-  std::vector<membership::member_row> members;
-  for (const auto& row : aRows) {
-    auto member = io::ParseMember(row.mValue);
-    if (const auto* error = std::get_if<core::error>(&member)) {
-      LogFailure(*error);
-    } else {
-      members.push_back(std::get<membership::member_row>(std::move(member)));
-    }
-  }
-  return members;
-}
-
 } // namespace
 
 member_table::member_table(std::unique_ptr<io::table_store> aStore,
@@ -86,7 +71,8 @@
     if (const auto* error = std::get_if<core::error>(&rows)) {
       LogFailure(*error);
     } else {
-      mHandlers.mOnRows(Parse(std::get<std::vector<io::table_row>>(rows)));
+      mHandlers.mOnRows(io::ParseMembers(
+        std::get<std::vector<io::table_row>>(rows), mLoggedRows));
     }
   } else if (const auto* write = std::get_if<write_member>(&aRequest)) {
     const auto result = mStore->WriteRow(io::kMembersTable,
--- a/src/agent/member_table.h
+++ b/src/agent/member_table.h
@@ -2,6 +2,7 @@
 
 #include "libgooseberry/membership/members.h"
 #include "libgooseberryio/event_queue.h"
+#include "libgooseberryio/log_once.h"
 #include "libgooseberryio/platform_client.h"
 
 #include <functional>
@@ -50,6 +51,7 @@
   const std::unique_ptr<io::table_store> mStore;
   const member_handlers mHandlers;
   io::event_queue<member_request> mRequests;
+  io::log_once mLoggedRows;
   std::thread mThread;
 };
 
--- a/src/entry/effect_runner.h
+++ b/src/entry/effect_runner.h
@@ -4,6 +4,7 @@
 #include "entry/platform_worker.h"
 #include "entry/waiting_callers.h"
 #include "libgooseberry/entry/effects.h"
+#include "libgooseberryio/log_once.h"
 #include "libgooseberryio/peer_pool.h"
 
 #include <atomic>
@@ -56,6 +57,7 @@
   operator_waiters& mOperators;
   io::peer_pool<io::agent_client> mAgents;
   io::peer_pool<io::entry_client> mEntries;
+  io::log_once mLoggedRows; ///< Before the threads that use it.
   platform_worker mPlatform;
   std::atomic<bool> mDrained{ false };
 };
--- a/src/entry/platform_effects.cpp
+++ b/src/entry/platform_effects.cpp
@@ -8,24 +8,6 @@
 
 namespace {
 
-/** The rows that can be read; others are logged and left out. */
-std::vector<membership::member_row>
-ParseRows(const std::vector<io::table_row>& aRows)
-{
-  std::vector<membership::member_row> members;
-  for (const io::table_row& row : aRows) {
-    const auto parsed = io::ParseMember(row.mValue);
-    if (const auto* error = std::get_if<core::error>(&parsed)) {
-      io::log_event("member_unreadable", io::log_level::Warning)
-        .Add("key", row.mKey)
-        .Add(*error);
-      continue;
-    }
-    members.push_back(std::get<membership::member_row>(parsed));
-  }
-  return members;
-}
-
 /** A stored configuration, with the table's version of its row. */
 core::result<entry::configuration_row>
 ToConfiguration(const io::table_row& aRow)
@@ -91,7 +73,7 @@
         Feed(failed);
         return;
       }
-      Feed([members = ParseRows(*rows),
+      Feed([members = io::ParseMembers(*rows, mLoggedRows),
             sentAt](auto& aControl, auto aNow, auto& aEffects) {
         entry::OnMembers(aControl, members, sentAt, aNow, aEffects);
       });
