Table service: an odd row of a list does not cost the others

A row without a key, or not written by this system, threw away the whole list that the product's own table service gave. Evidence: platform_row/odd_rows_of_a_list_do_not_cost_the_others failed before. Odd rows are left out and logged once each.

--- a/src/libgooseberryio/platform_row.cpp
+++ b/src/libgooseberryio/platform_row.cpp
@@ -1,10 +1,14 @@
 #include "libgooseberryio/platform_row.h"
 
 #include "libgooseberryio/json.h"
+#include "libgooseberryio/log.h"
+#include "libgooseberryio/log_once.h"
 
 namespace gooseberry::io {
 namespace {
 
+/** Of a row that is logged. */
+constexpr std::size_t kMaxLoggedBytes = 200;
 constexpr const char* kStep = "read reply of the table service";
 
 core::error
@@ -55,6 +59,17 @@
                      .mRequestId = request->get<std::string>() };
 }
 
+/** A row of a list, which carries its key. */
+core::result<stored_row>
+ReadListed(const nlohmann::json& aItem)
+{
+  const auto key = aItem.is_object() ? aItem.find("key") : aItem.end();
+  if (key == aItem.end() || !key->is_string()) {
+    return Malformed("rows", "expected a key in each row");
+  }
+  return ReadRow(key->get<std::string>(), aItem);
+}
+
 } // namespace
 
 core::result<std::string>
@@ -100,15 +115,20 @@
   if (rows == json.end() || !rows->is_array()) {
     return Malformed("rows", "expected a list of rows");
   }
+  // Odd rows come with each read: one line for each version is enough.
+  static log_once sLogged;
   std::vector<table_row> list;
   for (const auto& item : *rows) {
-    const auto key = item.is_object() ? item.find("key") : item.end();
-    if (key == item.end() || !key->is_string()) {
-      return Malformed("rows", "expected a key in each row");
-    }
-    auto row = ReadRow(key->get<std::string>(), item);
+    auto row = ReadListed(item);
     if (auto* const bad = std::get_if<core::error>(&row)) {
-      return std::move(*bad);
+      const auto text =
+        item.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+      if (sLogged.IsNew(text)) {
+        log_event("row_unreadable", log_level::Warning)
+          .Add("row", text.substr(0, kMaxLoggedBytes))
+          .Add(*bad);
+      }
+      continue;
     }
     list.push_back(std::move(std::get<stored_row>(row).mRow));
   }
--- a/src/libgooseberryio/platform_row.h
+++ b/src/libgooseberryio/platform_row.h
@@ -24,7 +24,7 @@
 core::result<stored_row>
 ParseRow(const std::string& aKey, std::string_view aBody);
 
-/** The rows of a table. */
+/** The rows of a table; odd ones are logged and left out. */
 core::result<std::vector<table_row>>
 ParseRows(std::string_view aBody);
 
