--- a/tests/platform/test_target_front.cpp
+++ b/tests/platform/test_target_front.cpp
@@ -1,5 +1,7 @@
 #include "platform/target_front.h"
 
+#include "libgooseberryio/http_client.h"
+
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
@@ -190,6 +192,52 @@
                                aOut);
 }
 
+/** The front of an agent, and the agent's state. */
+struct front
+{
+  agentd::control_thread mControl{ MakeAgent(), 1'024 };
+  io::http_server mServer{ { .mAddress = "127.0.0.1:0" } };
+
+  front()
+  {
+    mControl.Start(
+      [](agent::effect) { return std::optional<agentd::control_event>(); });
+    platform::RouteRegistrations(mServer, mControl, kLease);
+    BOOST_REQUIRE(!mServer.Start());
+  }
+
+  ~front()
+  {
+    mServer.Stop();
+    mControl.Stop();
+  }
+
+  /** The status of a call for a target; 0 without an answer. */
+  unsigned Send(const char* aMethod,
+                const std::string& aName,
+                const std::string& aBody)
+  {
+    io::http_client client;
+    io::http_call call;
+    call.mMethod = aMethod;
+    call.mUrl = "http://127.0.0.1:" + std::to_string(mServer.Port()) +
+                "/instances/" + aName;
+    call.mBody = aBody;
+    call.mDeadline = 10s;
+    const auto result = client.Send(call);
+    const auto* reply = std::get_if<io::http_reply>(&result);
+    return reply == nullptr ? 0 : reply->mStatus;
+  }
+
+  std::size_t Targets()
+  {
+    return mControl.Ask<std::size_t>(
+      [](agent::agent_control& aState, core::instant, agent::effects&) {
+        return aState.mTargets.size();
+      });
+  }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(target_front)
@@ -306,4 +354,25 @@
   BOOST_TEST(!platform::CheckService(control, notice("other")));
 }
 
+BOOST_FIXTURE_TEST_CASE(odd_calls_are_answered_and_change_nothing, front)
+{
+  BOOST_TEST(Send("PUT", kName, With("/seq", 1)) == 200U);
+  for (const std::string& body : OddBodies()) {
+    BOOST_TEST_CONTEXT(body.substr(0, 400))
+    {
+      BOOST_TEST(Send("PUT", kName, body) == 400U);
+    }
+  }
+  for (const char* const name :
+       { "", "%00", "%ff%fe", "a%0d%0ab", "%zz", "a%20b" }) {
+    BOOST_TEST_CONTEXT(name)
+    {
+      BOOST_TEST(Send("PUT", name, Body().dump()) == 400U);
+      BOOST_TEST(Send("DELETE", name, "") != 0U);
+    }
+  }
+  BOOST_TEST(Targets() == 1U);
+  BOOST_TEST(Send("PUT", kName, With("/seq", 2)) == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
