test_target_client: no renewal of the agent's own beside the test's

A tick of the control thread between a test's call and its answer would have made the call count as replaced (an unanswered renewal asked for before the latest is ignored): the test could have failed without a fault. What is checked is the same.

--- a/tests/platform/test_target_client.cpp
+++ b/tests/platform/test_target_client.cpp
@@ -149,6 +149,14 @@
     mTarget.Answer(200, aAnswer);
     const core::instant begin = io::Now();
     const auto failures = State().mFailures;
+    Ask<bool>([&](auto& aState, auto, auto&) {
+      auto& target = *aState.mTargets.at(kName).mLeased;
+      // The agent sends none meanwhile, for which this one would be lost.
+      target.mRenewing = true;
+      target.mRenewalSentAt = begin;
+      target.mNextRenewal = begin + 1h;
+      return true;
+    });
     mClient->Post(lease::renew_call{ Header(), 1'000ms, 0, 0ms });
     BOOST_TEST(Becomes([&](const lease::leased_target& aState) {
       return aState.mFailures > failures ||
