TWICE: a late message of an agent's process before is not a newer process

What callers saw: nothing yet. An entry that had not known an agent's process before took a late message of it for a replacement: it started again what ran under the present one and ignored that from then on.

Cause: incarnations have no order; each other one counted as newer.

Why this works: messages are stamped by the host's clock, which goes on over processes. One with an older stamp than that of a process that is being heard is of a process before; where none is heard any more the host may have started anew.

Test: a_late_message_of_an_agent_process_before_ends_nothing, fails without it.

--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -190,6 +190,25 @@
   return reply;
 }
 
+namespace {
+
+/**
+ * Whether a message is of a process of the agent before the one that is heard:
+ * the host's clock, which stamps them, goes on. One that is heard no more may
+ * have been of a host whose clock began anew since.
+ */
+bool
+IsOfEarlierProcess(const entry_control& aControl,
+                   const membership::agent_view& aView,
+                   const core::agent_state& aState,
+                   core::instant aNow)
+{
+  return aState.mStamp < aView.mState.mStamp &&
+         aNow - aView.mHeardAt <= aControl.mOptions.mAgentLost;
+}
+
+} // namespace
+
 void
 HearAgent(entry_control& aControl,
           const core::agent_state& aState,
@@ -202,6 +221,9 @@
   membership::agent_view& view = aControl.mMembers.mAgents[aState.mAgent.mName];
   const bool known = view.mState.mAgent.mIncarnation != 0;
   if (known && view.mState.mAgent != aState.mAgent) {
+    if (IsOfEarlierProcess(aControl, view, aState, aNow)) {
+      return;
+    }
     const core::peer_ref ended = view.mState.mAgent;
     view.mToldEntriesAt.reset();
     aControl.mEndedRuns.insert(ended);
--- a/tests/libgooseberry/test_entry_resubmission.cpp
+++ b/tests/libgooseberry/test_entry_resubmission.cpp
@@ -159,6 +159,20 @@
   Submit(2, "next");
 }
 
+// TWICE: a late message of an agent's process before made all its runs count as
+// over.
+BOOST_AUTO_TEST_CASE(a_late_message_of_an_agent_process_before_ends_nothing)
+{
+  Submit(1, "job");
+  core::agent_state before = mAgent;
+  before.mAgent.mIncarnation = 9;
+  before.mStamp = mAgent.mStamp - 1s;
+  entry::OnAnnounce(mControl, before, mNow, mEffects);
+  BOOST_TEST(mControl.mCounters.mRetries == 0U);
+  BOOST_TEST(
+    (mControl.mMembers.mAgents.at("w").mState.mAgent == mAgent.mAgent));
+}
+
 // TWICE: the end of a run for another entry was taken for that of this one's.
 BOOST_AUTO_TEST_CASE(a_result_of_another_agent_is_not_that_of_the_run)
 {
