TWICE: a late start does not take over the run of another entry

What callers saw: nothing yet. A start of an entry that had given a job up came after another entry had started the task there: it became the run's holder, and its replies kept the run alive for an entry that did not wait for it.

Cause: the record of the run was asked before the age of the start and before the cancellation of its job.

Why this works: under leases a start that is no copy of one decided before is refused as cancelled or stale before any history counts.

Test: a_late_start_does_not_take_over_another_entrys_run, fails without it.

--- a/src/libgooseberry/agent/admission.cpp
+++ b/src/libgooseberry/agent/admission.cpp
@@ -185,6 +185,40 @@
   return used;
 }
 
+/** Whether a copy of this very placement was decided before. */
+bool
+IsDecided(const agent_control& aControl, const core::task_start& aStart)
+{
+  if (FindRefusal(aControl.mBook, KeyOf(aStart))) {
+    return true;
+  }
+  const auto* record = FindTask(aControl.mBook, aStart.mTask);
+  return record != nullptr && record->mBallot == aStart.mBallot &&
+         record->mStarted.mResult.mTry == aStart.mTry &&
+         record->mStarted.mResult.mPlacement == aStart.mPlacement;
+}
+
+/** The verdict on a start under leases that comes too late, if it does. */
+std::optional<start_verdict>
+DecideLate(const agent_control& aControl,
+           const core::start_batch& aBatch,
+           const core::task_start& aStart,
+           core::instant aNow)
+{
+  const auto& settings = aControl.mSettings;
+  if (!settings.mLeasedRuns || IsDecided(aControl, aStart)) {
+    return std::nullopt;
+  }
+  if (IsCancelled(aControl, aBatch, aStart)) {
+    return start_verdict::Cancelled;
+  }
+  const auto oldest =
+    std::min(settings.mFreshnessBound, settings.mEntrySilence);
+  return IsStampFresh(aBatch.mAgentStamp, aNow, oldest)
+           ? std::nullopt
+           : std::optional(start_verdict::Stale);
+}
+
 admission
 Decide(const agent_control& aControl,
        const core::start_batch& aBatch,
@@ -195,19 +229,17 @@
   if (aBatch.mAgentIncarnation != settings.mAgent.mIncarnation) {
     return Refused(start_verdict::WrongIncarnation);
   }
+  // Before the history: a late start must not take a job over.
+  if (const auto late = DecideLate(aControl, aBatch, aStart, aNow)) {
+    return Refused(*late);
+  }
   if (const auto byHistory = DecideByHistory(aControl, aStart); byHistory) {
     return *byHistory;
   }
-  if (IsCancelled(aControl, aBatch, aStart)) {
-    return Refused(start_verdict::Cancelled);
-  }
   if (aControl.mJoin.mPhase != join_phase::Open) {
     return Refused(start_verdict::NotOpen);
   }
-  const auto oldest = settings.mLeasedRuns ? std::min(settings.mFreshnessBound,
-                                                      settings.mEntrySilence)
-                                           : settings.mFreshnessBound;
-  if (!IsStampFresh(aBatch.mAgentStamp, aNow, oldest)) {
+  if (!IsStampFresh(aBatch.mAgentStamp, aNow, settings.mFreshnessBound)) {
     return Refused(start_verdict::Stale);
   }
   if (const auto verdict = CheckStart(aControl, aStart, aNow);
--- a/tests/libgooseberry/test_agent_leased.cpp
+++ b/tests/libgooseberry/test_agent_leased.cpp
@@ -232,6 +232,20 @@
   BOOST_TEST(StopsWithin(15ms) == 1U);
 }
 
+// TWICE: a late start of an entry that had given the job up took over the run
+// of the entry that had it since.
+BOOST_AUTO_TEST_CASE(a_late_start_does_not_take_over_another_entrys_run)
+{
+  Start("a", 2, kSecondEntry);
+  BOOST_TEST(
+    (Start("a", 1, kFirstEntry, 1'420ms) == core::start_verdict::Stale));
+  agent::OnCancel(
+    mControl, { { "e", 1 }, { "a" }, kFirstEntry }, mNow, mEffects);
+  BOOST_TEST(
+    (Start("a", 1, kFirstEntry, 1ms) == core::start_verdict::Cancelled));
+  BOOST_TEST(mControl.mBook.mJobs.at("a").mHolder.mAddress == kSecondEntry);
+}
+
 BOOST_AUTO_TEST_CASE(another_entry_may_start_a_task_again_once_it_is_over)
 {
   Start("a", 9, kFirstEntry);
@@ -311,7 +325,7 @@
   BOOST_TEST(mControl.mTargets.contains("t-1"));
   agent::OnRenewalFailed(mControl,
                          "t-1",
-                         lease::renewal_failure::NotSent,
+                         lease::renewal_failure::Refused,
                          std::nullopt,
                          mNow,
                          mNow,
@@ -338,7 +352,7 @@
   Register(false, 1'000'000);
   agent::OnRenewalFailed(mControl,
                          "t-1",
-                         lease::renewal_failure::NotSent,
+                         lease::renewal_failure::Refused,
                          std::nullopt,
                          mNow,
                          mNow,
