TWICE: what a refused connection, a fence and a registration prove of a target

What callers saw: nothing yet. Three ways in which runs counted as over, or a target as free, without proof: - a renewal that made no connection in time (a full accept queue) was taken for one that was refused: all runs counted as over while they went on; - an agent that was fenced by another raised its token and started tasks at once, not knowing what ran by the other's; reports asked for before the token was chosen counted as if the target had seen it; - a registration under the target's own name and life, or without a life, led renewals to another address, where nobody answered.

Why this works: only ECONNREFUSED counts as refused. A new token makes the target unknown until a report that was asked for with it. Another address is believed as another life is: once the target cannot be reached at the one before.

Tests, all fail without: a_connection_that_is_not_made_in_time_is_not_refused, a_fenced_agent_starts_nothing_before_it_knows_what_runs, a_report_asked_for_without_the_token_proves_nothing, a_registration_does_not_lead_calls_elsewhere.

--- a/src/libgooseberry/lease/call.h
+++ b/src/libgooseberry/lease/call.h
@@ -68,7 +68,7 @@
   Invalid,     ///< The target does not understand it.
   Unhealthy,   ///< The target takes nothing now.
   OtherTarget, ///< Another target answers at this address.
-  NotSent,     ///< The connection was refused.
+  NotSent,     ///< No connection was made: it never left.
   NoAnswer,    ///< It may still be carried out.
 };
 inline constexpr core::enum_names<start_answer, 10> kStartAnswerNames{
@@ -115,11 +115,11 @@
 {
   Fenced,
   OtherTarget,
-  NotSent,
-  NoAnswer,
+  Refused,  ///< Nobody listens there: no process of the target is left.
+  NoAnswer, ///< Also where no connection was made in time.
 };
 inline constexpr core::enum_names<renewal_failure, 4> kRenewalFailureNames{
-  { "fenced", "other_target", "not_sent", "no_answer" }
+  { "fenced", "other_target", "refused", "no_answer" }
 };
 
 } // namespace gooseberry::lease
--- a/src/libgooseberry/lease/internal.h
+++ b/src/libgooseberry/lease/internal.h
@@ -64,9 +64,10 @@
 
 /**
  * The target's clock rises for as long as the target lives, so a token taken
- * from it outranks those of all earlier agents without anything stored.
+ * from it outranks those of all earlier agents without anything stored. What
+ * runs by another's token is known from a report that was asked for with it.
  */
 void
-RaiseToken(leased_target& aTarget, target_time aClock);
+RaiseToken(leased_target& aTarget, target_time aClock, core::instant aNow);
 
 } // namespace gooseberry::lease
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -85,9 +85,11 @@
 {
   const bool isSameLife =
     aRegistration.mLife == 0 || aRegistration.mLife == aTarget.mLife;
-  if (isSameLife && aTarget.mName == aRegistration.mName) {
-    aTarget.mAddress = aRegistration.mAddress;
-  } else if (aTarget.mRuns.empty()) {
+  if (isSameLife && aTarget.mName == aRegistration.mName &&
+      aTarget.mAddress == aRegistration.mAddress) {
+    return;
+  }
+  if (aTarget.mRuns.empty()) {
     Succeed(aTarget, aRegistration, aNow, aOut);
   } else {
     aTarget.mSuccessor = { aRegistration, aNow };
@@ -148,7 +150,7 @@
   run* const started = FindRun(aTarget, aCall.mTask, aCall.mRun);
   if (aAnswer == start_answer::Fenced && aClock &&
       IsOfThisLife(aTarget, aCall.mHeader)) {
-    RaiseToken(aTarget, *aClock);
+    RaiseToken(aTarget, *aClock, aNow);
   }
   if (started == nullptr || !IsOfThisLife(aTarget, aCall.mHeader)) {
     return;
@@ -229,9 +231,9 @@
   }
   if (aFailure == renewal_failure::Fenced && aClock) {
     ReadClock(aTarget, *aClock, aAskedAt, aNow);
-    RaiseToken(aTarget, *aClock);
+    RaiseToken(aTarget, *aClock, aNow);
     aTarget.mNextRenewal = aNow;
-  } else if (aFailure == renewal_failure::NotSent ||
+  } else if (aFailure == renewal_failure::Refused ||
              aFailure == renewal_failure::OtherTarget) {
     // No process of that life listens any more, so nothing of it runs.
     aTarget.mClean = false;
--- a/src/libgooseberry/lease/leased_target.h
+++ b/src/libgooseberry/lease/leased_target.h
@@ -102,6 +102,7 @@
   core::instant mLifeSince{}; ///< Answers to earlier calls are of another life.
   std::optional<successor> mSuccessor;
   std::uint64_t mFencingToken = 0; ///< Zero: not chosen yet.
+  core::instant mTokenSince{};     ///< Reports asked for since then have it.
   std::optional<clock_reading> mClock;
   target_time mLeaseUntil{}; ///< The latest that any call has asked for.
   std::uint64_t mLastEnd = 0;
--- a/src/libgooseberry/lease/report.cpp
+++ b/src/libgooseberry/lease/report.cpp
@@ -39,10 +39,11 @@
 void
 TakeRunning(leased_target& aTarget,
             const std::vector<listed_run>& aRunning,
+            core::instant aAskedAt,
             core::instant aNow,
             effects& aOut)
 {
-  aTarget.mClean = true;
+  aTarget.mClean = aAskedAt >= aTarget.mTokenSince;
   for (const listed_run& listed : aRunning) {
     run* const known = FindRun(aTarget, listed.mTask, listed.mRun);
     if (known == nullptr) {
@@ -153,14 +154,14 @@
   if (aTarget.mFencingToken == 0) {
     // Until the target has seen the token, it may still take starts of an
     // earlier agent.
-    RaiseToken(aTarget, aReport.mClock);
+    RaiseToken(aTarget, aReport.mClock, aNow);
     return;
   }
   // An earlier call may be answered after a later one.
   aTarget.mReportAskedAt =
     std::max(aTarget.mReportAskedAt.value_or(aAskedAt), aAskedAt);
   TakeEnds(aTarget, aReport.mEnded, aNow, aOut);
-  TakeRunning(aTarget, aReport.mRunning, aNow, aOut);
+  TakeRunning(aTarget, aReport.mRunning, aAskedAt, aNow, aOut);
   SettleMissing(aTarget, aReport, aAskedAt, aNow, aOut);
 }
 
--- a/src/libgooseberry/lease/run_end.cpp
+++ b/src/libgooseberry/lease/run_end.cpp
@@ -121,10 +121,12 @@
 }
 
 void
-RaiseToken(leased_target& aTarget, target_time aClock)
+RaiseToken(leased_target& aTarget, target_time aClock, core::instant aNow)
 {
   aTarget.mFencingToken =
     std::max<std::uint64_t>(aTarget.mFencingToken + 1, aClock.count());
+  aTarget.mTokenSince = aNow;
+  aTarget.mClean = false;
 }
 
 } // namespace gooseberry::lease
--- a/src/libgooseberryio/http_client.cpp
+++ b/src/libgooseberryio/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <cerrno>
 #include <curl/curl.h>
 #include <stdexcept>
 #include <string_view>
@@ -98,6 +99,15 @@
   return ++state->mSendings > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
+/** Whether the other end said that nobody listens there. */
+bool
+IsRefused(CURL* aCurl, CURLcode aStatus)
+{
+  long reason = 0;
+  curl_easy_getinfo(aCurl, CURLINFO_OS_ERRNO, &reason);
+  return aStatus == CURLE_COULDNT_CONNECT && reason == ECONNREFUSED;
+}
+
 long
 Milliseconds(core::duration aDuration)
 {
@@ -168,7 +178,8 @@
     return call_error{ .mError = { .mStep = aCall.mMethod,
                                    .mPeer = aCall.mUrl,
                                    .mReason = curl_easy_strerror(status) },
-                       .mDelivered = state.mSendings > 0 };
+                       .mDelivered = state.mSendings > 0,
+                       .mRefused = IsRefused(curl, status) };
   }
   long code = 0;
   curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &code);
--- a/src/libgooseberryio/peer_client.h
+++ b/src/libgooseberryio/peer_client.h
@@ -19,6 +19,8 @@
    * else the peer may have acted on the call.
    */
   bool mDelivered = true;
+  /** The other end said that nobody listens at its address. */
+  bool mRefused = false;
 };
 
 /** The reply to a call, or why there is none. */
--- a/tests/libgooseberry/test_lease.cpp
+++ b/tests/libgooseberry/test_lease.cpp
@@ -257,6 +257,51 @@
   BOOST_TEST(lease::IsReady(mTarget, mNow));
 }
 
+// TWICE: the same under the target's own name and life, at another address.
+BOOST_AUTO_TEST_CASE(a_registration_does_not_lead_calls_elsewhere)
+{
+  Answer(Start(), lease::start_answer::Accepted);
+  Pass(1ms);
+  lease::OnRegistration(
+    mTarget, { "t-1", "127.0.0.1:2", 0, 2 }, mNow, mEffects);
+  mEffects.clear();
+  Pass(0ms);
+  BOOST_TEST(Last<lease::renew_call>().mHeader.mAddress == "127.0.0.1:1");
+}
+
+// TWICE: an agent that stood still while another took its place accepted a
+// start, with a token raised above the other's.
+BOOST_AUTO_TEST_CASE(a_fenced_agent_starts_nothing_before_it_knows_what_runs)
+{
+  lease::OnRenewalFailed(mTarget,
+                         lease::renewal_failure::Fenced,
+                         Clock() + 500ms,
+                         mNow,
+                         mNow,
+                         mEffects);
+  BOOST_TEST(!lease::IsReady(mTarget, mNow));
+  mNow += 1ms;
+  Report({ { { "other", 0 }, 1 } });
+  BOOST_TEST(!lease::IsReady(mTarget, mNow));
+  BOOST_TEST(Last<lease::stop_call>().mTask.mJob == "other");
+  Report({});
+  BOOST_TEST(lease::IsReady(mTarget, mNow));
+}
+
+BOOST_AUTO_TEST_CASE(a_report_asked_for_without_the_token_proves_nothing)
+{
+  lease::leased_target fresh;
+  lease::effects effects;
+  lease::OnRegistration(fresh, { "t-1", "127.0.0.1:1", 7, 2 }, mNow, effects);
+  const core::instant asked = mNow;
+  mNow += 5ms;
+  lease::OnReport(fresh, { Clock(), 7, {}, {} }, asked, mNow, effects);
+  lease::OnReport(fresh, { Clock(), 7, {}, {} }, asked, mNow, effects);
+  BOOST_TEST(!lease::IsReady(fresh, mNow));
+  lease::OnReport(fresh, { Clock(), 7, {}, {} }, mNow, mNow, effects);
+  BOOST_TEST(lease::IsReady(fresh, mNow));
+}
+
 BOOST_AUTO_TEST_CASE(a_life_that_nobody_answers_for_is_over_with_its_lease)
 {
   Answer(Start(), lease::start_answer::Accepted);
@@ -281,7 +326,7 @@
   Answer(Start(), lease::start_answer::Accepted);
   lease::OnReport(mTarget, { 9'000ms, 7, {}, {} }, asked, mNow, mEffects);
   lease::OnRenewalFailed(mTarget,
-                         lease::renewal_failure::NotSent,
+                         lease::renewal_failure::Refused,
                          std::nullopt,
                          asked,
                          mNow,
--- a/tests/libgooseberryio/test_http.cpp
+++ b/tests/libgooseberryio/test_http.cpp
@@ -6,9 +6,13 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <array>
 #include <future>
+#include <netinet/in.h>
 #include <stdexcept>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace gooseberry;
 using namespace std::chrono_literals;
@@ -150,6 +154,42 @@
   BOOST_TEST(!std::get<io::call_error>(late).mDelivered);
 }
 
+// TWICE: a target that took no connections in time counted as gone.
+BOOST_AUTO_TEST_CASE(a_connection_that_is_not_made_in_time_is_not_refused)
+{
+  const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in address{};
+  socklen_t length = sizeof address;
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  auto* const any = reinterpret_cast<sockaddr*>(&address); // NOLINT
+  BOOST_REQUIRE(bind(listener, any, length) == 0);
+  BOOST_REQUIRE(getsockname(listener, any, &length) == 0);
+  BOOST_REQUIRE(listen(listener, 0) == 0);
+  std::array<int, 3> waiting{}; // More than may wait to be accepted.
+  for (int& connection : waiting) {
+    connection = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    static_cast<void>(connect(connection, any, length));
+  }
+  io::http_client client;
+  io::http_call call;
+  call.mMethod = "POST";
+  call.mUrl =
+    "http://127.0.0.1:" + std::to_string(ntohs(address.sin_port)) + "/hold";
+  call.mConnectDeadline = 100ms;
+  const auto full = client.Send(call);
+  for (const int connection : waiting) {
+    close(connection);
+  }
+  close(listener);
+  BOOST_REQUIRE(std::holds_alternative<io::call_error>(full));
+  BOOST_TEST(!std::get<io::call_error>(full).mDelivered);
+  BOOST_TEST(!std::get<io::call_error>(full).mRefused);
+  const auto gone = client.Send(call);
+  BOOST_REQUIRE(std::holds_alternative<io::call_error>(gone));
+  BOOST_TEST(std::get<io::call_error>(gone).mRefused);
+}
+
 BOOST_AUTO_TEST_CASE(slow_and_malformed_requests_end)
 {
   const test_server server(
