A simulated world of entries, agents and targets under leases

The same functions as in the programs, in virtual time and from one seed. Connections lose messages of one direction or hold them up, processes are frozen, slow, killed and started anew, targets crash or leave calls unanswered, callers leave and send their jobs again 1300 ms later. Checked at each step: TWICE, REFUSED, LIMIT, and that a job answered complete has an end of each task.

--- /dev/null
+++ b/tests/libgooseberry/leased_world.cpp
@@ -0,0 +1,293 @@
+#include "leased_world.h"
+
+#include <algorithm>
+
+/** Events, processes and their start and end. */
+namespace gooseberry::leased_world {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration kTick = 10ms;
+constexpr std::uint64_t kMillisecond = 1'000;
+
+entry::entry_options
+EntryOptions(const std::string& aName)
+{
+  entry::entry_options options;
+  options.mName = aName;
+  options.mAddress = "entry:" + aName;
+  options.mFailureDomain = "d";
+  options.mWindow = 5s;
+  options.mFreshnessBound = 1s;
+  options.mAgentLost = 1300ms;
+  options.mMembersPeriod = 2s;
+  options.mLeasedRuns = true;
+  options.mOrder.mPolicy = job::order_policy::Objective;
+  options.mPlacement.mPrefetch = 0;
+  options.mPlacement.mAffinitySeed = std::hash<std::string>{}(aName);
+  return options;
+}
+
+agent::control_settings
+AgentSettings(const std::string& aName, std::uint64_t aIncarnation)
+{
+  agent::control_settings settings;
+  settings.mAgent = { aName, aIncarnation };
+  settings.mAddress = "agent:" + aName;
+  settings.mFailureDomain = "d";
+  settings.mFreshnessBound = 700ms;
+  settings.mDeduplicationWindow = 5s;
+  settings.mQueuePerTarget = 0;
+  settings.mAnnounceInterval = 300ms;
+  settings.mLeasedRuns = true;
+  settings.mEntrySilence = 910ms;
+  settings.mLease.mLease = 1s;
+  settings.mLease.mRunHold = 1196ms;
+  return settings;
+}
+
+} // namespace
+
+world::world(const options& aOptions)
+  : mOptions(aOptions)
+  , mRandom(aOptions.mSeed)
+  , mEntries(aOptions.mEntries)
+  , mAgents(aOptions.mAgents)
+  , mTargets(aOptions.mAgents)
+  , mTargetFaults(aOptions.mAgents)
+  , mWatchedAt(aOptions.mAgents)
+{
+  for (std::size_t i = 0; i < mEntries.size(); ++i) {
+    mEntries[i].mIndex = i;
+    mEntries[i].mName = "e" + std::to_string(i);
+    StartEntry(i);
+  }
+  for (std::size_t i = 0; i < mAgents.size(); ++i) {
+    mAgents[i].mRole = role::Agent;
+    mAgents[i].mIndex = i;
+    mAgents[i].mName = "a" + std::to_string(i);
+    mTargets[i].mName = "t" + std::to_string(i);
+    StartAgent(i);
+    StartTarget(i);
+  }
+  RunFor(3s);
+}
+
+void
+world::At(instant aWhen, action aAction)
+{
+  mEvents.push(
+    { aWhen, mOrder++, std::make_shared<action>(std::move(aAction)) });
+}
+
+void
+world::RunFor(duration aTime)
+{
+  const instant end = mNow + aTime;
+  while (mBroken.empty() && !mEvents.empty() && mEvents.top().mAt <= end) {
+    const timed next = mEvents.top();
+    mEvents.pop();
+    mNow = std::max(mNow, next.mAt);
+    (*next.mAction)();
+  }
+  mNow = mBroken.empty() ? end : mNow;
+}
+
+std::uint64_t
+world::Draw(std::uint64_t aFirst, std::uint64_t aLast)
+{
+  // The same on each platform, unlike the library's distributions.
+  return aFirst + mRandom() % (aLast - aFirst + 1);
+}
+
+duration
+world::Milliseconds(std::uint64_t aFirst, std::uint64_t aLast)
+{
+  return duration(Draw(aFirst * kMillisecond, aLast * kMillisecond));
+}
+
+bool
+world::Chance(double aProbability)
+{
+  constexpr std::uint64_t kParts = 1'000'000;
+  return static_cast<double>(Draw(0, kParts - 1)) <
+         aProbability * static_cast<double>(kParts);
+}
+
+void
+world::Arrive(process& aTo, std::uint64_t aIncarnation, const action& aAction)
+{
+  if (aTo.mSlowUntil <= mNow) {
+    return Deliver(aTo, aIncarnation, aAction);
+  }
+  const duration delay(
+    Draw(0, static_cast<std::uint64_t>(aTo.mSlowBy.count())));
+  At(mNow + delay, [this, &aTo, aIncarnation, aAction] {
+    Deliver(aTo, aIncarnation, aAction);
+  });
+}
+
+void
+world::Deliver(process& aTo, std::uint64_t aIncarnation, const action& aAction)
+{
+  if (!aTo.mAlive || aTo.mIncarnation != aIncarnation) {
+    return;
+  }
+  if (aTo.mFrozenUntil <= mNow) {
+    return aAction();
+  }
+  // Several threads read what has come meanwhile.
+  const auto woken = aTo.mFrozenUntil + duration(Draw(0, 3 * kMillisecond));
+  At(woken, [this, &aTo, aIncarnation, aAction] {
+    Deliver(aTo, aIncarnation, aAction);
+  });
+}
+
+void
+world::WithEntry(entry_process& aEntry, const entry_step& aStep)
+{
+  entry::effects effects;
+  aStep(effects);
+  for (const entry::effect& effect : effects) {
+    std::visit([&](const auto& aEffect) { Do(aEntry, aEffect); }, effect);
+  }
+}
+
+void
+world::WithAgent(agent_process& aAgent, const agent_step& aStep)
+{
+  agent::effects effects;
+  aStep(effects);
+  for (const agent::effect& effect : effects) {
+    std::visit([&](const auto& aEffect) { Do(aAgent, aEffect); }, effect);
+  }
+}
+
+void
+world::StartEntry(std::size_t aIndex)
+{
+  entry_process& started = mEntries[aIndex];
+  started.mAlive = true;
+  started.mIncarnation = mRandom() >> 1U;
+  started.mStartedAt = mNow;
+  started.mFrozenUntil = {};
+  WithEntry(started, [&](entry::effects& aEffects) {
+    started.mControl = std::make_unique<entry::entry_control>(
+      entry::MakeEntry(EntryOptions(started.mName),
+                       started.mIncarnation,
+                       mRandom(),
+                       mNow,
+                       aEffects));
+  });
+  TickEntry(started, started.mIncarnation);
+}
+
+void
+world::StartAgent(std::size_t aIndex)
+{
+  agent_process& started = mAgents[aIndex];
+  started.mAlive = true;
+  started.mIncarnation = mRandom() >> 1U;
+  started.mStartedAt = mNow;
+  started.mFrozenUntil = {};
+  started.mWaitingCalls.clear();
+  started.mCallsUnderWay = 0;
+  started.mControl = std::make_unique<agent::agent_control>(
+    agent::MakeControl(AgentSettings(started.mName, started.mIncarnation)));
+  TickAgent(started, started.mIncarnation);
+}
+
+void
+world::TickEntry(entry_process& aEntry, std::uint64_t aIncarnation)
+{
+  At(mNow + kTick, [this, &aEntry, aIncarnation] {
+    Deliver(aEntry, aIncarnation, [this, &aEntry, aIncarnation] {
+      WithEntry(aEntry, [&](entry::effects& aEffects) {
+        entry::Tick(*aEntry.mControl, mNow, aEffects);
+      });
+      TickEntry(aEntry, aIncarnation);
+    });
+  });
+}
+
+void
+world::TickAgent(agent_process& aAgent, std::uint64_t aIncarnation)
+{
+  At(mNow + kTick, [this, &aAgent, aIncarnation] {
+    Deliver(aAgent, aIncarnation, [this, &aAgent, aIncarnation] {
+      WithAgent(aAgent, [&](agent::effects& aEffects) {
+        agent::Tick(*aAgent.mControl, mNow, aEffects);
+      });
+      TickAgent(aAgent, aIncarnation);
+    });
+  });
+}
+
+void
+world::Freeze(process& aProcess, duration aTime)
+{
+  NoteFault(aProcess.mName + " is frozen for " +
+            std::to_string(aTime.count() / kMillisecond) + " ms");
+  aProcess.mFrozenUntil = std::max(aProcess.mFrozenUntil, mNow + aTime);
+}
+
+void
+world::Slow(process& aProcess, duration aBy, duration aTime)
+{
+  NoteFault(aProcess.mName + " is slow by " +
+            std::to_string(aBy.count() / kMillisecond) + " ms for " +
+            std::to_string(aTime.count() / kMillisecond) + " ms");
+  aProcess.mSlowBy = aBy;
+  aProcess.mSlowUntil = mNow + aTime;
+}
+
+void
+world::KillEntry(std::size_t aIndex, duration aDownFor)
+{
+  if (!std::exchange(mEntries[aIndex].mAlive, false)) {
+    return;
+  }
+  NoteFault(mEntries[aIndex].mName + " is killed");
+  BreakConnections(aIndex);
+  At(mNow + aDownFor, [this, aIndex] {
+    NoteFault(mEntries[aIndex].mName + " is started again");
+    StartEntry(aIndex);
+  });
+}
+
+void
+world::KillAgent(std::size_t aIndex, duration aDownFor)
+{
+  if (!std::exchange(mAgents[aIndex].mAlive, false)) {
+    return;
+  }
+  NoteFault(mAgents[aIndex].mName + " is killed");
+  At(mNow + aDownFor, [this, aIndex] {
+    NoteFault(mAgents[aIndex].mName + " is started again");
+    StartAgent(aIndex);
+  });
+}
+
+entry_process*
+world::EntryAt(const std::string& aAddress)
+{
+  const auto found = std::find_if(
+    mEntries.begin(), mEntries.end(), [&](const entry_process& aEntry) {
+      return aAddress == "entry:" + aEntry.mName;
+    });
+  return found == mEntries.end() ? nullptr : &*found;
+}
+
+agent_process*
+world::AgentAt(const std::string& aAddress)
+{
+  const auto found = std::find_if(
+    mAgents.begin(), mAgents.end(), [&](const agent_process& aAgent) {
+      return aAddress == "agent:" + aAgent.mName;
+    });
+  return found == mAgents.end() ? nullptr : &*found;
+}
+
+} // namespace gooseberry::leased_world
--- /dev/null
+++ b/tests/libgooseberry/leased_world_callers.cpp
@@ -0,0 +1,348 @@
+#include "leased_world.h"
+#include "libgooseberry/core/decimal.h"
+
+#include <algorithm>
+#include <sstream>
+
+/** Callers, and the checks on what they and targets see. */
+namespace gooseberry::leased_world {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration kSentAgainAfter = 1300ms;
+constexpr std::uint32_t kMostSendings = 4;
+constexpr std::uint32_t kStatusUnprocessable = 422;
+constexpr std::uint32_t kStatusDeadline = 504;
+constexpr std::uint32_t kCpu = 1'000; ///< Of a task; a target has four times.
+constexpr std::size_t kMostRuns = 4;
+
+} // namespace
+
+std::string
+world::Submit(std::size_t aEntry,
+              std::vector<duration> aRunTimes,
+              duration aDeadline,
+              std::optional<duration> aLeavesAfter)
+{
+  const std::string key = "j" + std::to_string(mJobs.size());
+  job_story& story = mJobs[key];
+  story.mRunTimes = std::move(aRunTimes);
+  job::submission& submission = story.mSubmission;
+  submission.mKey = key;
+  submission.mService = "plans";
+  submission.mTeam = "q";
+  submission.mAttempt = job::kAttemptUnknown;
+  submission.mIdempotent = true;
+  submission.mMaxTries = 3;
+  submission.mDeadline = aDeadline;
+  submission.mObjective = { 150, 800ms };
+  submission.mContentHash = mJobs.size();
+  for (const duration time : story.mRunTimes) {
+    submission.mTasks.push_back({ "q", time, "", { kCpu, 64, 0 } });
+  }
+  Send(key, aEntry, aLeavesAfter);
+  return key;
+}
+
+void
+world::SubmitUntil(instant aEnd, duration aMeanGap)
+{
+  if (mNow >= aEnd) {
+    return;
+  }
+  std::vector<duration> runTimes;
+  const auto count = Draw(1, 8);
+  for (std::uint64_t i = 0; i < count; ++i) {
+    runTimes.push_back(Chance(0.03) ? 4s : Milliseconds(60, 900));
+  }
+  duration deadline = 1500ms;
+  if (Chance(0.25)) {
+    deadline = Milliseconds(1'500, 20'000);
+  }
+  std::optional<duration> leavesAfter;
+  if (Chance(0.15)) {
+    leavesAfter = Milliseconds(5, 1'500);
+  }
+  const auto entry = Draw(0, mEntries.size() - 1);
+  if (mEntries[entry].mAlive) {
+    Submit(entry, std::move(runTimes), deadline, leavesAfter);
+  }
+  const auto mean = static_cast<std::uint64_t>(aMeanGap.count());
+  At(mNow + duration(Draw(0, 2 * mean)),
+     [this, aEnd, aMeanGap] { SubmitUntil(aEnd, aMeanGap); });
+}
+
+const job_story&
+world::Job(const std::string& aKey) const
+{
+  return mJobs.at(aKey);
+}
+
+void
+world::Send(const std::string& aKey,
+            std::size_t aEntry,
+            std::optional<duration> aLeavesAfter)
+{
+  entry_process& entry = mEntries[aEntry];
+  const auto token = mNextToken++;
+  mRequests[token] = { token, aKey, aEntry, entry.mIncarnation, false };
+  job_story& story = mJobs.at(aKey);
+  ++story.mTimesSent;
+  Note(aKey, "is sent to " + entry.mName);
+  At(mNow + Latency(), [this, &entry, token, run = entry.mIncarnation] {
+    Arrive(entry, run, [this, &entry, token] { TakeRequest(entry, token); });
+  });
+  const duration patience =
+    aLeavesAfter.value_or(story.mSubmission.mDeadline + Milliseconds(0, 150));
+  At(mNow + patience, [this, token] { Leave(token); });
+}
+
+void
+world::TakeRequest(entry_process& aEntry, std::uint64_t aToken)
+{
+  const auto found = mRequests.find(aToken);
+  if (found == mRequests.end()) {
+    return; // Its caller has gone: the front does not hand it in.
+  }
+  found->second.mIsTaken = true;
+  const job::submission submission = mJobs.at(found->second.mKey).mSubmission;
+  Note(submission.mKey, "is read by " + aEntry.mName);
+  WithEntry(aEntry, [&](entry::effects& aEffects) {
+    entry::OnSubmit(*aEntry.mControl, aToken, submission, mNow, aEffects);
+  });
+}
+
+void
+world::Leave(std::uint64_t aToken)
+{
+  const auto found = mRequests.find(aToken);
+  if (found == mRequests.end()) {
+    return;
+  }
+  const request left = found->second;
+  mRequests.erase(found);
+  Note(left.mKey, "its caller leaves " + mEntries[left.mEntry].mName);
+  if (left.mIsTaken) {
+    entry_process& entry = mEntries[left.mEntry];
+    At(mNow + Latency(), [this, &entry, left] {
+      Arrive(entry, left.mIncarnation, [this, &entry, left] {
+        WithEntry(entry, [&](entry::effects& aEffects) {
+          entry::OnCallerLeft(
+            *entry.mControl, left.mToken, left.mKey, mNow, aEffects);
+        });
+      });
+    });
+  }
+  At(mNow + kSentAgainAfter, [this, key = left.mKey] { SendAgain(key); });
+}
+
+void
+world::SendAgain(const std::string& aKey)
+{
+  if (mJobs.at(aKey).mTimesSent >= kMostSendings) {
+    return;
+  }
+  std::vector<std::size_t> alive;
+  for (const entry_process& entry : mEntries) {
+    if (entry.mAlive) {
+      alive.push_back(entry.mIndex);
+    }
+  }
+  if (alive.empty()) {
+    At(mNow + 100ms, [this, aKey] { SendAgain(aKey); });
+    return;
+  }
+  ++mTally.mSentAgain;
+  std::optional<duration> leavesAfter;
+  if (Chance(0.1)) {
+    leavesAfter = Milliseconds(5, 1'500);
+  }
+  Send(aKey, alive[Draw(0, alive.size() - 1)], leavesAfter);
+}
+
+void
+world::BreakConnections(std::size_t aEntry)
+{
+  for (const auto& [token, request] : mRequests) {
+    if (request.mEntry == aEntry &&
+        request.mIncarnation == mEntries[aEntry].mIncarnation) {
+      At(mNow + Latency(), [this, token] { Leave(token); });
+    }
+  }
+}
+
+void
+world::Do(entry_process& aFrom, const entry::answer_caller& aEffect)
+{
+  Note(aEffect.mAnswer.mJob,
+       aFrom.mName + " answers " +
+         std::string(core::kJobOutcomeNames.NameOf(aEffect.mAnswer.mOutcome)) +
+         " " + std::to_string(aEffect.mAnswer.mStatus) + " " +
+         aEffect.mAnswer.mReason);
+  At(mNow + Latency(), [this, aEffect] {
+    const auto found = mRequests.find(aEffect.mToken);
+    if (found != mRequests.end()) {
+      const request answered = found->second;
+      mRequests.erase(found);
+      TakeAnswer(answered, aEffect.mAnswer);
+    }
+  });
+}
+
+void
+world::TakeAnswer(const request& aRequest, const core::job_answer& aAnswer)
+{
+  const std::string key = aRequest.mKey;
+  job_story& story = mJobs.at(key);
+  if (aAnswer.mOutcome == core::job_outcome::Complete) {
+    ++mTally.mComplete;
+    story.mIsComplete = true;
+    if (story.mDone.size() != story.mRunTimes.size()) {
+      Break("COMPLETE before each task has ended", key);
+    }
+  } else if (aAnswer.mOutcome == core::job_outcome::NotRun ||
+             aAnswer.mStatus == kStatusUnprocessable) {
+    ++mTally.mRefused;
+    ++story.mTimesRefused;
+    CheckRefused(key);
+  } else if (aAnswer.mStatus == kStatusDeadline) {
+    At(mNow + kSentAgainAfter, [this, key] { SendAgain(key); });
+  }
+}
+
+void
+world::CheckRefused(const std::string& aKey)
+{
+  const job_story& story = mJobs.at(aKey);
+  if (story.mRuns > 0 && story.mTimesSent == story.mTimesRefused) {
+    Break("REFUSED: a job that was answered not run has a run", aKey);
+  }
+}
+
+void
+world::TakeChanges(std::size_t aIndex, const std::vector<run_change>& aChanges)
+{
+  const std::string& name = mTargets[aIndex].mName;
+  for (const run_change& change : aChanges) {
+    const std::string& key = change.mTask.mJob;
+    Note(key,
+         name + (change.mIsStart ? " starts" : " ends") + " task " +
+           std::to_string(change.mTask.mIndex) + " run " +
+           std::to_string(change.mRun) + " " + change.mHow);
+    auto& active = mActive[change.mTask];
+    if (change.mIsStart) {
+      active.insert(aIndex);
+      CheckStart(aIndex, change);
+      continue;
+    }
+    active.erase(active.find(aIndex));
+    mTally.mStopped += change.mHow == "stopped" ? 1 : 0;
+    mTally.mLapsed += change.mHow == "lapsed" ? 1 : 0;
+    if (change.mHow == "done") {
+      mJobs.at(key).mDone.insert(change.mTask.mIndex);
+    }
+  }
+}
+
+void
+world::CheckStart(std::size_t aTarget, const run_change& aChange)
+{
+  const std::string& key = aChange.mTask.mJob;
+  ++mTally.mRuns;
+  ++mJobs.at(key).mRuns;
+  if (mActive[aChange.mTask].size() > 1) {
+    Break("TWICE: task " + std::to_string(aChange.mTask.mIndex), key);
+  }
+  if (mTargets[aTarget].mRuns.size() > kMostRuns) {
+    Break("LIMIT: " + mTargets[aTarget].mName + " has no room", key);
+  }
+  CheckRefused(key);
+}
+
+std::vector<std::size_t>
+world::Running(const std::string& aKey) const
+{
+  std::vector<std::size_t> found;
+  for (const auto& [task, targets] : mActive) {
+    if (task.mJob == aKey) {
+      found.insert(found.end(), targets.begin(), targets.end());
+    }
+  }
+  return found;
+}
+
+std::string
+world::Stamp() const
+{
+  return core::FormatMilliseconds(mNow - kStart);
+}
+
+void
+world::Note(const std::string& aKey, const std::string& aText)
+{
+  mJobs.at(aKey).mHistory.push_back(Stamp() + ' ' + aText);
+}
+
+void
+world::NoteFault(const std::string& aText)
+{
+  mFaultNotes.push_back(Stamp() + ' ' + aText);
+}
+
+void
+world::Do(entry_process& aFrom, const entry::log_line& aEffect)
+{
+  std::string text = aFrom.mName + " " + aEffect.mEvent;
+  std::string job;
+  for (const entry::log_field& field : aEffect.mFields) {
+    job = field.mKey == "job" ? field.mValue : job;
+    text += " " + field.mKey + "=" + field.mValue;
+  }
+  if (mJobs.contains(job)) {
+    Note(job, text);
+  }
+}
+
+void
+world::Do(agent_process& aFrom, const agent::log_event& aEffect)
+{
+  if (aEffect.mEvent == agent::agent_event::TargetChanged) {
+    NoteFault(aFrom.mName + " sees " + aEffect.mPeer + ": " + aEffect.mDetail);
+  }
+  if (!mJobs.contains(aEffect.mTask.mJob)) {
+    return;
+  }
+  Note(aEffect.mTask.mJob,
+       aFrom.mName + " " +
+         std::string(agent::kAgentEventNames.NameOf(aEffect.mEvent)) +
+         " task=" + std::to_string(aEffect.mTask.mIndex) +
+         " try=" + std::to_string(aEffect.mTry) + " verdict=" +
+         std::string(core::kStartVerdictNames.NameOf(aEffect.mVerdict)) +
+         " end=" + std::string(core::kTaskEndNames.NameOf(aEffect.mEnd)) +
+         " peer=" + aEffect.mPeer +
+         " evidence_age_ms=" + core::FormatMilliseconds(aEffect.mEvidenceAge) +
+         " " + aEffect.mDetail);
+}
+
+void
+world::Break(const std::string& aWhat, const std::string& aKey)
+{
+  if (!mBroken.empty()) {
+    return;
+  }
+  std::ostringstream text;
+  text << "seed " << mOptions.mSeed << ": " << aWhat << " of " << aKey
+       << "\nfaults:\n";
+  for (const std::string& line : mFaultNotes) {
+    text << line << '\n';
+  }
+  text << "history:\n";
+  for (const std::string& line : mJobs.at(aKey).mHistory) {
+    text << line << '\n';
+  }
+  mBroken = text.str();
+}
+
+} // namespace gooseberry::leased_world
--- /dev/null
+++ b/tests/libgooseberry/leased_world_calls.cpp
@@ -0,0 +1,334 @@
+#include "leased_world.h"
+
+#include <algorithm>
+
+/** Calls between entries and agents, and to the store. */
+namespace gooseberry::leased_world {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration kCallDeadline = 300ms;
+/** Share of calls for which a connection is open when a cut begins. */
+constexpr double kConnected = 0.5;
+
+} // namespace
+
+const cut*
+world::FindCut(const process& aFrom, const process& aTo, lane aLane)
+{
+  std::erase_if(mCuts, [&](const cut& aCut) { return aCut.mUntil <= mNow; });
+  const auto found =
+    std::find_if(mCuts.begin(), mCuts.end(), [&](const cut& aCut) {
+      return (!aCut.mLane || *aCut.mLane == aLane) &&
+             aCut.mFromTo.contains({ aFrom.mName, aTo.mName });
+    });
+  return found == mCuts.end() ? nullptr : &*found;
+}
+
+bool
+world::MayConnect(const process& aFrom, const process& aTo, lane aLane)
+{
+  const cut* met = FindCut(aFrom, aTo, aLane);
+  met = met == nullptr ? FindCut(aTo, aFrom, aLane) : met;
+  // None is made while one direction is cut; there may be one from before.
+  return met == nullptr || (aFrom.mStartedAt < met->mFrom &&
+                            aTo.mStartedAt < met->mFrom && Chance(kConnected));
+}
+
+world::arrival
+world::Travel(const process& aFrom, const process& aTo, lane aLane)
+{
+  const cut* const met = FindCut(aFrom, aTo, aLane);
+  if (met == nullptr) {
+    return mNow + Latency();
+  }
+  return met->mIsHeld ? arrival(met->mUntil + Milliseconds(0, 250))
+                      : std::nullopt;
+}
+
+void
+world::Call(outgoing aCall)
+{
+  // A frozen process sends nothing, and a slow one late.
+  process& from = *aCall.mFrom;
+  const std::uint64_t sender = from.mIncarnation;
+  At(mNow + duration(Draw(20, 300)), [this, call = std::move(aCall), sender] {
+    Arrive(*call.mFrom, sender, [this, call] { Transmit(call); });
+  });
+}
+
+void
+world::Transmit(const outgoing& aCall)
+{
+  process& from = *aCall.mFrom;
+  process* const to = aCall.mTo;
+  const std::uint64_t sender = from.mIncarnation;
+  auto settled = std::make_shared<bool>(false);
+  const auto fail = [=, this, &from](duration aAfter, bool aDelivered) {
+    At(mNow + aAfter, [=, this, &from] {
+      Deliver(from, sender, [=] {
+        if (!std::exchange(*settled, true) && aCall.mFailed) {
+          aCall.mFailed(aDelivered);
+        }
+      });
+    });
+  };
+  if (to == nullptr || !to->mAlive) {
+    return fail(Latency(), false); // The connection is refused.
+  }
+  if (!MayConnect(from, *to, aCall.mLane)) {
+    return fail(kCallDeadline, false);
+  }
+  fail(kCallDeadline, true);
+  const auto arrivesAt = Travel(from, *to, aCall.mLane);
+  if (!arrivesAt) {
+    return;
+  }
+  const std::uint64_t receiver = to->mIncarnation;
+  const auto answer = [=, this, &from](const action& aReply) {
+    if (const auto repliedAt = Travel(*to, from, aCall.mLane)) {
+      At(*repliedAt, [=, this, &from] {
+        Arrive(from, sender, [=] {
+          if (!std::exchange(*settled, true)) {
+            aReply();
+          }
+        });
+      });
+    }
+  };
+  At(*arrivesAt,
+     [=, this] { Arrive(*to, receiver, [=] { answer(aCall.mServe()); }); });
+}
+
+void
+world::Do(entry_process& aFrom, const entry::send_start& aEffect)
+{
+  agent_process* const to = AgentAt(aEffect.mAddress);
+  Call({ &aFrom,
+         to,
+         lane::Start,
+         [this, to, &aFrom, aEffect]() -> action {
+           core::start_reply reply;
+           WithAgent(*to, [&](agent::effects& aEffects) {
+             reply =
+               agent::OnStart(*to->mControl, aEffect.mBatch, mNow, aEffects);
+           });
+           return [this, &aFrom, aEffect, reply] {
+             WithEntry(aFrom, [&](entry::effects& aEffects) {
+               entry::OnStartReply(
+                 *aFrom.mControl, aEffect.mCall, reply, mNow, aEffects);
+             });
+           };
+         },
+         [this, &aFrom, aEffect](bool aDelivered) {
+           WithEntry(aFrom, [&](entry::effects& aEffects) {
+             entry::OnStartFailed(
+               *aFrom.mControl, aEffect.mCall, aDelivered, mNow, aEffects);
+           });
+         } });
+}
+
+void
+world::Do(entry_process& aFrom, const entry::send_cancel& aEffect)
+{
+  agent_process* const to = AgentAt(aEffect.mAddress);
+  Call({ &aFrom,
+         to,
+         lane::Cancel,
+         [this, to, &aFrom, aEffect]() -> action {
+           WithAgent(*to, [&](agent::effects& aEffects) {
+             agent::OnCancel(*to->mControl, aEffect.mBatch, mNow, aEffects);
+           });
+           return [&aFrom, aEffect] {
+             entry::OnCancelAnswered(
+               *aFrom.mControl, aEffect.mAddress, aEffect.mBatch.mJobs);
+           };
+         },
+         [&aFrom, aEffect](bool) {
+           entry::OnCancelFailed(
+             *aFrom.mControl, aEffect.mAddress, aEffect.mBatch.mJobs);
+         } });
+}
+
+void
+world::Do(entry_process& aFrom, const entry::send_heartbeat& aEffect)
+{
+  entry_process* const to = EntryAt(aEffect.mAddress);
+  const instant sentAt = mNow;
+  Call({ &aFrom,
+         to,
+         lane::Other,
+         [this, to, &aFrom, aEffect, sentAt]() -> action {
+           core::heartbeat reply;
+           WithEntry(*to, [&](entry::effects& aEffects) {
+             reply =
+               entry::OnHeartbeat(*to->mControl, aEffect.mBeat, mNow, aEffects);
+           });
+           return [this, &aFrom, reply, sentAt] {
+             WithEntry(aFrom, [&](entry::effects& aEffects) {
+               entry::OnHeartbeatReply(
+                 *aFrom.mControl, reply, sentAt, mNow, aEffects);
+             });
+           };
+         },
+         {} });
+}
+
+void
+world::Do(agent_process& aFrom, const agent::send_finish& aEffect)
+{
+  entry_process* const to = EntryAt(aEffect.mEntryAddress);
+  const instant sentAt = mNow;
+  Call({ &aFrom,
+         to,
+         lane::Finish,
+         [this, to, &aFrom, aEffect, sentAt]() -> action {
+           core::entry_reply reply;
+           WithEntry(*to, [&](entry::effects& aEffects) {
+             reply =
+               entry::OnFinish(*to->mControl, aEffect.mFinish, mNow, aEffects);
+           });
+           return [this, &aFrom, aEffect, reply, sentAt] {
+             WithAgent(aFrom, [&](agent::effects& aEffects) {
+               agent::OnFinishAnswered(*aFrom.mControl,
+                                       aEffect.mId,
+                                       aEffect.mEntryAddress,
+                                       reply,
+                                       sentAt,
+                                       mNow,
+                                       aEffects);
+             });
+           };
+         },
+         [this, &aFrom, aEffect](bool) {
+           WithAgent(aFrom, [&](agent::effects& aEffects) {
+             agent::OnFinishFailed(
+               *aFrom.mControl, aEffect.mId, mNow, aEffects);
+           });
+         } });
+}
+
+void
+world::Do(agent_process& aFrom, const agent::send_announce& aEffect)
+{
+  entry_process* const to = EntryAt(aEffect.mEntryAddress);
+  const instant sentAt = mNow;
+  Call({ &aFrom,
+         to,
+         lane::Announce,
+         [this, to, &aFrom, aEffect, sentAt]() -> action {
+           core::entry_reply reply;
+           WithEntry(*to, [&](entry::effects& aEffects) {
+             reply =
+               entry::OnAnnounce(*to->mControl, aEffect.mState, mNow, aEffects);
+           });
+           return [this, &aFrom, aEffect, reply, sentAt] {
+             WithAgent(aFrom, [&](agent::effects& aEffects) {
+               agent::OnAnnounceAnswered(*aFrom.mControl,
+                                         aEffect.mEntryAddress,
+                                         reply,
+                                         sentAt,
+                                         mNow,
+                                         aEffects);
+             });
+           };
+         },
+         [this, &aFrom, aEffect](bool) {
+           WithAgent(aFrom, [&](agent::effects& aEffects) {
+             agent::OnAnnounceFailed(
+               *aFrom.mControl, aEffect.mEntryAddress, mNow, aEffects);
+           });
+         } });
+}
+
+void
+world::CallStore(process& aFrom, const std::function<action()>& aServe)
+{
+  const std::uint64_t sender = aFrom.mIncarnation;
+  At(mNow + 1ms + Latency(), [this, &aFrom, aServe, sender] {
+    const action reply = aServe();
+    At(mNow + Latency(),
+       [this, &aFrom, reply, sender] { Arrive(aFrom, sender, reply); });
+  });
+}
+
+void
+world::Do(entry_process& aFrom, const entry::read_members&)
+{
+  const instant sentAt = mNow;
+  CallStore(aFrom, [this, &aFrom, sentAt]() -> action {
+    std::vector<membership::member_row> rows;
+    for (const auto& [key, row] : mRows) {
+      rows.push_back(row);
+    }
+    return [this, &aFrom, rows, sentAt] {
+      WithEntry(aFrom, [&](entry::effects& aEffects) {
+        entry::OnMembers(*aFrom.mControl, rows, sentAt, mNow, aEffects);
+      });
+    };
+  });
+}
+
+void
+world::Do(entry_process& aFrom, const entry::write_member& aEffect)
+{
+  CallStore(aFrom, [this, &aFrom, aEffect]() -> action {
+    mRows[membership::RowKey(aEffect.mRow)] = aEffect.mRow;
+    return [this, &aFrom] {
+      WithEntry(aFrom, [&](entry::effects& aEffects) {
+        entry::OnMemberWritten(*aFrom.mControl, true, mNow, aEffects);
+      });
+    };
+  });
+}
+
+void
+world::Do(entry_process& aFrom, const entry::delete_member& aEffect)
+{
+  CallStore(aFrom, [this, aEffect]() -> action {
+    mRows.erase(membership::RowKey(aEffect.mRow));
+    return [] {};
+  });
+}
+
+void
+world::Do(entry_process& aFrom, const entry::read_configuration&)
+{
+  const instant sentAt = mNow;
+  CallStore(aFrom, [this, &aFrom, sentAt]() -> action {
+    return [this, &aFrom, sentAt] {
+      const entry::configuration_row row{
+        { 1,
+          "[state]\nformat = 1\nname = x\n[failure_domain d]\nregion = r\n"
+          "state = in\n[service plans]\ntargets = *\n" },
+        "",
+        "",
+        1
+      };
+      WithEntry(aFrom, [&](entry::effects& aEffects) {
+        entry::OnConfigurationRead(
+          *aFrom.mControl, row, sentAt, mNow, aEffects);
+      });
+    };
+  });
+}
+
+void
+world::Do(agent_process& aFrom, const agent::read_rows&)
+{
+  CallStore(aFrom, [this, &aFrom]() -> action {
+    std::vector<membership::member_row> rows;
+    for (const auto& [key, row] : mRows) {
+      rows.push_back(row);
+    }
+    return [this, &aFrom, rows] {
+      WithAgent(aFrom, [&](agent::effects& aEffects) {
+        agent::OnRows(*aFrom.mControl, rows, mNow, aEffects);
+      });
+    };
+  });
+}
+
+} // namespace gooseberry::leased_world
--- /dev/null
+++ b/tests/libgooseberry/leased_world_faults.cpp
@@ -0,0 +1,160 @@
+#include "leased_world.h"
+
+#include <algorithm>
+#include <array>
+#include <sstream>
+
+/** Faults, and overlapping series of them from the seed. */
+namespace gooseberry::leased_world {
+
+using namespace std::chrono_literals;
+
+void
+world::Cut(cut aCut)
+{
+  aCut.mFrom = mNow;
+  std::ostringstream text;
+  text << (aCut.mIsHeld ? "held up" : "lost") << " for "
+       << core::ToMilliseconds(aCut.mUntil - mNow) << " ms";
+  if (aCut.mLane) {
+    text << " kind " << static_cast<int>(*aCut.mLane);
+  }
+  for (const auto& [from, to] : aCut.mFromTo) {
+    text << ' ' << from << '>' << to;
+  }
+  NoteFault(text.str());
+  mCuts.push_back(std::move(aCut));
+}
+
+cut
+world::MakeCut(const std::set<std::size_t>& aEntries,
+               const std::set<std::size_t>& aAgents,
+               bool aToEntries,
+               bool aToAgents,
+               duration aTime) const
+{
+  cut made;
+  made.mUntil = mNow + aTime;
+  for (const std::size_t entry : aEntries) {
+    for (const std::size_t agent : aAgents) {
+      const std::string& left = mEntries[entry].mName;
+      const std::string& right = mAgents[agent].mName;
+      if (aToEntries) {
+        made.mFromTo.insert({ right, left });
+      }
+      if (aToAgents) {
+        made.mFromTo.insert({ left, right });
+      }
+    }
+  }
+  return made;
+}
+
+std::set<std::size_t>
+world::DrawSome(std::size_t aCount)
+{
+  std::set<std::size_t> some{ static_cast<std::size_t>(Draw(0, aCount - 1)) };
+  for (std::size_t i = 0; i < aCount; ++i) {
+    if (Chance(0.4)) {
+      some.insert(i);
+    }
+  }
+  return some;
+}
+
+world::action
+world::DrawFault()
+{
+  constexpr std::array kHangs{ 0.3, 0.7, 1.0 };
+  const auto entries = DrawSome(mEntries.size());
+  const auto agents = DrawSome(mAgents.size());
+  const std::size_t entry = *entries.begin();
+  const std::size_t agent = *agents.rbegin();
+  const auto way = Draw(0, 2);
+  const bool isHeld = Chance(0.4);
+  const duration cutFor =
+    Chance(0.6) ? Milliseconds(900, 1'700) : Milliseconds(200, 5'000);
+  switch (Draw(0, 9)) {
+    case 0:
+    case 1:
+    case 2:
+      return [=, this] {
+        cut made = MakeCut(entries, agents, way != 1, way != 0, cutFor);
+        made.mIsHeld = isHeld;
+        Cut(std::move(made));
+      };
+    case 3:
+      return [=, this, kind = static_cast<lane>(Draw(0, 3))] {
+        cut made = MakeCut(entries, agents, way != 1, way != 0, cutFor);
+        made.mLane = kind;
+        made.mIsHeld = isHeld;
+        Cut(std::move(made));
+      };
+    case 4:
+      return [=, this, time = Milliseconds(100, 4'000)] {
+        Freeze(mEntries[entry], time);
+      };
+    case 5:
+      return [=, this, time = Milliseconds(100, 4'000)] {
+        Freeze(mAgents[agent], time);
+      };
+    case 6:
+      return [=, this, time = Milliseconds(20, Chance(0.5) ? 300 : 2'500)] {
+        KillEntry(entry, time);
+      };
+    case 7:
+      return [=, this, time = Milliseconds(20, Chance(0.5) ? 300 : 2'500)] {
+        KillAgent(agent, time);
+      };
+    case 8:
+      return [=,
+              this,
+              by = Milliseconds(20, 400),
+              isEntry = Chance(0.5),
+              time = Milliseconds(500, 3'000)] {
+        Slow(isEntry ? static_cast<process&>(mEntries[entry]) : mAgents[agent],
+             by,
+             time);
+      };
+    default:
+      break;
+  }
+  if (Chance(0.4)) {
+    return
+      [=, this, time = Milliseconds(20, 2'000)] { CrashTarget(agent, time); };
+  }
+  std::optional<std::size_t> only;
+  if (Chance(0.5)) {
+    only = Draw(0, std::variant_size_v<lease::call> - 1);
+  }
+  return [=,
+          this,
+          share = kHangs[Draw(0, kHangs.size() - 1)],
+          time = Milliseconds(300, 3'000)] {
+    HangTarget(agent, { mNow + time, share, only });
+  };
+}
+
+void
+world::DrawSeries(instant aFrom, instant aEnd)
+{
+  const action fault = DrawFault();
+  const auto times = Chance(0.5) ? Draw(3, 14) : Draw(1, 3);
+  instant at = aFrom;
+  for (std::uint64_t i = 0; i < times && at < aEnd; ++i) {
+    At(at, fault);
+    at += Milliseconds(600, 3'500);
+  }
+}
+
+void
+world::DrawFaults(instant aEnd)
+{
+  const auto series = Draw(3, 9);
+  const auto span = static_cast<std::uint64_t>((aEnd - mNow).count());
+  for (std::uint64_t i = 0; i < series; ++i) {
+    DrawSeries(mNow + duration(Draw(0, span)), aEnd);
+  }
+}
+
+} // namespace gooseberry::leased_world
