--- a/tests/libgooseberry/leased_world.h
+++ b/tests/libgooseberry/leased_world.h
@@ -254,6 +254,16 @@
   void StartTarget(std::size_t aIndex);
   void Register(std::size_t aIndex, std::uint64_t aLife);
   void SendToTarget(agent_process& aAgent, const lease::call& aCall);
+  /** Takes what is the first to settle a call. */
+  using settler = std::function<void(const action& aReply)>;
+  settler SettleOnce(agent_process& aAgent, bool aHoldsThread);
+  /** When a target carries a call out, if ever, and whether it answers. */
+  struct fate
+  {
+    arrival mArrivesAt;
+    bool mIsAnswered = true;
+  };
+  fate DrawFate(std::size_t aTarget, std::size_t aKind);
   template<typename Wire>
   void CallTarget(agent_process& aAgent, const Wire& aCall);
   void NextCall(agent_process& aAgent, std::uint64_t aIncarnation);
@@ -298,6 +308,9 @@
 
   void DrawSeries(instant aFrom, instant aEnd);
   action DrawFault();
+  action DrawCut();
+  action DrawProcessFault(std::uint64_t aKind);
+  action DrawTargetFault();
   std::set<std::size_t> DrawSome(std::size_t aCount);
 
   options mOptions;
--- a/tests/libgooseberry/leased_world_callers.cpp
+++ b/tests/libgooseberry/leased_world_callers.cpp
@@ -26,7 +26,7 @@
               duration aDeadline,
               std::optional<duration> aLeavesAfter)
 {
-  const std::string key = "j" + std::to_string(mJobs.size());
+  std::string key = "j" + std::to_string(mJobs.size());
   job_story& story = mJobs[key];
   story.mRunTimes = std::move(aRunTimes);
   job::submission& submission = story.mSubmission;
@@ -168,7 +168,7 @@
   for (const auto& [token, request] : mRequests) {
     if (request.mEntry == aEntry &&
         request.mIncarnation == mEntries[aEntry].mIncarnation) {
-      At(mNow + Latency(), [this, token] { Leave(token); });
+      At(mNow + Latency(), [this, left = token] { Leave(left); });
     }
   }
 }
--- a/tests/libgooseberry/leased_world_faults.cpp
+++ b/tests/libgooseberry/leased_world_faults.cpp
@@ -63,76 +63,74 @@
 }
 
 world::action
-world::DrawFault()
+world::DrawCut()
 {
-  constexpr std::array kHangs{ 0.3, 0.7, 1.0 };
   const auto entries = DrawSome(mEntries.size());
   const auto agents = DrawSome(mAgents.size());
-  const std::size_t entry = *entries.begin();
-  const std::size_t agent = *agents.rbegin();
   const auto way = Draw(0, 2);
   const bool isHeld = Chance(0.4);
-  const duration cutFor =
+  const duration time =
     Chance(0.6) ? Milliseconds(900, 1'700) : Milliseconds(200, 5'000);
-  switch (Draw(0, 9)) {
+  std::optional<lane> kind;
+  if (Chance(0.25)) {
+    kind = static_cast<lane>(Draw(0, static_cast<int>(lane::Finish)));
+  }
+  return [=, this] {
+    cut made = MakeCut(entries, agents, way != 1, way != 0, time);
+    made.mLane = kind;
+    made.mIsHeld = isHeld;
+    Cut(std::move(made));
+  };
+}
+
+world::action
+world::DrawProcessFault(std::uint64_t aKind)
+{
+  const bool isEntry = Chance(0.5);
+  const std::size_t index =
+    Draw(0, (isEntry ? mEntries.size() : mAgents.size()) - 1);
+  process& met = isEntry ? static_cast<process&>(mEntries[index])
+                         : static_cast<process&>(mAgents[index]);
+  const duration shortly = Milliseconds(20, Chance(0.5) ? 300 : 2'500);
+  const duration time = Milliseconds(100, 4'000);
+  switch (aKind) {
     case 0:
+      return [=, this, &met] { Freeze(met, time); };
     case 1:
-    case 2:
       return [=, this] {
-        cut made = MakeCut(entries, agents, way != 1, way != 0, cutFor);
-        made.mIsHeld = isHeld;
-        Cut(std::move(made));
-      };
-    case 3:
-      return [=, this, kind = static_cast<lane>(Draw(0, 3))] {
-        cut made = MakeCut(entries, agents, way != 1, way != 0, cutFor);
-        made.mLane = kind;
-        made.mIsHeld = isHeld;
-        Cut(std::move(made));
-      };
-    case 4:
-      return [=, this, time = Milliseconds(100, 4'000)] {
-        Freeze(mEntries[entry], time);
-      };
-    case 5:
-      return [=, this, time = Milliseconds(100, 4'000)] {
-        Freeze(mAgents[agent], time);
-      };
-    case 6:
-      return [=, this, time = Milliseconds(20, Chance(0.5) ? 300 : 2'500)] {
-        KillEntry(entry, time);
-      };
-    case 7:
-      return [=, this, time = Milliseconds(20, Chance(0.5) ? 300 : 2'500)] {
-        KillAgent(agent, time);
-      };
-    case 8:
-      return [=,
-              this,
-              by = Milliseconds(20, 400),
-              isEntry = Chance(0.5),
-              time = Milliseconds(500, 3'000)] {
-        Slow(isEntry ? static_cast<process&>(mEntries[entry]) : mAgents[agent],
-             by,
-             time);
+        isEntry ? KillEntry(index, shortly) : KillAgent(index, shortly);
       };
     default:
-      break;
+      return
+        [=, this, &met, by = Milliseconds(20, 400)] { Slow(met, by, time); };
   }
+}
+
+world::action
+world::DrawTargetFault()
+{
+  constexpr std::array kShares{ 0.3, 0.7, 1.0 };
+  const std::size_t target = Draw(0, mTargets.size() - 1);
+  const duration time = Milliseconds(20, 3'000);
   if (Chance(0.4)) {
-    return
-      [=, this, time = Milliseconds(20, 2'000)] { CrashTarget(agent, time); };
+    return [=, this] { CrashTarget(target, time / 2); };
   }
   std::optional<std::size_t> only;
   if (Chance(0.5)) {
     only = Draw(0, std::variant_size_v<lease::call> - 1);
   }
-  return [=,
-          this,
-          share = kHangs[Draw(0, kHangs.size() - 1)],
-          time = Milliseconds(300, 3'000)] {
-    HangTarget(agent, { mNow + time, share, only });
-  };
+  const double share = kShares[Draw(0, kShares.size() - 1)];
+  return [=, this] { HangTarget(target, { mNow + time, share, only }); };
+}
+
+world::action
+world::DrawFault()
+{
+  const auto drawn = Draw(0, 9);
+  if (drawn < 4) {
+    return DrawCut();
+  }
+  return drawn < 8 ? DrawProcessFault(drawn % 3) : DrawTargetFault();
 }
 
 void
--- a/tests/libgooseberry/leased_world_runs.cpp
+++ b/tests/libgooseberry/leased_world_runs.cpp
@@ -116,60 +116,77 @@
   });
 }
 
-template<typename Wire>
-void
-world::CallTarget(agent_process& aAgent, const Wire& aCall)
+world::settler
+world::SettleOnce(agent_process& aAgent, bool aHoldsThread)
 {
-  const std::size_t index = aAgent.mIndex;
-  const std::uint64_t sender = aAgent.mIncarnation;
-  const instant askedAt = mNow;
   auto settled = std::make_shared<bool>(false);
-  const auto settle = [=, this, &aAgent](const action& aReply) {
+  const std::uint64_t sender = aAgent.mIncarnation;
+  return [=, this, &aAgent](const action& aReply) {
     Arrive(aAgent, sender, [=, this, &aAgent] {
       if (std::exchange(*settled, true)) {
         return;
       }
-      if (!std::is_same_v<Wire, lease::renew_call>) {
+      if (aHoldsThread) {
         --aAgent.mCallsUnderWay;
         NextCall(aAgent, sender);
       }
       aReply();
     });
   };
+}
+
+world::fate
+world::DrawFate(std::size_t aTarget, std::size_t aKind)
+{
+  const target_fault& fault = mTargetFaults[aTarget];
+  const bool hangs = fault.mUntil > mNow &&
+                     fault.mOnly.value_or(aKind) == aKind &&
+                     Chance(fault.mUnanswered);
+  if (!hangs) {
+    return { mNow + Latency(), true };
+  }
+  switch (Draw(0, 2)) {
+    case 0:
+      return { mNow + Latency(), false };
+    case 1:
+      return { mNow + Milliseconds(2'000, 12'000), false };
+    default:
+      return { std::nullopt, false };
+  }
+}
+
+template<typename Wire>
+void
+world::CallTarget(agent_process& aAgent, const Wire& aCall)
+{
+  const std::size_t index = aAgent.mIndex;
+  const instant askedAt = mNow;
+  const settler settle =
+    SettleOnce(aAgent, !std::is_same_v<Wire, lease::renew_call>);
   const auto fail = [=, this, &aAgent](bool aDelivered) {
     settle([=, this, &aAgent] { Fail(aAgent, aCall, aDelivered, askedAt); });
   };
-  const fake_target& target = mTargets[index];
-  if (!target.mAlive) {
+  if (!mTargets[index].mAlive) {
     At(mNow + Latency(), [fail] { fail(false); });
     return;
   }
   At(mNow + aCall.mHeader.mDeadline, [fail] { fail(true); });
-  const auto serve = [=, this](bool aIsAnswered) {
-    const auto reply = [=, this](const action& aReply) {
-      if (aIsAnswered) {
-        At(mNow + Latency(), [=] { settle(aReply); });
-      }
-    };
-    return [=, this, call = served{ index, askedAt, target.mLife, reply }] {
-      if (IsThere(call)) {
-        Serve(call, aCall);
-        WatchTarget(index);
-      }
-    };
-  };
-  const target_fault& fault = mTargetFaults[index];
-  constexpr std::size_t kKind = lease::call(Wire{}).index();
-  const bool hangs = fault.mUntil > mNow &&
-                     fault.mOnly.value_or(kKind) == kKind &&
-                     Chance(fault.mUnanswered);
-  if (!hangs) {
-    At(mNow + Latency(), serve(true));
-  } else if (const auto how = Draw(0, 2); how == 0) {
-    At(mNow + Latency(), serve(false));
-  } else if (how == 1) {
-    At(mNow + Milliseconds(2'000, 12'000), serve(false));
+  const fate drawn = DrawFate(index, lease::call(aCall).index());
+  if (!drawn.mArrivesAt) {
+    return;
   }
+  const auto reply = [this, settle, drawn](const action& aReply) {
+    if (drawn.mIsAnswered) {
+      At(mNow + Latency(), [=] { settle(aReply); });
+    }
+  };
+  const served call{ index, askedAt, mTargets[index].mLife, reply };
+  At(*drawn.mArrivesAt, [this, call, aCall] {
+    if (IsThere(call)) {
+      Serve(call, aCall);
+      WatchTarget(call.mTarget);
+    }
+  });
 }
 
 bool
