--- a/tests/libgooseberry/test_leased_world.cpp
+++ b/tests/libgooseberry/test_leased_world.cpp
@@ -212,6 +212,47 @@
   });
 }
 
+// TWICE: messages of an agent's former life are read after those of the
+// present.
+BOOST_AUTO_TEST_CASE(an_agent_that_was_replaced_is_heard_late)
+{
+  ForSeeds([](world& aWorld) {
+    for (int i = 0; i < 3; ++i) {
+      aWorld.KillEntry(0, 20ms);
+      aWorld.RunFor(25ms);
+      aWorld.Freeze(aWorld.Entry(0), 2'500ms);
+      aWorld.RunFor(1s);
+      for (std::size_t agent = 0; agent < 5; ++agent) {
+        aWorld.KillAgent(agent, 40ms);
+      }
+      aWorld.RunFor(1'450ms);
+      for (int job = 0; job < 4; ++job) {
+        aWorld.Submit(0, std::vector(8, 600ms + 0us), 15s);
+      }
+      aWorld.RunFor(3s);
+    }
+  });
+}
+
+// TWICE: a start for one life of a target is sent to the next, whose clock has
+// begun anew.
+BOOST_AUTO_TEST_CASE(a_target_crashes_before_a_start_is_sent_to_it)
+{
+  ForSeeds([](world& aWorld) {
+    for (int i = 0; i < 10; ++i) {
+      for (std::size_t agent = 0; agent < 5; ++agent) {
+        aWorld.Slow(aWorld.Agent(agent), 350ms, 600ms);
+      }
+      aWorld.Submit(0, std::vector(8, 700ms + 0us), 15s);
+      aWorld.RunFor(200ms);
+      for (std::size_t target = 0; target < 5; ++target) {
+        aWorld.CrashTarget(target, 60ms);
+      }
+      aWorld.RunFor(2s);
+    }
+  });
+}
+
 BOOST_AUTO_TEST_CASE(generated_faults)
 {
   const seed_range range = Seeds();
