Leased world: cuts that outlast an agent's silence, stops that are not carried out

Both ask for a rule of the fixes that the other cases do not need: evidence dated by the sender, and the cap of the lease.

--- a/tests/libgooseberry/leased_world.h
+++ b/tests/libgooseberry/leased_world.h
@@ -79,6 +79,7 @@
   instant mUntil{};
   double mUnanswered = 0;           ///< Share of the calls.
   std::optional<std::size_t> mOnly; ///< One alternative of `lease::call`.
+  bool mIsDropped = false;          ///< None of these is ever carried out.
 };
 
 /** Messages of some directions do not arrive for a time. */
--- a/tests/libgooseberry/leased_world_faults.cpp
+++ b/tests/libgooseberry/leased_world_faults.cpp
@@ -120,7 +120,7 @@
     only = Draw(0, std::variant_size_v<lease::call> - 1);
   }
   const double share = kShares[Draw(0, kShares.size() - 1)];
-  return [=, this] { HangTarget(target, { mNow + time, share, only }); };
+  return [=, this] { HangTarget(target, { mNow + time, share, only, false }); };
 }
 
 world::action
--- a/tests/libgooseberry/leased_world_runs.cpp
+++ b/tests/libgooseberry/leased_world_runs.cpp
@@ -145,7 +145,7 @@
   if (!hangs) {
     return { mNow + Latency(), true };
   }
-  switch (Draw(0, 2)) {
+  switch (fault.mIsDropped ? 2 : Draw(0, 2)) {
     case 0:
       return { mNow + Latency(), false };
     case 1:
--- a/tests/libgooseberry/test_leased_world.cpp
+++ b/tests/libgooseberry/test_leased_world.cpp
@@ -113,6 +113,38 @@
   });
 }
 
+// TWICE: starts go on arriving from an entry that hears nothing any more.
+BOOST_AUTO_TEST_CASE(one_way_cuts_that_outlast_the_silence_of_an_agent)
+{
+  ForSeeds([](world& aWorld) {
+    for (int i = 0; i < 4; ++i) {
+      aWorld.Cut(aWorld.MakeCut({ 0, 1 }, { 1, 3, 4 }, true, false, 2s));
+      for (int job = 0; job < 7; ++job) {
+        aWorld.Submit(job % 2, { 900ms, 1'800ms, 1'800ms }, 20s);
+        aWorld.RunFor(100ms);
+      }
+      aWorld.RunFor(3s);
+    }
+  });
+}
+
+// TWICE: no stop arrives, and the lease goes on being renewed.
+BOOST_AUTO_TEST_CASE(stops_are_not_carried_out_for_an_entry_that_is_cut_off)
+{
+  ForSeeds([](world& aWorld) {
+    constexpr std::size_t kStop = 1; // Of the alternatives of `lease::call`.
+    for (int i = 0; i < 4; ++i) {
+      aWorld.Submit(0, { 4s, 4s, 4s, 4s }, 1'500ms, 300ms);
+      aWorld.RunFor(100ms);
+      aWorld.Cut(aWorld.MakeCut({ 0 }, kAllAgents, true, true, 5s));
+      for (std::size_t target = 0; target < 5; ++target) {
+        aWorld.HangTarget(target, { aWorld.Now() + 5s, 1.0, kStop, true });
+      }
+      aWorld.RunFor(9s);
+    }
+  });
+}
+
 // TWICE: the cancellation is lost, and all else goes on being answered.
 BOOST_AUTO_TEST_CASE(cancellations_are_lost_while_announces_are_answered)
 {
@@ -212,20 +244,22 @@
   });
 }
 
-// TWICE: messages of an agent's former life are read after those of the
-// present.
+// TWICE: messages of an agent's former life arrive after those of the present.
 BOOST_AUTO_TEST_CASE(an_agent_that_was_replaced_is_heard_late)
 {
   ForSeeds([](world& aWorld) {
     for (int i = 0; i < 3; ++i) {
-      aWorld.KillEntry(0, 20ms);
+      aWorld.KillEntry(0, 20ms); // Anew, it knows of no life of an agent.
       aWorld.RunFor(25ms);
-      aWorld.Freeze(aWorld.Entry(0), 2'500ms);
-      aWorld.RunFor(1s);
+      auto held = aWorld.MakeCut({ 0 }, kAllAgents, true, false, 1'900ms);
+      held.mLane = leased_world::lane::Announce;
+      held.mIsHeld = true;
+      aWorld.Cut(held);
+      aWorld.RunFor(500ms);
       for (std::size_t agent = 0; agent < 5; ++agent) {
         aWorld.KillAgent(agent, 40ms);
       }
-      aWorld.RunFor(1'450ms);
+      aWorld.RunFor(1'350ms);
       for (int job = 0; job < 4; ++job) {
         aWorld.Submit(0, std::vector(8, 600ms + 0us), 15s);
       }
