--- a/tests/libgooseberry/test_leased_world.cpp
+++ b/tests/libgooseberry/test_leased_world.cpp
@@ -160,6 +160,21 @@
   });
 }
 
+// TWICE: the start arrives after the cancellation that it was sent before.
+BOOST_AUTO_TEST_CASE(cancellations_overtake_the_starts_that_they_are_meant_for)
+{
+  ForSeeds([](world& aWorld) {
+    for (int i = 0; i < 6; ++i) {
+      auto held = aWorld.MakeCut({ 0 }, kAllAgents, false, true, 350ms);
+      held.mLane = leased_world::lane::Start;
+      held.mIsHeld = true;
+      aWorld.Cut(held);
+      aWorld.Submit(0, { 4s, 4s, 4s }, 20s, 100ms);
+      aWorld.RunFor(3s);
+    }
+  });
+}
+
 BOOST_AUTO_TEST_CASE(an_entry_is_killed_and_started_again_at_once)
 {
   ForSeeds([](world& aWorld) {
