--- /dev/null
+++ b/tests/libgooseberry/test_leased_world.cpp
@@ -0,0 +1,321 @@
+#include "leased_world.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <cstdlib>
+#include <sstream>
+#include <string>
+
+using namespace gooseberry;
+using namespace std::chrono_literals;
+using leased_world::world;
+
+namespace {
+
+/** Seeds of the series: `GOOSEBERRY_LEASED_SEEDS=FIRST:COUNT` asks for others.
+ */
+struct seed_range
+{
+  std::uint64_t mFirst = 1;
+  std::uint64_t mCount = 60;
+};
+
+seed_range
+Seeds()
+{
+  seed_range range;
+  if (const char* const asked = std::getenv("GOOSEBERRY_LEASED_SEEDS")) {
+    char colon = 0;
+    std::istringstream(asked) >> range.mFirst >> colon >> range.mCount;
+  }
+  return range;
+}
+
+/** After the faults, a fresh job completes on each entry. */
+void
+CheckLiveness(world& aWorld, std::size_t aEntries)
+{
+  aWorld.RunFor(8s);
+  std::vector<std::string> keys;
+  for (std::size_t entry = 0; entry < aEntries; ++entry) {
+    keys.push_back(aWorld.Submit(entry, { 100ms, 200ms, 300ms }, 5s));
+  }
+  aWorld.RunFor(6s);
+  if (!aWorld.Broken().empty()) {
+    return; // The world stands still, and the caller says why.
+  }
+  for (const std::string& key : keys) {
+    std::string history;
+    for (const std::string& line : aWorld.Job(key).mHistory) {
+      history += line + '\n';
+    }
+    BOOST_TEST(aWorld.Job(key).mIsComplete,
+               "LIVENESS of " << key << '\n'
+                              << history);
+  }
+}
+
+void
+Finish(world& aWorld, std::size_t aEntries = 3)
+{
+  if (aWorld.Broken().empty()) {
+    CheckLiveness(aWorld, aEntries);
+  }
+  BOOST_TEST(aWorld.Broken() == "");
+}
+
+const std::set<std::size_t> kAllEntries{ 0, 1, 2 };
+const std::set<std::size_t> kAllAgents{ 0, 1, 2, 3, 4 };
+
+/** The same case with other latencies, clocks and placements. */
+template<typename Case>
+void
+ForSeeds(Case aCase)
+{
+  constexpr std::uint64_t kSeeds = 8;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      world world({ seed });
+      aCase(world);
+      Finish(world);
+    }
+  }
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(leased_worlds)
+
+BOOST_AUTO_TEST_CASE(a_quiet_world_completes_jobs)
+{
+  world world({});
+  world.SubmitUntil(world.Now() + 5s, 150ms);
+  world.RunFor(6s);
+  BOOST_TEST(world.Tally().mComplete > 10U);
+  BOOST_TEST(world.Tally().mLapsed == 0U);
+  Finish(world);
+}
+
+// TWICE, the incident: what hosts send to some entries is lost, again and
+// again.
+BOOST_AUTO_TEST_CASE(one_way_cuts_from_hosts_to_some_entries)
+{
+  ForSeeds([](world& aWorld) {
+    const auto end = aWorld.Now() + 16s;
+    for (auto at = aWorld.Now() + 1s; at < end; at += 2'400ms) {
+      aWorld.At(at, [&aWorld] {
+        aWorld.Cut(aWorld.MakeCut({ 0, 1 }, { 1, 3, 4 }, true, false, 1300ms));
+      });
+    }
+    aWorld.SubmitUntil(end, 130ms);
+    aWorld.RunFor(16s);
+  });
+}
+
+// TWICE: starts go on arriving from an entry that hears nothing any more.
+BOOST_AUTO_TEST_CASE(one_way_cuts_that_outlast_the_silence_of_an_agent)
+{
+  ForSeeds([](world& aWorld) {
+    for (int i = 0; i < 4; ++i) {
+      aWorld.Cut(aWorld.MakeCut({ 0, 1 }, { 1, 3, 4 }, true, false, 2s));
+      for (int job = 0; job < 7; ++job) {
+        aWorld.Submit(job % 2, { 900ms, 1'800ms, 1'800ms }, 20s);
+        aWorld.RunFor(100ms);
+      }
+      aWorld.RunFor(3s);
+    }
+  });
+}
+
+// TWICE: no stop arrives, and the lease goes on being renewed.
+BOOST_AUTO_TEST_CASE(stops_are_not_carried_out_for_an_entry_that_is_cut_off)
+{
+  ForSeeds([](world& aWorld) {
+    constexpr std::size_t kStop = 1; // Of the alternatives of `lease::call`.
+    for (int i = 0; i < 4; ++i) {
+      aWorld.Submit(0, { 4s, 4s, 4s, 4s }, 1'500ms, 300ms);
+      aWorld.RunFor(100ms);
+      aWorld.Cut(aWorld.MakeCut({ 0 }, kAllAgents, true, true, 5s));
+      for (std::size_t target = 0; target < 5; ++target) {
+        aWorld.HangTarget(target, { aWorld.Now() + 5s, 1.0, kStop, true });
+      }
+      aWorld.RunFor(9s);
+    }
+  });
+}
+
+// TWICE: the cancellation is lost, and all else goes on being answered.
+BOOST_AUTO_TEST_CASE(cancellations_are_lost_while_announces_are_answered)
+{
+  ForSeeds([](world& aWorld) {
+    auto lost = aWorld.MakeCut(kAllEntries, kAllAgents, false, true, 8s);
+    lost.mLane = leased_world::lane::Cancel;
+    aWorld.Cut(lost);
+    for (int i = 0; i < 24; ++i) {
+      aWorld.Submit(i % 3, { 900ms, 4s, 4s }, 20s, 150ms);
+      aWorld.RunFor(250ms);
+    }
+    aWorld.RunFor(4s);
+  });
+}
+
+// TWICE: the start arrives after the cancellation that it was sent before.
+BOOST_AUTO_TEST_CASE(cancellations_overtake_the_starts_that_they_are_meant_for)
+{
+  ForSeeds([](world& aWorld) {
+    for (int i = 0; i < 6; ++i) {
+      auto held = aWorld.MakeCut({ 0 }, kAllAgents, false, true, 350ms);
+      held.mLane = leased_world::lane::Start;
+      held.mIsHeld = true;
+      aWorld.Cut(held);
+      aWorld.Submit(0, { 4s, 4s, 4s }, 20s, 100ms);
+      aWorld.RunFor(3s);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_is_killed_and_started_again_at_once)
+{
+  ForSeeds([](world& aWorld) {
+    const auto end = aWorld.Now() + 12s;
+    for (auto at = aWorld.Now() + 500ms; at < end; at += 1'100ms) {
+      aWorld.At(
+        at, [&aWorld] { aWorld.KillEntry(0, aWorld.Milliseconds(20, 300)); });
+    }
+    aWorld.SubmitUntil(end, 120ms);
+    aWorld.RunFor(12s);
+  });
+}
+
+// The agent's start call is on its way to the target.
+BOOST_AUTO_TEST_CASE(an_agent_is_killed_with_a_start_under_way)
+{
+  ForSeeds([](world& aWorld) {
+    for (std::size_t i = 0; i < 10; ++i) {
+      aWorld.Submit(i % 3, std::vector(8, 700ms + 0us), 20s);
+      aWorld.RunFor(aWorld.Milliseconds(1, 4));
+      aWorld.KillAgent(i % 5, aWorld.Milliseconds(20, 300));
+      aWorld.RunFor(1'200ms);
+    }
+    aWorld.RunFor(3s);
+  });
+}
+
+// The request waits in the socket of an entry that stands still.
+BOOST_AUTO_TEST_CASE(a_frozen_entry_wakes_up_to_a_request_without_caller)
+{
+  ForSeeds([](world& aWorld) {
+    for (int i = 0; i < 4; ++i) {
+      aWorld.Freeze(aWorld.Entry(0), 3s);
+      const auto key = aWorld.Submit(0, { 600ms, 900ms, 4s }, 1'500ms, 1'450ms);
+      aWorld.RunFor(2'700ms);
+      BOOST_TEST(aWorld.Job(key).mRuns == 0U);
+      aWorld.RunFor(1'500ms);
+    }
+  });
+}
+
+// TWICE: a new agent offered its target before it had looked what runs there.
+BOOST_AUTO_TEST_CASE(an_agent_started_anew_offers_no_target_that_is_not_clean)
+{
+  ForSeeds([](world& aWorld) {
+    const auto key = aWorld.Submit(0, std::vector(8, 4s + 0us), 20s);
+    aWorld.RunFor(200ms);
+    for (std::size_t i = 0; i < 5; ++i) {
+      aWorld.KillAgent(i, 40ms);
+    }
+    aWorld.RunFor(2s);
+    BOOST_TEST(aWorld.Job(key).mRuns > 8U);
+  });
+}
+
+// TWICE: the end of a run for one entry is told to the entry after it.
+BOOST_AUTO_TEST_CASE(
+  an_end_before_a_job_is_sent_again_says_nothing_of_later_runs)
+{
+  ForSeeds([](world& aWorld) {
+    auto lost = aWorld.MakeCut({ 0 }, kAllAgents, true, false, 1'600ms);
+    lost.mLane = leased_world::lane::Finish;
+    for (int i = 0; i < 8; ++i) {
+      lost.mUntil = aWorld.Now() + 1'600ms;
+      aWorld.Cut(lost);
+      aWorld.Submit(0, std::vector(8, 900ms + 0us), 20s, 150ms);
+      aWorld.RunFor(3s);
+    }
+  });
+}
+
+// TWICE: what has happened meanwhile is read in any order.
+BOOST_AUTO_TEST_CASE(a_frozen_entry_wakes_up_with_a_job_whose_caller_has_left)
+{
+  ForSeeds([](world& aWorld) {
+    for (int i = 0; i < 4; ++i) {
+      aWorld.Submit(0, std::vector(8, 4s + 0us), 6s, 600ms);
+      aWorld.RunFor(100ms);
+      aWorld.Freeze(aWorld.Entry(0), 3s);
+      aWorld.RunFor(8s);
+    }
+  });
+}
+
+// TWICE: messages of an agent's former life arrive after those of the present.
+BOOST_AUTO_TEST_CASE(an_agent_that_was_replaced_is_heard_late)
+{
+  ForSeeds([](world& aWorld) {
+    for (int i = 0; i < 3; ++i) {
+      aWorld.KillEntry(0, 20ms); // Anew, it knows of no life of an agent.
+      aWorld.RunFor(25ms);
+      auto held = aWorld.MakeCut({ 0 }, kAllAgents, true, false, 1'900ms);
+      held.mLane = leased_world::lane::Announce;
+      held.mIsHeld = true;
+      aWorld.Cut(held);
+      aWorld.RunFor(500ms);
+      for (std::size_t agent = 0; agent < 5; ++agent) {
+        aWorld.KillAgent(agent, 40ms);
+      }
+      aWorld.RunFor(1'350ms);
+      for (int job = 0; job < 4; ++job) {
+        aWorld.Submit(0, std::vector(8, 600ms + 0us), 15s);
+      }
+      aWorld.RunFor(3s);
+    }
+  });
+}
+
+// TWICE: a start for one life of a target is sent to the next, whose clock has
+// begun anew.
+BOOST_AUTO_TEST_CASE(a_target_crashes_before_a_start_is_sent_to_it)
+{
+  ForSeeds([](world& aWorld) {
+    for (int i = 0; i < 10; ++i) {
+      for (std::size_t agent = 0; agent < 5; ++agent) {
+        aWorld.Slow(aWorld.Agent(agent), 350ms, 600ms);
+      }
+      aWorld.Submit(0, std::vector(8, 700ms + 0us), 15s);
+      aWorld.RunFor(200ms);
+      for (std::size_t target = 0; target < 5; ++target) {
+        aWorld.CrashTarget(target, 60ms);
+      }
+      aWorld.RunFor(2s);
+    }
+  });
+}
+
+BOOST_AUTO_TEST_CASE(generated_faults)
+{
+  const seed_range range = Seeds();
+  for (auto seed = range.mFirst; seed < range.mFirst + range.mCount; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      world world({ seed, 2 + seed % 2, 4 + seed / 2 % 2 });
+      const auto end = world.Now() + 20s;
+      world.DrawFaults(end);
+      world.SubmitUntil(end, 130ms);
+      world.RunFor(20s);
+      Finish(world, 2 + seed % 2);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
