--- a/spec/resubmit.pml
+++ b/spec/resubmit.pml
@@ -4,8 +4,8 @@
  * "not run" is never said of a submission that had or will have a run.
  *
  * Time is counted in ticks without end; clocks run alike. All times are kept as
- * ages up to a greatest one, or as what is left of them. Every step may wait
- * for ever: that covers pauses, deaths, cuts in one direction or both, and calls
+ * ages up to a greatest one, or as what is left of them. Any step may wait for
+ * ever: that covers pauses, deaths, cuts in one direction or both, and calls
  * that a target leaves unanswered. A start to an agent, a reply to it and a
  * start call to a target may be on the way for any time while others overtake
  * them; of the replies one at a time. An agent's message to an entry arrives in
