TWICE: a new agent offers no target before it has looked what runs there

What callers saw: nothing yet. An agent that was started anew announced its target as ready between the first registration and the first lease state; the entries took what its process before had started for over and started it again elsewhere, while it ran.

Cause: a target without a lease state counted as one that needs none.

Why this works: where targets run tasks under leases, one without lease state takes no starts and is announced as such.

--- a/src/libgooseberry/agent/admission.cpp
+++ b/src/libgooseberry/agent/admission.cpp
@@ -155,7 +155,7 @@
     return start_verdict::Leaving;
   }
   if (target.mSuspect || target.mLeaseEnd <= aNow ||
-      (target.mLeased && !lease::IsReady(*target.mLeased, aNow)) ||
+      !IsLeaseReady(aControl, target, aNow) ||
       !Serves(aControl, target, aStart)) {
     return start_verdict::NoTarget;
   }
--- a/src/libgooseberry/agent/agent_control.cpp
+++ b/src/libgooseberry/agent/agent_control.cpp
@@ -142,6 +142,15 @@
   return control;
 }
 
+bool
+IsLeaseReady(const agent_control& aControl,
+             const agent_target& aTarget,
+             core::instant aNow)
+{
+  return aTarget.mLeased ? lease::IsReady(*aTarget.mLeased, aNow)
+                         : !aControl.mSettings.mLeasedRuns;
+}
+
 core::agent_state
 StateOf(const agent_control& aControl,
         std::string_view aReceiver,
@@ -159,9 +168,9 @@
   state.mLeaving = aControl.mLeaving;
   state.mTargets.reserve(aControl.mTargets.size());
   for (const auto& [name, target] : aControl.mTargets) {
-    const bool isGoing =
-      target.mLeaving || target.mSuspect || target.mLeaseEnd <= aNow ||
-      (target.mLeased && !lease::IsReady(*target.mLeased, aNow));
+    const bool isGoing = target.mLeaving || target.mSuspect ||
+                         target.mLeaseEnd <= aNow ||
+                         !IsLeaseReady(aControl, target, aNow);
     state.mTargets.push_back(
       { name,
         target.mServices,
--- a/src/libgooseberry/agent/agent_control.h
+++ b/src/libgooseberry/agent/agent_control.h
@@ -107,6 +107,13 @@
 agent_control
 MakeControl(control_settings aSettings);
 
+/** Whether the lease state of a target allows starts; where targets run tasks
+ * under leases, one that has none yet does not. */
+bool
+IsLeaseReady(const agent_control& aControl,
+             const agent_target& aTarget,
+             core::instant aNow);
+
 /** What the agent tells of itself to the entry at `aReceiver`, `ip:port`. */
 core::agent_state
 StateOf(const agent_control& aControl,
