--- a/tests/libgooseberryio/test_platform_row.cpp
+++ b/tests/libgooseberryio/test_platform_row.cpp
@@ -24,7 +24,8 @@
     BOOST_TEST_CONTEXT(odd)
     {
       std::string body = R"({"rows":[)";
-      body += good + ',' + odd + ',' + good + "]}";
+      body.append(good).append(",").append(odd).append(",").append(good);
+      body += "]}";
       const auto rows = io::ParseRows(body);
       const auto* list = std::get_if<std::vector<io::table_row>>(&rows);
       BOOST_REQUIRE(list != nullptr);
--- a/tests/platform/test_target_client.cpp
+++ b/tests/platform/test_target_client.cpp
@@ -76,8 +76,9 @@
 
   client_fixture()
   {
-    mControl.Start(
-      [](agent::effect) { return std::optional<agentd::control_event>(); });
+    mControl.Start([](const agent::effect&) {
+      return std::optional<agentd::control_event>();
+    });
     agent::target_announcement announcement;
     announcement.mName = kName;
     announcement.mAddress = mTarget.Address();
--- a/tests/platform/test_target_front.cpp
+++ b/tests/platform/test_target_front.cpp
@@ -200,8 +200,9 @@
 
   front()
   {
-    mControl.Start(
-      [](agent::effect) { return std::optional<agentd::control_event>(); });
+    mControl.Start([](const agent::effect&) {
+      return std::optional<agentd::control_event>();
+    });
     platform::RouteRegistrations(mServer, mControl, kLease);
     BOOST_REQUIRE(!mServer.Start());
   }
