--- a/tests/platform/test_target_front.cpp
+++ b/tests/platform/test_target_front.cpp
@@ -277,6 +277,13 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(remaining_times_need_not_be_whole)
+{
+  const auto parsed =
+    platform::ParseNotice(kName, With("/coldRemainingMs", 1500.5), kLease);
+  BOOST_TEST(std::holds_alternative<platform::target_notice>(parsed));
+}
+
 BOOST_AUTO_TEST_CASE(odd_registrations_are_refused_with_a_reason)
 {
   for (const std::string& body : OddBodies()) {
