--- /dev/null
+++ b/tests/libgooseberry/test_lease_lives.cpp
@@ -0,0 +1,144 @@
+#include "lease_fixture.h"
+
+using namespace gooseberry;
+using namespace gooseberry::lease::test;
+
+BOOST_FIXTURE_TEST_SUITE(leased_target_lives, lease_fixture)
+
+BOOST_AUTO_TEST_CASE(a_new_life_of_the_target_runs_nothing_of_the_old_one)
+{
+  Answer(Start(), lease::start_answer::Accepted);
+  const auto token = mTarget.mFencingToken;
+  mNow += 1ms;
+  Register(8, 1);
+  BOOST_TEST(Ends().empty()); // It may be late, or of another hand.
+  BOOST_TEST(!lease::IsReady(mTarget, mNow));
+  mNow += 1ms;
+  lease::OnReport(mTarget, { 10ms, 8, {}, {} }, mNow, mNow, mEffects);
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  BOOST_TEST((Ends().front().mEnd == core::task_end::Lost));
+  BOOST_TEST(mTarget.mFencingToken < token); // Of the new life's clock.
+  BOOST_TEST(!lease::IsReady(mTarget, mNow));
+}
+
+// TWICE: a false registration made runs count as over that went on.
+BOOST_AUTO_TEST_CASE(a_registration_of_another_life_is_asked_about)
+{
+  Answer(Start(), lease::start_answer::Accepted);
+  Pass(1ms);
+  mEffects.clear();
+  Register(1'000'000, 1);
+  Pass(0ms);
+  BOOST_TEST(Count<lease::renew_call>() == 1U);
+  Report({ { kTask, 1 } });
+  BOOST_TEST(Ends().empty());
+  BOOST_TEST(mTarget.mLife == 7U);
+  BOOST_TEST(lease::IsReady(mTarget, mNow));
+}
+
+// TWICE: the same under the target's own name and life, at another address.
+BOOST_AUTO_TEST_CASE(a_registration_does_not_lead_calls_elsewhere)
+{
+  Answer(Start(), lease::start_answer::Accepted);
+  Pass(1ms);
+  lease::OnRegistration(
+    mTarget, { "t-1", "127.0.0.1:2", 0, 2 }, mNow, mEffects);
+  mEffects.clear();
+  Pass(0ms);
+  BOOST_TEST(Last<lease::renew_call>().mHeader.mAddress == "127.0.0.1:1");
+}
+
+// TWICE: an agent that stood still while another took its place accepted a
+// start, with a token raised above the other's.
+BOOST_AUTO_TEST_CASE(a_fenced_agent_starts_nothing_before_it_knows_what_runs)
+{
+  lease::OnRenewalFailed(mTarget,
+                         lease::renewal_failure::Fenced,
+                         Clock() + 500ms,
+                         mNow,
+                         mNow,
+                         mEffects);
+  BOOST_TEST(!lease::IsReady(mTarget, mNow));
+  mNow += 1ms;
+  Report({ { { "other", 0 }, 1 } });
+  BOOST_TEST(!lease::IsReady(mTarget, mNow));
+  BOOST_TEST(Last<lease::stop_call>().mTask.mJob == "other");
+  Report({});
+  BOOST_TEST(lease::IsReady(mTarget, mNow));
+}
+
+BOOST_AUTO_TEST_CASE(a_report_asked_for_without_the_token_proves_nothing)
+{
+  lease::leased_target fresh;
+  lease::effects effects;
+  lease::OnRegistration(fresh, { "t-1", "127.0.0.1:1", 7, 2 }, mNow, effects);
+  const core::instant asked = mNow;
+  mNow += 5ms;
+  lease::OnReport(fresh, { Clock(), 7, {}, {} }, asked, mNow, effects);
+  lease::OnReport(fresh, { Clock(), 7, {}, {} }, asked, mNow, effects);
+  BOOST_TEST(!lease::IsReady(fresh, mNow));
+  lease::OnReport(fresh, { Clock(), 7, {}, {} }, mNow, mNow, effects);
+  BOOST_TEST(lease::IsReady(fresh, mNow));
+}
+
+BOOST_AUTO_TEST_CASE(a_life_that_nobody_answers_for_is_over_with_its_lease)
+{
+  Answer(Start(), lease::start_answer::Accepted);
+  Pass(1ms);
+  Register(8, 1);
+  Pass(0ms);
+  Pass(mTarget.mSettings.mLease);
+  BOOST_TEST(Ends().empty());
+  Pass(60ms);
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  BOOST_TEST(mTarget.mLife == 8U);
+}
+
+// TWICE: a late report of a life before made runs count as over that went on.
+BOOST_AUTO_TEST_CASE(a_late_report_of_a_life_before_changes_nothing)
+{
+  const core::instant asked = mNow;
+  mNow += 1ms;
+  Register(8, 1);
+  Report({}, {}, 8);
+  Report({}, {}, 8);
+  Answer(Start(), lease::start_answer::Accepted);
+  lease::OnReport(mTarget, { 9'000ms, 7, {}, {} }, asked, mNow, mEffects);
+  lease::OnRenewalFailed(mTarget,
+                         lease::renewal_failure::Refused,
+                         std::nullopt,
+                         asked,
+                         mNow,
+                         mEffects);
+  BOOST_TEST(Ends().empty());
+  BOOST_TEST(mTarget.mLife == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(answers_to_calls_of_a_life_before_change_nothing)
+{
+  const auto before = Start();
+  mNow += 1ms;
+  Report({}, {}, 8);
+  Report({}, {}, 8);
+  mEffects.clear();
+  const auto now = Start();
+  BOOST_TEST(now.mRun == before.mRun);
+  Answer(before, lease::start_answer::NotSent);
+  BOOST_TEST(Ends().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_restarted_agent_outranks_the_one_before)
+{
+  lease::leased_target second;
+  lease::effects effects;
+  Pass(300ms);
+  lease::OnRegistration(second, { "t-1", "127.0.0.1:1", 7, 2 }, mNow, effects);
+  lease::OnReport(second, { Clock(), 7, {}, {} }, mNow, mNow, effects);
+  BOOST_TEST(second.mFencingToken > mTarget.mFencingToken);
+  // The target has not seen the token: it may take starts of the first yet.
+  BOOST_TEST(!lease::IsReady(second, mNow));
+  lease::OnReport(second, { Clock(), 7, {}, {} }, mNow, mNow, effects);
+  BOOST_TEST(lease::IsReady(second, mNow));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
