--- a/src/libgooseberry/agent/admission.cpp
+++ b/src/libgooseberry/agent/admission.cpp
@@ -18,6 +18,15 @@
   return { admission_action::Refuse, aVerdict };
 }
 
+/** Whether the record is of a copy of this very start. */
+bool
+IsSameStart(const task_record& aRecord, const core::task_start& aStart)
+{
+  const auto& result = aRecord.mStarted.mResult;
+  return result.mTry == aStart.mTry && result.mPlacement == aStart.mPlacement &&
+         aRecord.mBallot == aStart.mBallot;
+}
+
 /** The verdict that follows from an earlier start of the task, if any. */
 std::optional<admission>
 DecideByRecord(const agent_control& aControl, const core::task_start& aStart)
@@ -26,11 +35,10 @@
   if (record == nullptr) {
     return std::nullopt;
   }
-  const auto& result = record->mStarted.mResult;
-  if (result.mTry == aStart.mTry && result.mPlacement == aStart.mPlacement &&
-      record->mBallot == aStart.mBallot) {
+  if (IsSameStart(*record, aStart)) {
     return kRepeat;
   }
+  const auto& result = record->mStarted.mResult;
   const bool hasFailed =
     record->mStarted.mState != core::record_state::Running &&
     (result.mEnd == core::task_end::Failed ||
@@ -193,9 +201,7 @@
     return true;
   }
   const auto* record = FindTask(aControl.mBook, aStart.mTask);
-  return record != nullptr && record->mBallot == aStart.mBallot &&
-         record->mStarted.mResult.mTry == aStart.mTry &&
-         record->mStarted.mResult.mPlacement == aStart.mPlacement;
+  return record != nullptr && IsSameStart(*record, aStart);
 }
 
 /** The verdict on a start under leases that comes too late, if it does. */
--- a/src/libgooseberryio/json.cpp
+++ b/src/libgooseberryio/json.cpp
@@ -77,6 +77,12 @@
   }
 }
 
+std::string
+Dump(const nlohmann::json& aValue)
+{
+  return aValue.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 std::optional<std::uint64_t>
 ToNumber(const nlohmann::json& aValue, const number_range& aRange)
 {
--- a/src/libgooseberryio/json.h
+++ b/src/libgooseberryio/json.h
@@ -27,6 +27,13 @@
 std::variant<nlohmann::json, json_error>
 ParseJson(std::string_view aText, std::size_t aMaxDepth = kMaxJsonDepth);
 
+/** Bytes of a value of others that go into a log line. */
+inline constexpr std::size_t kMaxLoggedBytes = 200;
+
+/** A value as text, on one line; what is not UTF-8 in it is replaced. */
+std::string
+Dump(const nlohmann::json& aValue);
+
 /** Up to here a double holds each whole number. */
 inline constexpr std::uint64_t kMaxExactNumber = 1ULL << 53U;
 
--- a/src/libgooseberryio/platform_row.cpp
+++ b/src/libgooseberryio/platform_row.cpp
@@ -7,8 +7,6 @@
 namespace gooseberry::io {
 namespace {
 
-/** Of a row that is logged. */
-constexpr std::size_t kMaxLoggedBytes = 200;
 constexpr const char* kStep = "read reply of the table service";
 
 core::error
@@ -121,8 +119,7 @@
   for (const auto& item : *rows) {
     auto row = ReadListed(item);
     if (auto* const bad = std::get_if<core::error>(&row)) {
-      const auto text =
-        item.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+      const auto text = Dump(item);
       if (sLogged.IsNew(text)) {
         log_event("row_unreadable", log_level::Warning)
           .Add("row", text.substr(0, kMaxLoggedBytes))
