Lease: a start call in flight does not end with its target's incarnation

Cause: the agent ended all runs with the incarnation of the target that they were started for. A start call still on its way could reach the next process at the address, which knows nothing of its validity or token, and ran the task while the entry started it elsewhere (TWICE).

A run now ends with an incarnation only where a report of that incarnation, or a clock too old for a younger process, shows that it was there. Any other one is stopped at the next process and settled by its reports. A report requested before a refused connection is not taken for one of the next process. A token of the process before, if it reached the next, is outranked by doubling.

Ruled out: naming the target's incarnation in the start from the entry. The agent had accepted the start before the crash.

an_unregistered_target_is_removed_once_nothing_runs took an unanswered start for over when its target refused a connection, which is the fault; it now checks that the target stays until the call has ended, and goes then.

--- a/src/libgooseberry/lease/internal.h
+++ b/src/libgooseberry/lease/internal.h
@@ -2,6 +2,9 @@
 
 #include "libgooseberry/lease/leased_target.h"
 
+#include <functional>
+#include <string>
+
 /** Functions shared by the source files of leased_target.h. */
 namespace gooseberry::lease {
 
@@ -35,6 +38,16 @@
           core::instant aNow,
           effects& aOut);
 
+using run_predicate = std::function<bool(const run& aRun)>;
+
+/** Ends the runs that the predicate selects, as lost. */
+void
+EndRuns(leased_target& aTarget,
+        const std::string& aReason,
+        core::instant aNow,
+        effects& aOut,
+        const run_predicate& aPredicate);
+
 /** Returns the run of a call; null if it has ended or was restarted since. */
 run*
 FindRun(leased_target& aTarget,
@@ -45,6 +58,15 @@
 bool
 IsCurrentIncarnation(const leased_target& aTarget, const call_header& aHeader);
 
+/**
+ * Returns whether the process whose clock was read ran already when the latest
+ * report was requested, which proves that it sent that report.
+ */
+bool
+IsOfKnownProcess(const leased_target& aTarget,
+                 target_time aClock,
+                 core::instant aNow);
+
 /** Applies a confirmed registration of another incarnation. */
 void
 AdoptRegistration(leased_target& aTarget,
@@ -58,8 +80,8 @@
                          core::instant aNow,
                          effects& aOut);
 
-/** Begins a new incarnation of the target, which has none of this agent's runs
- * and has seen no token. */
+/** Begins a new incarnation of the target. It has seen no token, unless a call
+ * for the last incarnation reached it. */
 void
 BeginIncarnation(leased_target& aTarget,
                  std::uint64_t aIncarnation,
@@ -75,4 +97,14 @@
 void
 RaiseToken(leased_target& aTarget, target_time aClock, core::instant aNow);
 
+/** Highest token that this agent doubles up to; every JSON number holds it. */
+inline constexpr std::uint64_t kMaxFencingToken = std::uint64_t{ 1 } << 52;
+
+/**
+ * Raises the token after the target has seen a higher one. That one may be from
+ * the clock of an earlier incarnation, so it is reached by doubling.
+ */
+void
+OutrankToken(leased_target& aTarget, target_time aClock, core::instant aNow);
+
 } // namespace gooseberry::lease
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -22,6 +22,9 @@
   aRun.mState = run_state::Starting;
   aRun.mSentAt = aNow;
   aRun.mAnsweredAt.reset();
+  aRun.mCalledIncarnation = aTarget.mTargetIncarnation;
+  aRun.mCallEndedAt.reset();
+  aRun.mIsConfirmed = false;
   aRun.mValidUntil =
     ExtendLease(aTarget, aTarget.mSettings.mStartValidity, aNow);
   aOut.emplace_back(call(start_call{ HeaderFor(aTarget),
@@ -59,6 +62,18 @@
                                 settings.mRenewWait + settings.mRenewOverdue;
 }
 
+/**
+ * Returns whether the lease that the run's start call requested is counted in
+ * the target's latest. A call in flight may reach the next incarnation, which
+ * counts its lease by another clock.
+ */
+bool
+IsLeaseKnown(const leased_target& aTarget, const run& aRun)
+{
+  return aRun.mCallEndedAt &&
+         aRun.mCalledIncarnation == aTarget.mTargetIncarnation;
+}
+
 } // namespace
 
 bool
@@ -149,14 +164,16 @@
               core::instant aNow,
               effects& aOut)
 {
-  run* const found = FindRun(aTarget, aCall.mTask, aCall.mRun);
-  if (aAnswer == start_answer::Fenced && aClock &&
-      IsCurrentIncarnation(aTarget, aCall.mHeader)) {
-    RaiseToken(aTarget, *aClock, aNow);
+  const bool isCurrent = IsCurrentIncarnation(aTarget, aCall.mHeader);
+  if (aAnswer == start_answer::Fenced && aClock && isCurrent) {
+    OutrankToken(aTarget, *aClock, aNow);
   }
-  if (found == nullptr || !IsCurrentIncarnation(aTarget, aCall.mHeader)) {
+  run* const found = FindRun(aTarget, aCall.mTask, aCall.mRun);
+  if (found == nullptr ||
+      found->mCalledIncarnation != aCall.mHeader.mTargetIncarnation) {
     return;
   }
+  found->mCallEndedAt = aNow;
   const std::string detail(kStartAnswerNames.NameOf(aAnswer));
   const auto returnRun = [&](start_verdict aVerdict) {
     ReturnRun(aTarget, aCall.mTask, aVerdict, detail, aNow, aOut);
@@ -165,9 +182,12 @@
     case start_answer::Accepted:
       found->mState = run_state::Running;
       found->mAnsweredAt = aNow;
+      found->mIsConfirmed |=
+        isCurrent && aClock && IsOfKnownProcess(aTarget, *aClock, aNow);
       break;
     case start_answer::Superseded:
-      if (found->mStopRequested || ++found->mRenumberings > kMaxRenumberings) {
+      if (!isCurrent || found->mStopRequested ||
+          ++found->mRenumberings > kMaxRenumberings) {
         return returnRun(start_verdict::Cancelled);
       }
       found->mRun += found->mRenumberings;
@@ -233,15 +253,20 @@
   }
   if (aFailure == renewal_failure::Fenced && aClock) {
     ReadClock(aTarget, *aClock, aAskedAt, aNow);
-    RaiseToken(aTarget, *aClock, aNow);
+    OutrankToken(aTarget, *aClock, aNow);
     aTarget.mNextRenewal = aNow;
   } else if (aFailure == renewal_failure::Refused ||
              aFailure == renewal_failure::OtherTarget) {
     // No process of that incarnation listens, so none of its runs is left.
     aTarget.mNoForeignRuns = false;
-    EndAll(aTarget, "target is gone", aNow, aOut);
-    // Any incarnation may register next, even a lower one.
+    EndRuns(aTarget, "target is gone", aNow, aOut, [&](const run& aRun) {
+      return aRun.mIsConfirmed ||
+             (aRun.mCallEndedAt && *aRun.mCallEndedAt <= aAskedAt);
+    });
+    // Any incarnation may register next, even a lower one; a report requested
+    // before may be late and of the one that is gone.
     aTarget.mTargetIncarnation = 0;
+    aTarget.mIncarnationSince = aNow;
     AdoptPendingRegistration(aTarget, aNow, aOut);
   }
 }
@@ -253,7 +278,9 @@
     return;
   }
   if (!aTarget.mRuns.empty() && HasExpired(aTarget, aNow)) {
-    EndAll(aTarget, "lease lapsed", aNow, aOut);
+    EndRuns(aTarget, "lease lapsed", aNow, aOut, [&](const run& aRun) {
+      return aRun.mIsConfirmed || IsLeaseKnown(aTarget, aRun);
+    });
   }
   if (aTarget.mRuns.empty()) {
     AdoptPendingRegistration(aTarget, aNow, aOut);
@@ -271,21 +298,4 @@
   }
 }
 
-void
-EndAll(leased_target& aTarget,
-       const std::string& aReason,
-       core::instant aNow,
-       effects& aOut)
-{
-  while (!aTarget.mRuns.empty()) {
-    EndRun(aTarget,
-           core::task_ref(aTarget.mRuns.begin()->first),
-           task_end::Lost,
-           start_verdict::Accepted,
-           aReason,
-           aNow,
-           aOut);
-  }
-}
-
 } // namespace gooseberry::lease
--- a/src/libgooseberry/lease/leased_target.h
+++ b/src/libgooseberry/lease/leased_target.h
@@ -36,6 +36,13 @@
   std::uint32_t mRun = 1;
   std::string mPayload;
   run_state mState = run_state::Starting;
+  /** Incarnation of the target for which the latest start call was made. */
+  std::uint64_t mCalledIncarnation = 0;
+  /** When that call ended, with or without an answer; none: in flight. */
+  std::optional<core::instant> mCallEndedAt;
+  /** The run is known to be at the current incarnation. Any other run may have
+   * been started by the next one, which a start call may have reached. */
+  bool mIsConfirmed = false;
   /** Latest time at which its entry is known to have required the run. */
   core::instant mConfirmedAt{};
   core::instant mSentAt{};
@@ -196,11 +203,4 @@
 void
 Tick(leased_target& aTarget, core::instant aNow, effects& aOut);
 
-/** Ends all runs of a target that left or was replaced. */
-void
-EndAll(leased_target& aTarget,
-       const std::string& aReason,
-       core::instant aNow,
-       effects& aOut);
-
 } // namespace gooseberry::lease
--- a/src/libgooseberry/lease/report.cpp
+++ b/src/libgooseberry/lease/report.cpp
@@ -50,7 +50,10 @@
     if (known == nullptr) {
       aTarget.mNoForeignRuns = false;
       SendStop(aTarget, listed.mTask, listed.mRun, aOut);
-    } else if (known->mState == run_state::InDoubt) {
+      continue;
+    }
+    known->mIsConfirmed = true;
+    if (known->mState == run_state::InDoubt) {
       known->mState = run_state::Running;
       known->mAnsweredAt = aNow;
     }
@@ -102,6 +105,18 @@
            aOut);
   }
   for (const auto& task : neverStarted) {
+    if (aTarget.mRuns.at(task).mCalledIncarnation !=
+        aTarget.mTargetIncarnation) {
+      // The last incarnation may have started it.
+      EndRun(aTarget,
+             task,
+             task_end::Lost,
+             start_verdict::Accepted,
+             "target restarted",
+             aNow,
+             aOut);
+      continue;
+    }
     ReturnRun(aTarget,
               task,
               start_verdict::Stale,
--- a/src/libgooseberry/lease/run_end.cpp
+++ b/src/libgooseberry/lease/run_end.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 /** The end of runs and of incarnations of the target. */
 namespace gooseberry::lease {
@@ -62,6 +63,30 @@
          aOut);
 }
 
+void
+EndRuns(leased_target& aTarget,
+        const std::string& aReason,
+        core::instant aNow,
+        effects& aOut,
+        const run_predicate& aPredicate)
+{
+  std::vector<core::task_ref> ended;
+  for (const auto& [task, run] : aTarget.mRuns) {
+    if (aPredicate(run)) {
+      ended.push_back(task);
+    }
+  }
+  for (const core::task_ref& task : ended) {
+    EndRun(aTarget,
+           task,
+           core::task_end::Lost,
+           core::start_verdict::Accepted,
+           aReason,
+           aNow,
+           aOut);
+  }
+}
+
 run*
 FindRun(leased_target& aTarget, const core::task_ref& aTask, std::uint32_t aRun)
 {
@@ -78,6 +103,38 @@
          aHeader.mTargetIncarnation == aTarget.mTargetIncarnation;
 }
 
+bool
+IsOfKnownProcess(const leased_target& aTarget,
+                 target_time aClock,
+                 core::instant aNow)
+{
+  return aTarget.mReportAskedAt && aNow - *aTarget.mReportAskedAt < aClock;
+}
+
+namespace {
+
+/**
+ * Takes runs that are not known to be at the last incarnation along to the new
+ * one, which a start call may have reached. Its reports tell what became of
+ * them.
+ */
+void
+CarryOverRuns(leased_target& aTarget, core::instant aNow, effects& aOut)
+{
+  EndRuns(aTarget, "target restarted", aNow, aOut, [](const run& aRun) {
+    return aRun.mIsConfirmed;
+  });
+  for (auto& [task, run] : aTarget.mRuns) {
+    if (run.mState == run_state::Running) {
+      run.mState = run_state::InDoubt;
+    }
+    run.mStopAnsweredAt.reset();
+    run.mNextStop = aNow;
+  }
+}
+
+} // namespace
+
 void
 AdoptRegistration(leased_target& aTarget,
                   const registration& aRegistration,
@@ -109,7 +166,7 @@
   if (aTarget.mTargetIncarnation != 0) {
     aOut.emplace_back(target_change{ "target_restarted", aTarget.mName });
   }
-  EndAll(aTarget, "target restarted", aNow, aOut);
+  CarryOverRuns(aTarget, aNow, aOut);
   aTarget.mTargetIncarnation = aIncarnation;
   aTarget.mIncarnationSince = aNow;
   aTarget.mPendingRegistration.reset();
@@ -132,4 +189,12 @@
   aTarget.mNoForeignRuns = false;
 }
 
+void
+OutrankToken(leased_target& aTarget, target_time aClock, core::instant aNow)
+{
+  const std::uint64_t next =
+    std::min(2 * aTarget.mFencingToken, kMaxFencingToken);
+  RaiseToken(aTarget, std::max(aClock, target_time(next)), aNow);
+}
+
 } // namespace gooseberry::lease
--- a/tests/libgooseberry/lease_fixture.h
+++ b/tests/libgooseberry/lease_fixture.h
@@ -49,6 +49,18 @@
       mEffects);
   }
 
+  /** Reports as an incarnation 8 whose clock shows `aClock`. */
+  void ReportRestart(lease::target_time aClock,
+                     std::vector<lease::listed_run> aRunning = {},
+                     std::vector<lease::listed_end> aEnded = {})
+  {
+    lease::OnReport(mTarget,
+                    { aClock, 8, std::move(aRunning), std::move(aEnded) },
+                    mNow,
+                    mNow,
+                    mEffects);
+  }
+
   void Register(std::uint64_t aIncarnation, std::uint64_t aSequence)
   {
     lease::OnRegistration(mTarget,
--- a/tests/libgooseberry/test_agent_leased.cpp
+++ b/tests/libgooseberry/test_agent_leased.cpp
@@ -125,6 +125,19 @@
     return count;
   }
 
+  lease::start_call LastStartCall() const
+  {
+    lease::start_call last;
+    for (const agent::effect& effect : mEffects) {
+      const auto* call = std::get_if<agent::call_target>(&effect);
+      if (call != nullptr &&
+          std::holds_alternative<lease::start_call>(call->mCall)) {
+        last = std::get<lease::start_call>(call->mCall);
+      }
+    }
+    return last;
+  }
+
   std::uint32_t mPlacements = 0;
 };
 
@@ -321,9 +334,12 @@
   BOOST_TEST((Start("c", 1, kFirstEntry) == core::start_verdict::Accepted));
 }
 
+// A start call in flight may reach the next process at the address, so its run
+// is not over before the call is.
 BOOST_AUTO_TEST_CASE(an_unregistered_target_is_removed_once_nothing_runs)
 {
   Start("a", 1, kFirstEntry);
+  const auto call = LastStartCall();
   agent::OnTargetUnregistered(mControl, "t-1", mNow, mEffects);
   BOOST_TEST(mControl.mTargets.contains("t-1"));
   agent::OnRenewalFailed(mControl,
@@ -334,6 +350,10 @@
                          mNow,
                          mEffects);
   agent::Tick(mControl, mNow, mEffects);
+  BOOST_TEST(mControl.mTargets.contains("t-1"));
+  agent::OnStartAnswered(
+    mControl, call, lease::start_answer::NotSent, std::nullopt, mNow, mEffects);
+  agent::Tick(mControl, mNow, mEffects);
   BOOST_TEST(!mControl.mTargets.contains("t-1"));
 }
 
--- a/tests/libgooseberry/test_lease_lives.cpp
+++ b/tests/libgooseberry/test_lease_lives.cpp
@@ -143,4 +143,116 @@
   BOOST_TEST(lease::IsReady(second, mNow));
 }
 
+// Double run: a start made for one incarnation was sent to the next, after the
+// run had counted as ended with the first.
+BOOST_AUTO_TEST_CASE(a_start_in_flight_does_not_end_with_an_incarnation)
+{
+  const auto start = Start();
+  mNow += 1ms;
+  ReportRestart(10ms);
+  BOOST_TEST(Ends().empty());
+  Answer(start, lease::start_answer::NoAnswer);
+  mEffects.clear();
+  Pass(1ms);
+  const auto stop = Last<lease::stop_call>();
+  BOOST_TEST(stop.mHeader.mTargetIncarnation == 8U);
+  lease::OnStopAnswer(mTarget, stop, mNow);
+  BOOST_TEST(Ends().empty());
+  mNow += 1ms;
+  ReportRestart(12ms);
+  ReportRestart(12ms);
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  // The first incarnation may have started it: not "not run".
+  BOOST_TEST((Ends().front().mEnd == core::task_end::Lost));
+}
+
+BOOST_AUTO_TEST_CASE(a_start_that_an_incarnation_took_over_runs_on_there)
+{
+  const auto start = Start();
+  mNow += 1ms;
+  ReportRestart(10ms);
+  ReportRestart(10ms);
+  lease::OnStartAnswer(
+    mTarget, start, lease::start_answer::Accepted, 11ms, mNow, mEffects);
+  mNow += 1ms;
+  ReportRestart(12ms, { { kTask, 1 } });
+  BOOST_TEST(Ends().empty());
+  ReportRestart(
+    12ms, {}, { { 1, kTask, 1, core::task_end::Succeeded, "done" } });
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  BOOST_TEST((Ends().front().mEnd == core::task_end::Succeeded));
+}
+
+BOOST_AUTO_TEST_CASE(a_start_in_flight_that_was_not_carried_out_is_returned)
+{
+  const auto start = Start();
+  mNow += 1ms;
+  ReportRestart(10ms);
+  Answer(start, lease::start_answer::NotSent);
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  BOOST_TEST((Ends().front().mEnd == core::task_end::Returned));
+}
+
+// Double run: the next incarnation accepted a start before the agent knew of
+// it. Its clock shows that it is another process.
+BOOST_AUTO_TEST_CASE(an_acceptance_by_a_younger_process_proves_no_incarnation)
+{
+  const auto start = Start();
+  mNow += 50ms;
+  lease::OnStartAnswer(
+    mTarget, start, lease::start_answer::Accepted, 20ms, mNow, mEffects);
+  mNow += 1ms;
+  ReportRestart(21ms, { { kTask, 1 } });
+  BOOST_TEST(Ends().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_connection_does_not_end_a_start_in_flight)
+{
+  const auto unanswered = Start(0);
+  const auto answered = Start(1);
+  Answer(answered, lease::start_answer::Accepted);
+  mNow += 1ms;
+  lease::OnRenewalFailed(mTarget,
+                         lease::renewal_failure::Refused,
+                         std::nullopt,
+                         mNow,
+                         mNow,
+                         mEffects);
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  BOOST_TEST(Ends().front().mTask.mIndex == 1U);
+  Answer(unanswered, lease::start_answer::NotSent);
+  BOOST_TEST(Ends().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_lapse_does_not_end_a_start_in_flight)
+{
+  const auto start = Start();
+  Pass(mTarget.mSettings.mLease + 60ms);
+  BOOST_TEST(Ends().empty());
+  Answer(start, lease::start_answer::NoAnswer);
+  Pass(mTarget.mSettings.mLease + 60ms);
+  BOOST_TEST(Ends().size() == 1U);
+}
+
+// A token from the clock of a long-lived incarnation that reached the next one
+// shut the agent out for as long as the first had lived.
+BOOST_AUTO_TEST_CASE(a_token_of_an_earlier_incarnation_is_outranked_soon)
+{
+  constexpr std::uint64_t kSeenToken = 3'600'000; // An hour.
+  constexpr int kMostCalls = 24;
+  ReportRestart(10ms);
+  int calls = 0;
+  while (mTarget.mFencingToken < kSeenToken && calls < kMostCalls) {
+    ++calls;
+    mNow += 1ms;
+    lease::OnRenewalFailed(mTarget,
+                           lease::renewal_failure::Fenced,
+                           10ms + lease::target_time(calls),
+                           mNow,
+                           mNow,
+                           mEffects);
+  }
+  BOOST_TEST(mTarget.mFencingToken >= kSeenToken);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/test_target_client.cpp
+++ b/tests/platform/test_target_client.cpp
@@ -174,6 +174,7 @@
       lease::run run;
       run.mTask = { kJob, aIndex };
       run.mState = lease::run_state::Running;
+      run.mCalledIncarnation = kLife;
       run.mConfirmedAt = aNow + 1h;
       run.mSentAt = aNow - 1s;
       run.mAnsweredAt = aNow - 1s;
@@ -352,4 +353,15 @@
   }
 }
 
+// A start that was dropped without an answer occupied its target for good.
+BOOST_AUTO_TEST_CASE(a_start_that_is_not_sent_is_answered_so)
+{
+  AddRun(1);
+  mClient->Stop();
+  mClient->Post(lease::start_call{ Header(), { kJob, 1 }, 1, "cut", 9'000ms });
+  BOOST_TEST(Becomes([](const lease::leased_target& aState) {
+    return !aState.mRuns.contains({ kJob, 1 });
+  }));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
