Results name the start that they answer, and entries take only their own

Cause: under leases an entry told results apart by agent and try. A job sent again to the entry that had it begins with try 1 again; the held-up end of its first run counted for the start just sent to the same agent, and the task was started elsewhere beside it (TWICE).

TaskResult gets the ballot of its start, which names the process of the entry; with the placement it is unique. An agent has a run answer the latest start of it ("already started") and remembers the earlier ones as copies.

Times on the wire beyond 2^53 us are refused: their differences overflow.

--- a/src/libgooseberry/agent/admission.cpp
+++ b/src/libgooseberry/agent/admission.cpp
@@ -22,9 +22,10 @@
 bool
 IsSameStart(const task_record& aRecord, const core::task_start& aStart)
 {
-  const auto& result = aRecord.mStarted.mResult;
-  return result.mTry == aStart.mTry && result.mPlacement == aStart.mPlacement &&
-         aRecord.mBallot == aStart.mBallot;
+  const auto key = KeyOf(aStart);
+  const auto& earlier = aRecord.mEarlierStarts;
+  return KeyOf(aRecord.mStarted.mResult) == key ||
+         std::find(earlier.begin(), earlier.end(), key) != earlier.end();
 }
 
 /** Returns the verdict implied by an earlier start of the task, if any. */
--- a/src/libgooseberry/agent/agent_control.cpp
+++ b/src/libgooseberry/agent/agent_control.cpp
@@ -100,6 +100,10 @@
               aNow,
               aOut);
   ConfirmRunsOfJob(aControl, aStart.mTask.mJob);
+  if (aControl.mSettings.mLeasedRuns &&
+      aAdmission.mVerdict == core::start_verdict::AlreadyStarted) {
+    RebindStart(aControl.mRecordStore, aStart);
+  }
   ReturnSuperseded(aControl, aStart, aNow, aOut);
   switch (aAdmission.mAction) {
     case admission_action::Start:
--- a/src/libgooseberry/agent/delivery.cpp
+++ b/src/libgooseberry/agent/delivery.cpp
@@ -107,10 +107,7 @@
             const core::task_ref& aTask)
 {
   const auto* record = FindTask(aStore, aTask);
-  const auto& result = record->mStarted.mResult;
-  const result_key key{
-    aTask, record->mBallot, result.mTry, result.mPlacement
-  };
+  const result_key key = KeyOf(record->mStarted.mResult);
   if (aDelivery.mPending.try_emplace(key, std::nullopt).second) {
     const auto destination = DestinationOf(aDelivery, aStore, key);
     aDelivery.mLanes[destination].mWaiting.push_back(key);
@@ -120,10 +117,7 @@
 void
 QueueReturned(delivery& aDelivery, returned_task aReturned)
 {
-  const auto& result = aReturned.mResult;
-  const result_key key{
-    result.mTask, aReturned.mBallot, result.mTry, result.mPlacement
-  };
+  const result_key key = KeyOf(aReturned.mResult);
   aDelivery.mLanes[aReturned.mEntryAddress].mWaiting.push_back(key);
   aDelivery.mPending.insert_or_assign(key, std::move(aReturned));
 }
--- a/src/libgooseberry/agent/delivery.h
+++ b/src/libgooseberry/agent/delivery.h
@@ -21,7 +21,6 @@
 struct returned_task
 {
   core::task_result mResult;
-  core::ballot mBallot;
   std::string mEntryAddress; ///< Of the sending entry.
   core::instant mReturnedAt{};
 };
--- a/src/libgooseberry/agent/record.cpp
+++ b/src/libgooseberry/agent/record.cpp
@@ -112,6 +112,12 @@
   return { aStart.mTask, aStart.mBallot, aStart.mTry, aStart.mPlacement };
 }
 
+placement_key
+KeyOf(const core::task_result& aResult)
+{
+  return { aResult.mTask, aResult.mBallot, aResult.mTry, aResult.mPlacement };
+}
+
 const job_record*
 FindJob(const record_store& aStore, const std::string& aJob)
 {
@@ -153,15 +159,35 @@
   core::task_result result;
   result.mTask = aStart.mTask;
   result.mTry = aStart.mTry;
+  result.mBallot = aStart.mBallot;
   result.mPlacement = aStart.mPlacement;
   result.mTarget = aStart.mTarget;
   result.mKind = aStart.mKind;
   task = { { core::record_state::Running, std::move(result) },
-           aStart.mBallot,
+           {},
            failedTry,
            aStart.mNeeds };
 }
 
+void
+RebindStart(record_store& aStore, const core::task_start& aStart)
+{
+  task_record* const task = FindMutable(aStore, aStart.mTask);
+  if (task == nullptr) {
+    return;
+  }
+  core::task_result& result = task->mStarted.mResult;
+  // The counter of placements wraps around.
+  const auto age =
+    static_cast<std::int32_t>(result.mPlacement - aStart.mPlacement);
+  if (result.mBallot.mEntry == aStart.mBallot.mEntry && age > 0) {
+    return;
+  }
+  task->mEarlierStarts.push_back(KeyOf(result));
+  result.mBallot = aStart.mBallot;
+  result.mPlacement = aStart.mPlacement;
+}
+
 void
 RemoveStart(record_store& aStore, const core::task_ref& aTask)
 {
--- a/src/libgooseberry/agent/record.h
+++ b/src/libgooseberry/agent/record.h
@@ -31,11 +31,16 @@
 placement_key
 KeyOf(const core::task_start& aStart);
 
+/** Returns the key of the start that the result answers. */
+placement_key
+KeyOf(const core::task_result& aResult);
+
 /** The latest try of one task that was started here. */
 struct task_record
 {
   core::started_task mStarted;
-  core::ballot mBallot;         ///< Of the start.
+  /** Starts that the result answered before `RebindStart`. */
+  std::vector<placement_key> mEarlierStarts{};
   std::uint32_t mFailedTry = 0; ///< Last try that failed here; 0: none.
   core::resources mNeeds{};
 };
@@ -125,6 +130,13 @@
             const core::task_start& aStart,
             core::instant aNow);
 
+/**
+ * Has the result of a started task answer this start from now on, unless the
+ * same entry sent it before the one answered so far.
+ */
+void
+RebindStart(record_store& aStore, const core::task_start& aStart);
+
 /** Removes a start that never reached its target; an earlier failed try stays
  * on record. */
 void
--- a/src/libgooseberry/agent/target_inputs.cpp
+++ b/src/libgooseberry/agent/target_inputs.cpp
@@ -35,14 +35,10 @@
   returned.mResult = result;
   returned.mResult.mEnd = core::task_end::Returned;
   returned.mResult.mReturnReason = aReason;
-  returned.mBallot = aRecord.mBallot;
   returned.mEntryAddress =
     FindJob(aControl.mRecordStore, result.mTask.mJob)->mHolder.mAddress;
   returned.mReturnedAt = aNow;
-  const placement_key key{
-    result.mTask, aRecord.mBallot, result.mTry, result.mPlacement
-  };
-  RecordRefusal(aControl.mRecordStore, key, aReason, std::nullopt);
+  RecordRefusal(aControl.mRecordStore, KeyOf(result), aReason, std::nullopt);
   RemoveStart(aControl.mRecordStore, returned.mResult.mTask);
   QueueReturned(aControl.mDelivery, std::move(returned));
 }
--- a/src/libgooseberry/agent/target_run.cpp
+++ b/src/libgooseberry/agent/target_run.cpp
@@ -26,12 +26,12 @@
   auto& result = returned.mResult;
   result.mTask = aStart.mTask;
   result.mTry = aStart.mTry;
+  result.mBallot = aStart.mBallot;
   result.mPlacement = aStart.mPlacement;
   result.mEnd = core::task_end::Returned;
   result.mReturnReason = aReason;
   result.mTarget = aStart.mTarget;
   result.mKind = aStart.mKind;
-  returned.mBallot = aStart.mBallot;
   returned.mEntryAddress = aEntryAddress;
   returned.mReturnedAt = aNow;
   RecordRefusal(aControl.mRecordStore, KeyOf(aStart), aReason, std::nullopt);
--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -154,7 +154,10 @@
 {
   task_ref mTask;
   std::uint32_t mTry = 1;
-  std::uint32_t mPlacement = 0;
+  /** Of the start that the result answers; from agents that do not name it yet,
+   * all zero. Under leases, an entry takes only results of its own starts. */
+  ballot mBallot;
+  std::uint32_t mPlacement = 0; ///< Of the same start.
   task_end mEnd = task_end::Succeeded;
   start_verdict mReturnReason =
     start_verdict::Accepted; ///< Why it was returned.
--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -141,10 +141,21 @@
   CompleteJob(aControl, aJob, aNow, aEffects);
 }
 
+/** Returns whether the result answers the latest start of the task, which this
+ * process sent. */
+bool
+AnswersStart(const entry_control& aControl,
+             const job::task& aTask,
+             const core::task_result& aResult)
+{
+  return aResult.mBallot.mEntry == aControl.mSelf.mIncarnation &&
+         aResult.mPlacement == aTask.mPlacement;
+}
+
 /**
  * Returns whether the result belongs to the current start of the task. Under
- * leases, each entry that gets a job begins with the first try, so a run for
- * another entry has the same try number. The sending agent tells them apart.
+ * leases, a task may have run for another entry, or for an earlier submission
+ * of its job here, at the same agent and with the same try number.
  */
 bool
 IsCurrent(const entry_control& aControl,
@@ -154,8 +165,14 @@
 {
   const bool open = aTask.mState == job::task_state::Sent ||
                     aTask.mState == job::task_state::Running;
-  if (!open || aTask.mTry != aResult.mTry ||
-      (aControl.mOptions.mLeasedRuns && aTask.mAgent != aAgent)) {
+  if (!open || (aControl.mOptions.mLeasedRuns && aTask.mAgent != aAgent)) {
+    return false;
+  }
+  const bool isNamed = aResult.mBallot != core::ballot{};
+  if (aControl.mOptions.mLeasedRuns && isNamed) {
+    return AnswersStart(aControl, aTask, aResult);
+  }
+  if (aTask.mTry != aResult.mTry) {
     return false;
   }
   return aResult.mEnd != core::task_end::Returned ||
--- a/src/libgooseberryio/protocol/from_wire.cpp
+++ b/src/libgooseberryio/protocol/from_wire.cpp
@@ -25,18 +25,24 @@
   return static_cast<std::uint32_t>(aValue);
 }
 
+/** Bound of times in microseconds: sums of a few of them do not overflow. */
+constexpr std::int64_t kMaxMicroseconds = std::int64_t{ 1 } << 53;
+
 core::duration
 Duration(std::int64_t aValue, const char* aField)
 {
-  if (aValue < 0) {
+  if (aValue < 0 || aValue > kMaxMicroseconds) {
     throw wire_value_error(aField);
   }
   return core::duration(aValue);
 }
 
 core::instant
-Instant(std::int64_t aValue)
+Instant(std::int64_t aValue, const char* aField)
 {
+  if (aValue < -kMaxMicroseconds || aValue > kMaxMicroseconds) {
+    throw wire_value_error(aField);
+  }
   return core::instant(core::duration(aValue));
 }
 
@@ -102,7 +108,7 @@
            .mFailureDomain = aState.failureDomain,
            .mRack = aState.rack,
            .mGeneration = GenerationFromWire(aState.generation),
-           .mTimestamp = Instant(aState.stamp),
+           .mTimestamp = Instant(aState.stamp, "stamp"),
            .mOpen = aState.open,
            .mLeaving = aState.leaving,
            .mTargets = ListFromWire(aState.targets) };
@@ -138,7 +144,7 @@
   return { .mEntry = FromWire(aBatch.entry),
            .mEntryAddress = aBatch.entryAddress,
            .mAgentIncarnation = Bits(aBatch.agentIncarnation),
-           .mAgentTimestamp = Instant(aBatch.agentStamp),
+           .mAgentTimestamp = Instant(aBatch.agentStamp, "agent stamp"),
            .mGeneration = GenerationFromWire(aBatch.generation),
            .mBacklog = aBatch.backlog,
            .mBacklogPriority = aBatch.backlogPriority,
@@ -163,6 +169,8 @@
   return {
     .mTask = { .mJob = aResult.job, .mIndex = Count(aResult.index, "index") },
     .mTry = Count(aResult.attempt, "try"),
+    .mBallot =
+      aResult.__isset.ballot ? FromWire(aResult.ballot) : core::ballot{},
     .mPlacement = Count(aResult.placement, "placement"),
     .mEnd = EnumFromWire(aResult.ending, core::kTaskEndNames, "end"),
     .mReturnReason = EnumFromWire(aResult.why, core::kStartVerdictNames, "why"),
--- a/src/libgooseberryio/protocol/gooseberry.thrift
+++ b/src/libgooseberryio/protocol/gooseberry.thrift
@@ -39,7 +39,7 @@
 struct TaskResult {
   1: string job; 2: i32 index; 3: i32 attempt; 4: i32 placement; 5: i8 ending;
   6: i8 why; 7: string target; 8: string kind; 9: i64 runTime;
-  10: binary payload
+  10: binary payload; 11: optional Ballot ballot
 }
 struct FinishBatch { 1: AgentState state; 2: list<TaskResult> results }
 struct EntryReply {
--- a/src/libgooseberryio/protocol/to_wire.cpp
+++ b/src/libgooseberryio/protocol/to_wire.cpp
@@ -167,6 +167,7 @@
   result.kind = aResult.mKind;
   result.runTime = aResult.mRunTime.count();
   result.payload = aResult.mPayload;
+  result.__set_ballot(ToWire(aResult.mBallot));
   return result;
 }
 
--- a/tests/libgooseberry/leased_world.h
+++ b/tests/libgooseberry/leased_world.h
@@ -119,6 +119,8 @@
   std::uint64_t mSeed = 1;
   std::size_t mEntries = 3;
   std::size_t mAgents = 5;
+  /** The agents are of the version before: their results name no start. */
+  bool mOldAgents = false;
 };
 
 /** Counts of events, which show that a case had an effect. */
--- a/tests/libgooseberry/leased_world_calls.cpp
+++ b/tests/libgooseberry/leased_world_calls.cpp
@@ -182,14 +182,19 @@
 {
   entry_process* const to = EntryAt(aEffect.mEntryAddress);
   const instant sentAt = mNow;
+  core::finish_batch batch = aEffect.mFinish;
+  if (mOptions.mOldAgents) {
+    for (core::task_result& result : batch.mResults) {
+      result.mBallot = {};
+    }
+  }
   Call({ &aFrom,
          to,
          channel::Finish,
-         [this, to, &aFrom, aEffect, sentAt]() -> action {
+         [this, to, &aFrom, aEffect, batch, sentAt]() -> action {
            core::entry_reply reply;
            WithEntry(*to, [&](entry::effects& aEffects) {
-             reply =
-               entry::OnFinish(*to->mControl, aEffect.mFinish, mNow, aEffects);
+             reply = entry::OnFinish(*to->mControl, batch, mNow, aEffects);
            });
            return [this, &aFrom, aEffect, reply, sentAt] {
              WithAgent(aFrom, [&](agent::effects& aEffects) {
--- a/tests/libgooseberry/test_agent_leased.cpp
+++ b/tests/libgooseberry/test_agent_leased.cpp
@@ -138,6 +138,19 @@
     return last;
   }
 
+  /** Returns the last result that was sent to an entry. */
+  std::optional<core::task_result> LastResult() const
+  {
+    std::optional<core::task_result> last;
+    for (const agent::effect& effect : mEffects) {
+      const auto* sent = std::get_if<agent::send_finish>(&effect);
+      if (sent != nullptr && !sent->mFinish.mResults.empty()) {
+        last = sent->mFinish.mResults.back();
+      }
+    }
+    return last;
+  }
+
   std::uint32_t mPlacements = 0;
 };
 
@@ -416,4 +429,32 @@
      core::start_verdict::Stale));
 }
 
+// Double run: the result of a run for an earlier submission counted for the
+// start that had just been sent to the same agent.
+BOOST_AUTO_TEST_CASE(a_result_names_the_latest_start_that_it_answers)
+{
+  Start("a", 1, kFirstEntry);
+  Start("a", 2, kSecondEntry); // Already started: answers this entry now.
+  const auto second = mPlacements;
+  Report({}, { { 1, { "a", 0 }, 1, core::task_end::Succeeded, "done" } });
+  BOOST_REQUIRE(LastResult().has_value());
+  BOOST_TEST(LastResult()->mBallot.mEntry == 2U);
+  BOOST_TEST(LastResult()->mPlacement == second);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_start_of_the_same_entry_does_not_take_the_result)
+{
+  mPlacements = 5;
+  Start("a", 1, kFirstEntry);
+  Start("a", 1, kFirstEntry);
+  const auto latest = mPlacements;
+  for (const std::uint32_t earlier : { 6U, 3U }) { // A copy, and a delayed one.
+    mPlacements = earlier - 1;
+    Start("a", 1, kFirstEntry);
+  }
+  Report({}, { { 1, { "a", 0 }, 1, core::task_end::Succeeded, "done" } });
+  BOOST_REQUIRE(LastResult().has_value());
+  BOOST_TEST(LastResult()->mPlacement == latest);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgooseberry/test_entry_resubmission.cpp
+++ b/tests/libgooseberry/test_entry_resubmission.cpp
@@ -56,6 +56,24 @@
     return std::get<entry::send_start>(*found);
   }
 
+  static core::task_start StartOf(const entry::send_start& aCall)
+  {
+    return aCall.mBatch.mStarts.front();
+  }
+
+  /** Reports the end of the first try of a job's task. */
+  void Finish(const core::ballot& aBallot,
+              std::uint32_t aPlacement,
+              core::task_end aEnd)
+  {
+    core::task_result result;
+    result.mTask = { "job", 0 };
+    result.mBallot = aBallot;
+    result.mPlacement = aPlacement;
+    result.mEnd = aEnd;
+    entry::OnFinish(mControl, { mAgent, { result } }, mNow, mEffects);
+  }
+
   void Advance(core::duration aTime)
   {
     for (const core::instant end = mNow + aTime; mNow < end;) {
@@ -197,4 +215,40 @@
   BOOST_TEST(mControl.mCounters.mRetries == retries + 1);
 }
 
+// Double run: the same, where both runs were at one agent. The first result
+// arrives after the start for the second submission was sent.
+BOOST_AUTO_TEST_CASE(a_result_of_an_earlier_submission_is_ignored)
+{
+  const auto first = StartOf(Submit(1, "job"));
+  entry::OnCallerLeft(mControl, 1, "job", mNow, mEffects);
+  const auto second = StartOf(Submit(2, "job"));
+  BOOST_REQUIRE_NE(first.mPlacement, second.mPlacement);
+  const auto retries = mControl.mCounters.mRetries;
+  Finish(first.mBallot, first.mPlacement, core::task_end::Lost);
+  BOOST_TEST(mControl.mCounters.mRetries == retries);
+  Finish(second.mBallot, second.mPlacement, core::task_end::Lost);
+  BOOST_TEST(mControl.mCounters.mRetries == retries + 1);
+}
+
+// Placements of a restarted entry are numbered from the beginning.
+BOOST_AUTO_TEST_CASE(a_result_for_another_process_of_the_entry_is_ignored)
+{
+  const auto start = StartOf(Submit(1, "job"));
+  core::ballot other = start.mBallot;
+  ++other.mEntry;
+  const auto retries = mControl.mCounters.mRetries;
+  Finish(other, start.mPlacement, core::task_end::Lost);
+  BOOST_TEST(mControl.mCounters.mRetries == retries);
+}
+
+// An agent of the version before does not name the start; its result is taken
+// by the number of the try, as that version took it.
+BOOST_AUTO_TEST_CASE(a_result_that_names_no_start_is_taken_by_its_try)
+{
+  const auto start = StartOf(Submit(1, "job"));
+  const auto finishes = mControl.mCounters.mFinishes;
+  Finish({}, start.mPlacement + 1, core::task_end::Succeeded);
+  BOOST_TEST(mControl.mCounters.mFinishes == finishes + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgooseberry/test_leased_world.cpp
+++ b/tests/libgooseberry/test_leased_world.cpp
@@ -309,6 +309,22 @@
   });
 }
 
+// Agents of the version before serve an entry of this one, also after a
+// restart and when a job is sent again.
+BOOST_AUTO_TEST_CASE(agents_whose_results_name_no_start_are_served)
+{
+  constexpr std::uint64_t kSeeds = 4;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    world world({ .mSeed = seed, .mOldAgents = true });
+    world.SubmitUntil(world.Now() + 6s, 150ms);
+    world.At(world.Now() + 2s, [&world] { world.KillEntry(0, 200ms); });
+    world.At(world.Now() + 4s, [&world] { world.KillAgent(1, 200ms); });
+    world.RunFor(7s);
+    BOOST_TEST(world.Counters().mComplete > 10U);
+    Finish(world);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(generated_faults)
 {
   const seed_range range = Seeds();
--- a/tests/libgooseberryio/test_convert.cpp
+++ b/tests/libgooseberryio/test_convert.cpp
@@ -1,6 +1,11 @@
 #include "libgooseberryio/protocol/convert.h"
 
 #include <boost/test/unit_test.hpp>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+#include <limits>
+#include <memory>
 
 using namespace gooseberry;
 
@@ -41,6 +46,7 @@
 {
   return { .mTask = { .mJob = "team/job", .mIndex = 4 },
            .mTry = 2,
+           .mBallot = { .mRound = 3, .mEntry = ~0ULL },
            .mPlacement = 9,
            .mEnd = core::task_end::Returned,
            .mReturnReason = core::start_verdict::NotOpen,
@@ -148,6 +154,39 @@
   BOOST_TEST(!answer.mRetryAfter.has_value());
 }
 
+// Agents of the version before do not set the field.
+BOOST_AUTO_TEST_CASE(a_result_without_a_ballot_names_no_start)
+{
+  auto wire = io::ToWire(SampleResult());
+  BOOST_TEST(bool(wire.__isset.ballot));
+  wire.__isset.ballot = false;
+  BOOST_TEST((io::FromWire(wire).mBallot == core::ballot{}));
+}
+
+// The version before reads messages of this one.
+BOOST_AUTO_TEST_CASE(fields_of_a_later_version_are_skipped)
+{
+  namespace protocol = apache::thrift::protocol;
+  constexpr std::int16_t kUnknownField = 1'000;
+  const auto memory =
+    std::make_shared<apache::thrift::transport::TMemoryBuffer>();
+  protocol::TCompactProtocol compact(memory);
+  const auto sent = io::ToWire(SampleResult());
+  compact.writeStructBegin("TaskResult");
+  compact.writeFieldBegin("later", protocol::T_STRUCT, kUnknownField);
+  sent.ballot.write(&compact);
+  compact.writeFieldEnd();
+  compact.writeFieldBegin("job", protocol::T_STRING, 1);
+  compact.writeString(sent.job);
+  compact.writeFieldEnd();
+  compact.writeFieldStop();
+  compact.writeStructEnd();
+  wire::TaskResult received;
+  received.read(&compact);
+  BOOST_TEST(received.job == sent.job);
+  BOOST_TEST(!bool(received.__isset.ballot));
+}
+
 BOOST_AUTO_TEST_CASE(values_out_of_range_are_refused)
 {
   constexpr auto kVerdicts =
@@ -176,6 +215,24 @@
   BOOST_CHECK_THROW(io::FromWire(answer), io::wire_value_error);
 }
 
+// Differences of such times overflow.
+BOOST_AUTO_TEST_CASE(times_beyond_all_bounds_are_refused)
+{
+  for (const std::int64_t value : { std::numeric_limits<std::int64_t>::min(),
+                                    std::numeric_limits<std::int64_t>::max(),
+                                    (std::int64_t{ 1 } << 53) + 1 }) {
+    auto state = io::ToWire(SampleState());
+    state.stamp = value;
+    BOOST_CHECK_THROW(io::FromWire(state), io::wire_value_error);
+    auto batch = io::ToWire(SampleBatch());
+    batch.agentStamp = value;
+    BOOST_CHECK_THROW(io::FromWire(batch), io::wire_value_error);
+    auto result = io::ToWire(SampleResult());
+    result.runTime = value;
+    BOOST_CHECK_THROW(io::FromWire(result), io::wire_value_error);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(negative_counts_are_refused)
 {
   auto state = io::ToWire(SampleState());
