Lease: a start that a report does not list is taken back after 40 ms

Cause: where a target leaves a few starts unanswered, or carries them out late, a job waited for the whole deadline of the call (250 ms) and for the stop after it, though the target's reports had not listed the run all the while. Where the answer alone was lost, the run that the reports listed was stopped.

A report asked for 40 ms after a start that does not list it has the agent stop the run and withdraw the call; the run is given back by the next report after the stop was answered and the call is known to be sent (its connection is there, so no later process can get it) or withdrawn. A listed run needs no answer. An answer counts for its own call only.

test_target_client names the call that its runs were started by: the state of a run has new fields.

--- a/src/libgooseberry/agent/leased_runs.cpp
+++ b/src/libgooseberry/agent/leased_runs.cpp
@@ -200,6 +200,17 @@
   }
 }
 
+void
+OnStartSent(agent_control& aControl,
+            const std::string& aTarget,
+            std::uint64_t aStartId,
+            core::instant aNow)
+{
+  if (auto* const leased = FindLeased(aControl, aTarget)) {
+    lease::OnStartSent(*leased, aStartId, aNow);
+  }
+}
+
 void
 OnStopAnswered(agent_control& aControl,
                const lease::stop_call& aCall,
--- a/src/libgooseberry/agent/leased_runs.h
+++ b/src/libgooseberry/agent/leased_runs.h
@@ -38,6 +38,14 @@
                 core::instant aNow,
                 effects& aOut);
 
+/** Handles that the start call with this id had been sent to the target when it
+ * was to be withdrawn. */
+void
+OnStartSent(agent_control& aControl,
+            const std::string& aTarget,
+            std::uint64_t aStartId,
+            core::instant aNow);
+
 void
 OnStopAnswered(agent_control& aControl,
                const lease::stop_call& aCall,
--- a/src/libgooseberry/lease/call.h
+++ b/src/libgooseberry/lease/call.h
@@ -33,6 +33,7 @@
 struct start_call
 {
   call_header mHeader;
+  std::uint64_t mId = 0; ///< Of this call, among all starts at the target.
   core::task_ref mTask;
   std::uint32_t mRun = 0; ///< Rises with each start of the task at a target.
   std::string mPayload;
@@ -58,7 +59,15 @@
   core::duration mWait{};     ///< Longest wait for an end to report.
 };
 
-using call = std::variant<start_call, stop_call, renew_call>;
+/** Withdraws a start call that was not sent yet. It is then answered with
+ * `Withdrawn`; if it was sent, `OnStartSent` follows. */
+struct withdraw_call
+{
+  std::string mTarget;        ///< Name of the called target.
+  std::uint64_t mStartId = 0; ///< `start_call::mId`.
+};
+
+using call = std::variant<start_call, stop_call, renew_call, withdraw_call>;
 
 /** Result of a start call. */
 enum class start_answer : std::uint8_t
@@ -72,9 +81,10 @@
   Unhealthy,   ///< The target accepts no runs now.
   OtherTarget, ///< Another target answers at this address.
   NotSent,     ///< No connection; the call was not sent.
+  Withdrawn,   ///< The agent itself did not send the call.
   NoAnswer,    ///< The call may still be carried out.
 };
-inline constexpr core::enum_names<start_answer, 10> kStartAnswerNames{
+inline constexpr core::enum_names<start_answer, 11> kStartAnswerNames{
   { "accepted",
     "fenced",
     "superseded",
@@ -84,6 +94,7 @@
     "unhealthy",
     "other_target",
     "not_sent",
+    "withdrawn",
     "no_answer" }
 };
 
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -22,12 +22,14 @@
   aRun.mState = run_state::Starting;
   aRun.mSentAt = aNow;
   aRun.mAnsweredAt.reset();
+  aRun.mCall = ++aTarget.mLastCall;
   aRun.mCalledIncarnation = aTarget.mTargetIncarnation;
-  aRun.mCallEndedAt.reset();
+  aRun.mCallSentBy.reset();
   aRun.mIsConfirmed = false;
   aRun.mValidUntil =
     ExtendLease(aTarget, aTarget.mSettings.mStartValidity, aNow);
   aOut.emplace_back(call(start_call{ HeaderFor(aTarget),
+                                     aRun.mCall,
                                      aRun.mTask,
                                      aRun.mRun,
                                      aRun.mPayload,
@@ -70,7 +72,7 @@
 bool
 IsLeaseKnown(const leased_target& aTarget, const run& aRun)
 {
-  return aRun.mCallEndedAt &&
+  return aRun.mCallSentBy &&
          aRun.mCalledIncarnation == aTarget.mTargetIncarnation;
 }
 
@@ -169,11 +171,10 @@
     OutrankToken(aTarget, *aClock, aNow);
   }
   run* const found = FindRun(aTarget, aCall.mTask, aCall.mRun);
-  if (found == nullptr ||
-      found->mCalledIncarnation != aCall.mHeader.mTargetIncarnation) {
+  if (found == nullptr || found->mCall != aCall.mId) {
     return;
   }
-  found->mCallEndedAt = aNow;
+  found->mCallSentBy = found->mCallSentBy.value_or(aNow);
   const std::string detail(kStartAnswerNames.NameOf(aAnswer));
   const auto returnRun = [&](start_verdict aVerdict) {
     ReturnRun(aTarget, aCall.mTask, aVerdict, detail, aNow, aOut);
@@ -212,6 +213,7 @@
       return returnRun(start_verdict::Busy);
     case start_answer::Fenced:
     case start_answer::Late:
+    case start_answer::Withdrawn:
       return returnRun(start_verdict::Stale);
     case start_answer::Unhealthy:
     case start_answer::OtherTarget:
@@ -220,6 +222,16 @@
   }
 }
 
+void
+OnStartSent(leased_target& aTarget, std::uint64_t aStartId, core::instant aNow)
+{
+  for (auto& [task, run] : aTarget.mRuns) {
+    if (run.mCall == aStartId && !run.mCallSentBy) {
+      run.mCallSentBy = aNow;
+    }
+  }
+}
+
 void
 OnStopAnswer(leased_target& aTarget, const stop_call& aCall, core::instant aNow)
 {
@@ -261,7 +273,7 @@
     aTarget.mNoForeignRuns = false;
     EndRuns(aTarget, "target is gone", aNow, aOut, [&](const run& aRun) {
       return aRun.mIsConfirmed ||
-             (aRun.mCallEndedAt && *aRun.mCallEndedAt <= aAskedAt);
+             (aRun.mCallSentBy && *aRun.mCallSentBy <= aAskedAt);
     });
     // Any incarnation may register next, even a lower one; a report requested
     // before may be late and of the one that is gone.
--- a/src/libgooseberry/lease/leased_target.h
+++ b/src/libgooseberry/lease/leased_target.h
@@ -36,10 +36,12 @@
   std::uint32_t mRun = 1;
   std::string mPayload;
   run_state mState = run_state::Starting;
+  std::uint64_t mCall = 0; ///< Id of the latest start call.
   /** Incarnation of the target for which the latest start call was made. */
   std::uint64_t mCalledIncarnation = 0;
-  /** When that call ended, with or without an answer; none: in flight. */
-  std::optional<core::instant> mCallEndedAt;
+  /** Since when that call is known to be sent or to have ended. Before, it may
+   * reach the process that listens when it is sent. */
+  std::optional<core::instant> mCallSentBy;
   /** The run is known to be at the current incarnation. Any other run may have
    * been started by the next one, which a start call may have reached. */
   bool mIsConfirmed = false;
@@ -115,6 +117,7 @@
   target_time mLeaseUntil{}; ///< Latest end that any call requested.
   std::uint64_t mLastEnd = 0;
   std::map<core::task_ref, run> mRuns;
+  std::uint64_t mLastCall = 0; ///< Id of the latest start call.
   /** The last report listed no runs that this agent did not start. */
   bool mNoForeignRuns = false;
   bool mRenewing = false;
@@ -178,6 +181,10 @@
               core::instant aNow,
               effects& aOut);
 
+/** Handles that a start call had been sent when it was to be withdrawn. */
+void
+OnStartSent(leased_target& aTarget, std::uint64_t aStartId, core::instant aNow);
+
 /** Handles the answer to a stop call; unanswered calls are not reported. */
 void
 OnStopAnswer(leased_target& aTarget,
--- a/src/libgooseberry/lease/report.cpp
+++ b/src/libgooseberry/lease/report.cpp
@@ -53,7 +53,7 @@
       continue;
     }
     known->mIsConfirmed = true;
-    if (known->mState == run_state::InDoubt) {
+    if (known->mState != run_state::Running) {
       known->mState = run_state::Running;
       known->mAnsweredAt = aNow;
     }
@@ -89,7 +89,8 @@
     if (run.mState == run_state::Running && run.mAnsweredAt &&
         *run.mAnsweredAt <= aAskedAt) {
       gone.push_back(task);
-    } else if (run.mState == run_state::InDoubt &&
+    } else if (run.mState == run_state::InDoubt && run.mCallSentBy &&
+               *run.mCallSentBy <= aAskedAt &&
                ((run.mStopAnsweredAt && *run.mStopAnsweredAt <= aAskedAt) ||
                 aReport.mClock >= run.mValidUntil + Margin(aTarget))) {
       neverStarted.push_back(task);
@@ -126,6 +127,32 @@
   }
 }
 
+/**
+ * Takes back the starts that the report should list if the target had carried
+ * them out. They may be carried out late, so they count as not started only
+ * once their stop is answered.
+ *
+ * Load pattern: a target leaves a few starts unanswered while it answers other
+ * calls. A job ends with its last task, so each such start would delay a job by
+ * the whole deadline of the call.
+ */
+void
+TakeBackOverdue(leased_target& aTarget,
+                core::instant aAskedAt,
+                core::instant aNow,
+                effects& aOut)
+{
+  for (auto& [task, run] : aTarget.mRuns) {
+    if (run.mState == run_state::Starting &&
+        aAskedAt - run.mSentAt >= aTarget.mSettings.mStartOverdue) {
+      run.mState = run_state::InDoubt;
+      run.mNextStop = aNow + aTarget.mSettings.mStopRetry;
+      SendStop(aTarget, task, run.mRun, aOut);
+      aOut.emplace_back(call(withdraw_call{ aTarget.mName, run.mCall }));
+    }
+  }
+}
+
 /** Applies the incarnation in a report, which takes precedence over any
  * registration. */
 void
@@ -181,6 +208,7 @@
   ApplyEnds(aTarget, aReport.mEnded, aNow, aOut);
   ApplyRunning(aTarget, aReport.mRunning, aAskedAt, aNow, aOut);
   SettleUnlisted(aTarget, aReport, aAskedAt, aNow, aOut);
+  TakeBackOverdue(aTarget, aAskedAt, aNow, aOut);
 }
 
 } // namespace gooseberry::lease
--- a/src/libgooseberry/lease/settings.h
+++ b/src/libgooseberry/lease/settings.h
@@ -24,6 +24,11 @@
   core::duration mRenewRetry = 50ms;
   /** The target rejects a start that reaches it later than this. */
   core::duration mStartValidity = 400ms;
+  /**
+   * A start that the target has had for this time, and neither answered nor
+   * listed as running, is taken back.
+   */
+  core::duration mStartOverdue = 40ms;
   /** Deadline of a call; a renewal adds its wait. */
   core::duration mCallDeadline = 250ms;
   /** Pause between two stop calls for the same run. */
--- a/src/libgooseberryio/http_client.cpp
+++ b/src/libgooseberryio/http_client.cpp
@@ -56,6 +56,7 @@
   http_reply mReply;
   std::size_t mMaxReply = 0;
   int mSendings = 0; ///< How often the request was about to be sent.
+  const std::function<bool()>* mBeforeSending = nullptr;
 };
 
 std::size_t
@@ -96,6 +97,10 @@
 OnSending(void* aTransfer, char*, char*, int, int)
 {
   auto* const state = static_cast<transfer*>(aTransfer);
+  const auto& before = *state->mBeforeSending;
+  if (state->mSendings == 0 && before && !before()) {
+    return CURL_PREREQFUNC_ABORT;
+  }
   return ++state->mSendings > 1 ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
@@ -144,6 +149,7 @@
   curl_easy_reset(curl); // Keeps the connections.
   transfer state;
   state.mMaxReply = aCall.mMaxReply;
+  state.mBeforeSending = &aCall.mBeforeSending;
   const auto headers = HeaderList(aCall);
   curl_easy_setopt(curl, CURLOPT_URL, aCall.mUrl.c_str());
   curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, aCall.mMethod.c_str());
--- a/src/libgooseberryio/http_client.h
+++ b/src/libgooseberryio/http_client.h
@@ -4,6 +4,7 @@
 #include "libgooseberryio/peer_client.h"
 
 #include <cstddef>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -22,6 +23,9 @@
   /** Of the connection's set-up, within the deadline. */
   core::duration mConnectDeadline = std::chrono::milliseconds(500);
   std::size_t mMaxReply = 64 << 20; ///< Bytes; more is an error.
+  /** Called once connected, before anything is sent; if it returns false, the
+   * call fails and nothing is delivered. */
+  std::function<bool()> mBeforeSending{};
 };
 
 struct http_reply
--- a/tests/libgooseberry/leased_world.cpp
+++ b/tests/libgooseberry/leased_world.cpp
@@ -194,6 +194,7 @@
   started.mStartedAt = mNow;
   started.mFrozenUntil = {};
   started.mQueuedCalls.clear();
+  started.mOpenStarts.clear();
   started.mRunningCalls = 0;
   started.mControl = std::make_unique<agent::agent_control>(
     agent::MakeControl(AgentSettings(started.mName, started.mIncarnation)));
--- a/tests/libgooseberry/leased_world.h
+++ b/tests/libgooseberry/leased_world.h
@@ -64,12 +64,20 @@
   std::unique_ptr<entry::entry_control> mControl;
 };
 
+/** A start call of an agent that has no answer yet. */
+struct open_start
+{
+  lease::start_call mCall;
+  bool mIsSent = false;
+};
+
 struct agent_process : process
 {
   std::unique_ptr<agent::agent_control> mControl;
   /** Starts and stops that wait for a free thread. */
   std::deque<std::function<void()>> mQueuedCalls;
   std::size_t mRunningCalls = 0;
+  std::map<std::uint64_t, open_start> mOpenStarts; ///< By id.
 };
 
 /** A time in which a target leaves calls unanswered. */
@@ -263,6 +271,10 @@
   void StartTarget(std::size_t aIndex);
   void Register(std::size_t aIndex, std::uint64_t aTargetIncarnation);
   void SendToTarget(agent_process& aAgent, const lease::call& aCall);
+  /** Answers at the agent, which takes in events with its usual delay. */
+  void Withdraw(agent_process& aAgent, const lease::withdraw_call& aCall);
+  /** Returns whether the call is sent now; a withdrawn start is not. */
+  static bool BeginSending(agent_process& aAgent, const lease::call& aCall);
   /** Runs the first action that it gets and ignores the later ones. */
   using settler = std::function<void(const action& aReply)>;
   settler SettleOnce(agent_process& aAgent, bool aHoldsThread);
--- a/tests/libgooseberry/leased_world_runs.cpp
+++ b/tests/libgooseberry/leased_world_runs.cpp
@@ -96,6 +96,12 @@
   if (std::holds_alternative<lease::renew_call>(aEffect.mCall)) {
     return SendToTarget(aFrom, aEffect.mCall);
   }
+  if (const auto* call = std::get_if<lease::withdraw_call>(&aEffect.mCall)) {
+    return Withdraw(aFrom, *call);
+  }
+  if (const auto* call = std::get_if<lease::start_call>(&aEffect.mCall)) {
+    aFrom.mOpenStarts.emplace(call->mId, open_start{ *call });
+  }
   aFrom.mQueuedCalls.push_back(
     [this, &aFrom, call = aEffect.mCall] { SendToTarget(aFrom, call); });
   StartNextCall(aFrom, aFrom.mIncarnation);
@@ -113,13 +119,64 @@
   }
 }
 
+void
+world::Withdraw(agent_process& aAgent, const lease::withdraw_call& aCall)
+{
+  const auto found = aAgent.mOpenStarts.find(aCall.mStartId);
+  if (found == aAgent.mOpenStarts.end()) {
+    return;
+  }
+  const open_start start = found->second;
+  if (!start.mIsSent) {
+    aAgent.mOpenStarts.erase(found);
+  }
+  const std::uint64_t sender = aAgent.mIncarnation;
+  Arrive(aAgent, sender, [this, &aAgent, aCall, start] {
+    WithAgent(aAgent, [&](agent::effects& aEffects) {
+      if (start.mIsSent) {
+        agent::OnStartSent(
+          *aAgent.mControl, aCall.mTarget, aCall.mStartId, mNow);
+        return;
+      }
+      agent::OnStartAnswered(*aAgent.mControl,
+                             start.mCall,
+                             lease::start_answer::Withdrawn,
+                             std::nullopt,
+                             mNow,
+                             aEffects);
+    });
+  });
+}
+
+bool
+world::BeginSending(agent_process& aAgent, const lease::call& aCall)
+{
+  const auto* call = std::get_if<lease::start_call>(&aCall);
+  if (call == nullptr) {
+    return true;
+  }
+  const auto found = aAgent.mOpenStarts.find(call->mId);
+  if (found == aAgent.mOpenStarts.end()) {
+    return false;
+  }
+  found->second.mIsSent = true;
+  return true;
+}
+
 void
 world::SendToTarget(agent_process& aAgent, const lease::call& aCall)
 {
   const std::uint64_t sender = aAgent.mIncarnation;
   At(mNow + duration(Draw(20, 300)), [this, &aAgent, aCall, sender] {
     Arrive(aAgent, sender, [this, &aAgent, aCall] {
-      std::visit([&](const auto& aWire) { CallTarget(aAgent, aWire); }, aCall);
+      std::visit(
+        [&](const auto& aWire) {
+          using wire = std::decay_t<decltype(aWire)>;
+          if constexpr (!std::is_same_v<wire, lease::withdraw_call>) {
+            CallTarget(aAgent, aWire);
+          }
+        },
+        aCall);
     });
   });
 }
@@ -171,6 +228,9 @@
   const instant sentAt = mNow;
   const settler settle =
     SettleOnce(aAgent, !std::is_same_v<Wire, lease::renew_call>);
+  if (!BeginSending(aAgent, lease::call(aCall))) {
+    return settle([] {});
+  }
   const auto fail = [=, this, &aAgent](bool aDelivered) {
     settle([=, this, &aAgent] { Fail(aAgent, aCall, aDelivered, sentAt); });
   };
@@ -218,6 +278,7 @@
   RecordChanges(aReceived.mTarget, changes);
   agent_process& agent = mAgents[aReceived.mTarget];
   aReceived.mReply([=, this, &agent, clock = ClockOf(target, mNow)] {
+    agent.mOpenStarts.erase(aCall.mId);
     WithAgent(agent, [&](agent::effects& aEffects) {
       agent::OnStartAnswered(
         *agent.mControl, aCall, answer, clock, mNow, aEffects);
@@ -301,6 +362,7 @@
             bool aDelivered,
             instant)
 {
+  aAgent.mOpenStarts.erase(aCall.mId);
   const auto answer =
     aDelivered ? lease::start_answer::NoAnswer : lease::start_answer::NotSent;
   WithAgent(aAgent, [&](agent::effects& aEffects) {
--- a/tests/libgooseberry/test_lease.cpp
+++ b/tests/libgooseberry/test_lease.cpp
@@ -184,4 +184,76 @@
   BOOST_TEST(mTarget.mRenewing);
 }
 
+// Load pattern: a target leaves a few starts unanswered, some of which it
+// carries out late. A job with one of them waited for the call's deadline.
+BOOST_AUTO_TEST_CASE(an_unlisted_start_is_taken_back_before_its_deadline)
+{
+  const auto start = Start();
+  const core::instant sentAt = mNow;
+  mNow += 20ms;
+  Report({});
+  BOOST_TEST(Count<lease::stop_call>() == 0U);
+  mNow += 20ms;
+  Report({});
+  const auto stop = Last<lease::stop_call>();
+  BOOST_TEST(Last<lease::withdraw_call>().mStartId == start.mId);
+  mNow += 2ms;
+  lease::OnStartSent(mTarget, start.mId, mNow);
+  lease::OnStopAnswer(mTarget, stop, mNow);
+  BOOST_TEST(Ends().empty());
+  mNow += 2ms;
+  Report({});
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  BOOST_TEST((Ends().front().mEnd == core::task_end::Returned));
+  BOOST_TEST((mNow - sentAt < mTarget.mSettings.mCallDeadline / 4));
+}
+
+// Double run: the call was still to be sent, and reached the next incarnation.
+BOOST_AUTO_TEST_CASE(a_start_that_may_yet_be_sent_is_not_settled)
+{
+  const auto start = Start();
+  mNow += 40ms;
+  Report({});
+  lease::OnStopAnswer(mTarget, Last<lease::stop_call>(), mNow);
+  mNow += 2ms;
+  Report({});
+  BOOST_TEST(Ends().empty());
+  Answer(start, lease::start_answer::Withdrawn);
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  BOOST_TEST((Ends().front().mEnd == core::task_end::Returned));
+}
+
+// The answer to a start was lost: its run was stopped at the call's deadline.
+BOOST_AUTO_TEST_CASE(a_listed_start_needs_no_answer)
+{
+  const auto start = Start();
+  mNow += 60ms;
+  Report({ { kTask, 1 } });
+  mNow += 190ms;
+  Answer(start, lease::start_answer::NoAnswer);
+  Pass(1ms);
+  BOOST_TEST(Count<lease::stop_call>() == 0U);
+  Report({}, { { 1, kTask, 1, core::task_end::Succeeded, "done" } });
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  BOOST_TEST((Ends().front().mEnd == core::task_end::Succeeded));
+}
+
+// A task may be started again at the target that gave it back; the first call
+// is answered after the second was made.
+BOOST_AUTO_TEST_CASE(an_answer_counts_for_its_own_call_only)
+{
+  const auto first = Start();
+  mNow += 40ms;
+  Report({});
+  lease::OnStartSent(mTarget, first.mId, mNow);
+  lease::OnStopAnswer(mTarget, Last<lease::stop_call>(), mNow);
+  mNow += 2ms;
+  Report({});
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  const auto second = Start();
+  BOOST_TEST(second.mRun == first.mRun);
+  Answer(first, lease::start_answer::Late);
+  BOOST_TEST(Ends().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/platform/test_target_client.cpp
+++ b/tests/platform/test_target_client.cpp
@@ -175,6 +175,7 @@
       run.mTask = { kJob, aIndex };
       run.mState = lease::run_state::Running;
       run.mCalledIncarnation = kLife;
+      run.mCallSentBy = aNow - 1s;
       run.mConfirmedAt = aNow + 1h;
       run.mSentAt = aNow - 1s;
       run.mAnsweredAt = aNow - 1s;
@@ -343,7 +344,7 @@
       });
       mTarget.Answer(409, body);
       mClient->Post(
-        lease::start_call{ Header(), { kJob, 1 }, 1, "cut", 9'000ms });
+        lease::start_call{ Header(), 0, { kJob, 1 }, 1, "cut", 9'000ms });
       BOOST_TEST(Becomes([](const lease::leased_target& aState) {
         const auto run = aState.mRuns.find({ kJob, 1 });
         return run != aState.mRuns.end() &&
@@ -358,7 +359,8 @@
 {
   AddRun(1);
   mClient->Stop();
-  mClient->Post(lease::start_call{ Header(), { kJob, 1 }, 1, "cut", 9'000ms });
+  mClient->Post(
+    lease::start_call{ Header(), 0, { kJob, 1 }, 1, "cut", 9'000ms });
   BOOST_TEST(Becomes([](const lease::leased_target& aState) {
     return !aState.mRuns.contains({ kJob, 1 });
   }));
