--- a/tests/libgooseberry/test_agent_leased.cpp
+++ b/tests/libgooseberry/test_agent_leased.cpp
@@ -429,6 +429,32 @@
      core::start_verdict::Stale));
 }
 
+// After a restart the agent knows nothing of a target that left before. Its
+// delayed registration offers nothing, as nobody reports at its address.
+BOOST_AUTO_TEST_CASE(a_late_registration_of_a_departed_target_offers_nothing)
+{
+  agent::control_settings settings = mControl.mSettings;
+  settings.mAgent.mIncarnation = 5;
+  const auto configuration = mControl.mConfiguration;
+  mControl = agent::MakeControl(settings);
+  agent::OnConfiguration(mControl, configuration, mNow, mEffects);
+  Register(false);
+  for (int i = 0; i < 3; ++i) {
+    mNow += 50ms;
+    agent::OnRenewalFailed(mControl,
+                           "t-1",
+                           lease::renewal_failure::Refused,
+                           std::nullopt,
+                           mNow,
+                           mNow,
+                           mEffects);
+    agent::Tick(mControl, mNow, mEffects);
+    BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::NoTarget));
+    const auto state = agent::StateOf(mControl, kFirstEntry, mNow);
+    BOOST_TEST(state.mTargets.front().mLeaving);
+  }
+}
+
 // Double run: the result of a run for an earlier submission counted for the
 // start that had just been sent to the same agent.
 BOOST_AUTO_TEST_CASE(a_result_names_the_latest_start_that_it_answers)
--- a/tests/libgooseberry/test_entry_configuration.cpp
+++ b/tests/libgooseberry/test_entry_configuration.cpp
@@ -142,4 +142,14 @@
   BOOST_TEST(mControl.mRow.mBy == "entry-9");
 }
 
+// A restarted entry hears of the newest configuration before it reads a copy of
+// the store that lags behind.
+BOOST_FIXTURE_TEST_CASE(an_older_row_does_not_bring_back_what_was_removed,
+                        fixture)
+{
+  ReceiveHeartbeat(Row(5, "fifth"));
+  OnConfigurationRead(mControl, Row(4, "fourth"), mNow, mNow, mEffects);
+  BOOST_TEST(mControl.mDesired.mName == "fifth");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgooseberry/test_leased_world.cpp
+++ b/tests/libgooseberry/test_leased_world.cpp
@@ -309,6 +309,21 @@
   });
 }
 
+// An agent that is silent, or slow to report, for less than the entry contact
+// timeout keeps its runs.
+BOOST_AUTO_TEST_CASE(a_short_silence_starts_nothing_again)
+{
+  ForSeeds([](world& aWorld) {
+    const auto key = aWorld.Submit(0, std::vector(8, 2s + 0us), 20s);
+    aWorld.RunFor(300ms);
+    aWorld.Cut(aWorld.MakeCut(kAllEntries, { 1, 3 }, true, true, 450ms));
+    aWorld.Slow(aWorld.Agent(2), 150ms, 1'500ms);
+    aWorld.RunFor(6s);
+    BOOST_TEST(aWorld.Job(key).mIsComplete);
+    BOOST_TEST(aWorld.Job(key).mRunCount == 8U);
+  });
+}
+
 // Agents of the version before serve an entry of this one, also after a
 // restart and when a job is sent again.
 BOOST_AUTO_TEST_CASE(agents_whose_results_name_no_start_are_served)
