--- a/src/entry/control_loop.cpp
+++ b/src/entry/control_loop.cpp
@@ -56,7 +56,7 @@
   quota::RecordDelay(mControl.mQueueDelay, now - aArrived, now);
   aInput(mControl, now, effects);
   mRunner(effects);
-  NoteInput(mLoad, now - aArrived, io::Now() - now);
+  RecordInput(mLoad, now - aArrived, io::Now() - now);
 }
 
 void
--- a/src/entry/load_line.cpp
+++ b/src/entry/load_line.cpp
@@ -7,7 +7,7 @@
 namespace gooseberry::entry_program {
 
 void
-NoteInput(load_meter& aMeter, core::duration aWaited, core::duration aBusy)
+RecordInput(load_meter& aMeter, core::duration aWaited, core::duration aBusy)
 {
   aMeter.mWaited += aWaited;
   aMeter.mBusy += aBusy;
--- a/src/entry/load_line.h
+++ b/src/entry/load_line.h
@@ -18,7 +18,7 @@
 
 /** Takes note of one input. */
 void
-NoteInput(load_meter& aMeter, core::duration aWaited, core::duration aBusy);
+RecordInput(load_meter& aMeter, core::duration aWaited, core::duration aBusy);
 
 /** Logs `entry_load` once a second: inputs by kind, and how long they waited
  * for the control thread. */
--- a/src/libgooseberryio/close_watch.cpp
+++ b/src/libgooseberryio/close_watch.cpp
@@ -99,13 +99,13 @@
       if (id == kWakeId) {
         return;
       }
-      TellClosed(id);
+      ReportClosed(id);
     }
   }
 }
 
 void
-close_watch::TellClosed(std::uint64_t aId)
+close_watch::ReportClosed(std::uint64_t aId)
 {
   const std::lock_guard lock(mMutex);
   if (const auto found = mWatched.find(aId);
--- a/src/libgooseberryio/close_watch.h
+++ b/src/libgooseberryio/close_watch.h
@@ -44,7 +44,7 @@
   };
 
   void Run();
-  void TellClosed(std::uint64_t aId);
+  void ReportClosed(std::uint64_t aId);
 
   const int mPoll; ///< An epoll descriptor.
   const int mWake; ///< Readable once the watch is to end.
--- a/src/libgooseberryio/http_connections.cpp
+++ b/src/libgooseberryio/http_connections.cpp
@@ -46,7 +46,7 @@
     const std::lock_guard lock(mMutex);
     mConnections.erase(aClient);
   }
-  TellIdleWaiter();
+  NotifyIdleWaiter();
 }
 
 int
@@ -72,7 +72,7 @@
       found->second.mSince = Now();
     }
   }
-  TellIdleWaiter();
+  NotifyIdleWaiter();
 }
 
 void
@@ -88,7 +88,7 @@
 
 /** Wakes `WaitIdle`, and nobody while the server runs. */
 void
-http_connections::TellIdleWaiter()
+http_connections::NotifyIdleWaiter()
 {
   if (mAwaitsIdle) {
     mRequestEnded.notify_all();
--- a/src/libgooseberryio/http_connections.h
+++ b/src/libgooseberryio/http_connections.h
@@ -45,7 +45,7 @@
   };
 
   void CloseLate();
-  void TellIdleWaiter();
+  void NotifyIdleWaiter();
 
   const core::duration mTimeout;
   std::mutex mMutex;
--- a/src/libgooseberryio/protocol/convert.h
+++ b/src/libgooseberryio/protocol/convert.h
@@ -57,7 +57,7 @@
 wire::FenceReply
 ToWire(const core::fence_reply& aReply);
 wire::FenceNote
-ToWire(const core::ballot_promise& aNote);
+ToWire(const core::ballot_promise& aPromise);
 wire::CopyReply
 ToWire(const core::copy_fences_reply& aReply);
 wire::CopyReply
@@ -108,7 +108,7 @@
 core::fence_reply
 FromWire(const wire::FenceReply& aReply);
 core::ballot_promise
-FromWire(const wire::FenceNote& aNote);
+FromWire(const wire::FenceNote& aPromise);
 core::copy_fences_reply
 CopyFencesFromWire(const wire::CopyReply& aReply);
 core::copy_promises_reply
--- a/src/libgooseberryio/protocol/from_wire.cpp
+++ b/src/libgooseberryio/protocol/from_wire.cpp
@@ -241,11 +241,11 @@
 }
 
 core::ballot_promise
-FromWire(const wire::FenceNote& aNote)
+FromWire(const wire::FenceNote& aPromise)
 {
-  return { .mJob = aNote.job,
-           .mBallot = FromWire(aNote.ballot),
-           .mHolder = aNote.holder };
+  return { .mJob = aPromise.job,
+           .mBallot = FromWire(aPromise.ballot),
+           .mHolder = aPromise.holder };
 }
 
 core::copy_fences_reply
--- a/src/libgooseberryio/protocol/to_wire.cpp
+++ b/src/libgooseberryio/protocol/to_wire.cpp
@@ -240,12 +240,12 @@
 }
 
 wire::FenceNote
-ToWire(const core::ballot_promise& aNote)
+ToWire(const core::ballot_promise& aPromise)
 {
   wire::FenceNote note;
-  note.job = aNote.mJob;
-  note.ballot = ToWire(aNote.mBallot);
-  note.holder = aNote.mHolder;
+  note.job = aPromise.mJob;
+  note.ballot = ToWire(aPromise.mBallot);
+  note.holder = aPromise.mHolder;
   return note;
 }
 
