--- a/src/libgooseberry/lease/leased_target.h
+++ b/src/libgooseberry/lease/leased_target.h
@@ -36,6 +36,15 @@
   std::uint32_t mRun = 1;
   std::string mPayload;
   run_state mState = run_state::Starting;
+  std::uint64_t mCall = 0; ///< Id of the latest start call.
+  /** Incarnation of the target for which the latest start call was made. */
+  std::uint64_t mCalledIncarnation = 0;
+  /** Since when that call is known to be sent or to have ended. Before, it may
+   * reach the process that listens when it is sent. */
+  std::optional<core::instant> mCallSentBy;
+  /** The run is known to be at the current incarnation. Any other run may have
+   * been started by the next one, which a start call may have reached. */
+  bool mIsConfirmed = false;
   /** Latest time at which its entry is known to have required the run. */
   core::instant mConfirmedAt{};
   core::instant mSentAt{};
@@ -108,6 +117,7 @@
   target_time mLeaseUntil{}; ///< Latest end that any call requested.
   std::uint64_t mLastEnd = 0;
   std::map<core::task_ref, run> mRuns;
+  std::uint64_t mLastCall = 0; ///< Id of the latest start call.
   /** The last report listed no runs that this agent did not start. */
   bool mNoForeignRuns = false;
   bool mRenewing = false;
@@ -171,6 +181,10 @@
               core::instant aNow,
               effects& aOut);
 
+/** Handles that a start call had been sent when it was to be withdrawn. */
+void
+OnStartSent(leased_target& aTarget, std::uint64_t aStartId, core::instant aNow);
+
 /** Handles the answer to a stop call; unanswered calls are not reported. */
 void
 OnStopAnswer(leased_target& aTarget,
@@ -196,11 +210,4 @@
 void
 Tick(leased_target& aTarget, core::instant aNow, effects& aOut);
 
-/** Ends all runs of a target that left or was replaced. */
-void
-EndAll(leased_target& aTarget,
-       const std::string& aReason,
-       core::instant aNow,
-       effects& aOut);
-
 } // namespace gooseberry::lease
--- a/tests/libgooseberry/test_agent_leased.cpp
+++ b/tests/libgooseberry/test_agent_leased.cpp
@@ -125,6 +125,32 @@
     return count;
   }
 
+  lease::start_call LastStartCall() const
+  {
+    lease::start_call last;
+    for (const agent::effect& effect : mEffects) {
+      const auto* call = std::get_if<agent::call_target>(&effect);
+      if (call != nullptr &&
+          std::holds_alternative<lease::start_call>(call->mCall)) {
+        last = std::get<lease::start_call>(call->mCall);
+      }
+    }
+    return last;
+  }
+
+  /** Returns the last result that was sent to an entry. */
+  std::optional<core::task_result> LastResult() const
+  {
+    std::optional<core::task_result> last;
+    for (const agent::effect& effect : mEffects) {
+      const auto* sent = std::get_if<agent::send_finish>(&effect);
+      if (sent != nullptr && !sent->mFinish.mResults.empty()) {
+        last = sent->mFinish.mResults.back();
+      }
+    }
+    return last;
+  }
+
   std::uint32_t mPlacements = 0;
 };
 
@@ -321,9 +347,12 @@
   BOOST_TEST((Start("c", 1, kFirstEntry) == core::start_verdict::Accepted));
 }
 
+// A start call in flight may reach the next process at the address, so its run
+// is not over before the call is.
 BOOST_AUTO_TEST_CASE(an_unregistered_target_is_removed_once_nothing_runs)
 {
   Start("a", 1, kFirstEntry);
+  const auto call = LastStartCall();
   agent::OnTargetUnregistered(mControl, "t-1", mNow, mEffects);
   BOOST_TEST(mControl.mTargets.contains("t-1"));
   agent::OnRenewalFailed(mControl,
@@ -334,6 +363,10 @@
                          mNow,
                          mEffects);
   agent::Tick(mControl, mNow, mEffects);
+  BOOST_TEST(mControl.mTargets.contains("t-1"));
+  agent::OnStartAnswered(
+    mControl, call, lease::start_answer::NotSent, std::nullopt, mNow, mEffects);
+  agent::Tick(mControl, mNow, mEffects);
   BOOST_TEST(!mControl.mTargets.contains("t-1"));
 }
 
@@ -396,4 +429,58 @@
      core::start_verdict::Stale));
 }
 
+// After a restart the agent knows nothing of a target that left before. Its
+// delayed registration offers nothing, as nobody reports at its address.
+BOOST_AUTO_TEST_CASE(a_late_registration_of_a_departed_target_offers_nothing)
+{
+  agent::control_settings settings = mControl.mSettings;
+  settings.mAgent.mIncarnation = 5;
+  const auto configuration = mControl.mConfiguration;
+  mControl = agent::MakeControl(settings);
+  agent::OnConfiguration(mControl, configuration, mNow, mEffects);
+  Register(false);
+  for (int i = 0; i < 3; ++i) {
+    mNow += 50ms;
+    agent::OnRenewalFailed(mControl,
+                           "t-1",
+                           lease::renewal_failure::Refused,
+                           std::nullopt,
+                           mNow,
+                           mNow,
+                           mEffects);
+    agent::Tick(mControl, mNow, mEffects);
+    BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::NoTarget));
+    const auto state = agent::StateOf(mControl, kFirstEntry, mNow);
+    BOOST_TEST(state.mTargets.front().mLeaving);
+  }
+}
+
+// Double run: the result of a run for an earlier submission counted for the
+// start that had just been sent to the same agent.
+BOOST_AUTO_TEST_CASE(a_result_names_the_latest_start_that_it_answers)
+{
+  Start("a", 1, kFirstEntry);
+  Start("a", 2, kSecondEntry); // Already started: answers this entry now.
+  const auto second = mPlacements;
+  Report({}, { { 1, { "a", 0 }, 1, core::task_end::Succeeded, "done" } });
+  BOOST_REQUIRE(LastResult().has_value());
+  BOOST_TEST(LastResult()->mBallot.mEntry == 2U);
+  BOOST_TEST(LastResult()->mPlacement == second);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_start_of_the_same_entry_does_not_take_the_result)
+{
+  mPlacements = 5;
+  Start("a", 1, kFirstEntry);
+  Start("a", 1, kFirstEntry);
+  const auto latest = mPlacements;
+  for (const std::uint32_t earlier : { 6U, 3U }) { // A copy, and a delayed one.
+    mPlacements = earlier - 1;
+    Start("a", 1, kFirstEntry);
+  }
+  Report({}, { { 1, { "a", 0 }, 1, core::task_end::Succeeded, "done" } });
+  BOOST_REQUIRE(LastResult().has_value());
+  BOOST_TEST(LastResult()->mPlacement == latest);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
