--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -55,6 +55,34 @@
     renew_call{ HeaderFor(aTarget, wait), until, aTarget.mLastEnd, wait }));
 }
 
+/** Records that a process with this clock, if known, runs the task. */
+void
+MarkAccepted(const leased_target& aTarget,
+             run& aRun,
+             std::optional<target_time> aClock,
+             core::instant aNow)
+{
+  aRun.mState = run_state::Running;
+  aRun.mAnsweredAt = aNow;
+  aRun.mIsConfirmed |= aClock && IsOfKnownProcess(aTarget, *aClock, aNow);
+}
+
+/** Starts a superseded run again under a higher number. Returns false if it was
+ * to be stopped or has been superseded too often. */
+bool
+StartRenumbered(leased_target& aTarget,
+                run& aRun,
+                core::instant aNow,
+                effects& aOut)
+{
+  if (aRun.mStopRequested || ++aRun.mRenumberings > kMaxRenumberings) {
+    return false;
+  }
+  aRun.mRun += aRun.mRenumberings;
+  SendStart(aTarget, aRun, aNow, aOut);
+  return true;
+}
+
 /** Returns whether the renewal in flight counts as lost. */
 bool
 IsRenewalOverdue(const leased_target& aTarget, core::instant aNow)
@@ -181,18 +209,12 @@
   };
   switch (aAnswer) {
     case start_answer::Accepted:
-      found->mState = run_state::Running;
-      found->mAnsweredAt = aNow;
-      found->mIsConfirmed |=
-        isCurrent && aClock && IsOfKnownProcess(aTarget, *aClock, aNow);
+      MarkAccepted(aTarget, *found, isCurrent ? aClock : std::nullopt, aNow);
       break;
     case start_answer::Superseded:
-      if (!isCurrent || found->mStopRequested ||
-          ++found->mRenumberings > kMaxRenumberings) {
+      if (!isCurrent || !StartRenumbered(aTarget, *found, aNow, aOut)) {
         return returnRun(start_verdict::Cancelled);
       }
-      found->mRun += found->mRenumberings;
-      SendStart(aTarget, *found, aNow, aOut);
       break;
     case start_answer::NoAnswer:
       if (found->mState == run_state::Starting) {
