Admission: task counts of other entries are added up in 64 bits

Cause: the sum of all entries' tasks was 32 bits wide. A heartbeat with counts that add up to 2^32 makes it zero; the next submission divides by it, which ends the process on x86-64 (on arm64 the share is zero).

Found by odd_messages/an_entry_outlives_them_and_starts_jobs under the sanitizers, where it fails before this change and passes after it.

--- a/src/libgooseberry/entry/admit.cpp
+++ b/src/libgooseberry/entry/admit.cpp
@@ -11,13 +11,14 @@
 
 namespace {
 
-/** Returns the number of running and waiting tasks of an entry. */
-std::uint32_t
+/** Returns the number of running and waiting tasks of an entry. Other entries'
+ * counts are as they report them, and their sum may exceed 32 bits. */
+std::uint64_t
 Demand(const std::map<std::string, core::team_use>& aTeams)
 {
-  std::uint32_t tasks = 0;
+  std::uint64_t tasks = 0;
   for (const auto& [team, use] : aTeams) {
-    tasks += use.mRunning + use.mWaiting;
+    tasks += std::uint64_t(use.mRunning) + use.mWaiting;
   }
   return tasks;
 }
@@ -33,8 +34,8 @@
           core::instant aNow)
 {
   const std::uint32_t slots = target::TotalSlots(aControl.mTargets, aService);
-  const std::uint32_t own = Demand(aControl.mTeams) + 1;
-  std::uint32_t all = own;
+  const std::uint64_t own = Demand(aControl.mTeams) + 1;
+  std::uint64_t all = own;
   std::uint32_t entries = 1;
   for (const auto& [name, view] : aControl.mMembers.mEntries) {
     if (!view.mLeaving && IsEntryInContact(aControl, name, aNow)) {
@@ -42,8 +43,7 @@
       ++entries;
     }
   }
-  const auto byDemand =
-    static_cast<std::uint32_t>(std::uint64_t(slots) * own / all);
+  const auto byDemand = static_cast<std::uint32_t>(slots * own / all);
   return std::max({ 1U, slots / entries / 2, byDemand });
 }
 
