--- a/tests/libgooseberry/test_agent_leased.cpp
+++ b/tests/libgooseberry/test_agent_leased.cpp
@@ -103,6 +103,18 @@
       mControl, aAddress, reply, mNow - aReportAge, mNow, mEffects);
   }
 
+  /** Handles that the target's address refuses connections. */
+  void RefuseRenewal()
+  {
+    agent::OnRenewalFailed(mControl,
+                           "t-1",
+                           lease::renewal_failure::Refused,
+                           std::nullopt,
+                           mNow,
+                           mNow,
+                           mEffects);
+  }
+
   /** Advances the clock and returns the number of stop calls. */
   std::size_t StopsWithin(core::duration aTime)
   {
@@ -355,13 +367,7 @@
   const auto call = LastStartCall();
   agent::OnTargetUnregistered(mControl, "t-1", mNow, mEffects);
   BOOST_TEST(mControl.mTargets.contains("t-1"));
-  agent::OnRenewalFailed(mControl,
-                         "t-1",
-                         lease::renewal_failure::Refused,
-                         std::nullopt,
-                         mNow,
-                         mNow,
-                         mEffects);
+  RefuseRenewal();
   agent::Tick(mControl, mNow, mEffects);
   BOOST_TEST(mControl.mTargets.contains("t-1"));
   agent::OnStartAnswered(
@@ -388,13 +394,7 @@
   an_incarnation_that_refuses_connections_blocks_no_registration)
 {
   Register(false, 1'000'000);
-  agent::OnRenewalFailed(mControl,
-                         "t-1",
-                         lease::renewal_failure::Refused,
-                         std::nullopt,
-                         mNow,
-                         mNow,
-                         mEffects);
+  RefuseRenewal();
   Register(false);
   BOOST_TEST(mControl.mTargets.at("t-1").mLeased->mTargetIncarnation == 7U);
   Report();
@@ -441,13 +441,7 @@
   Register(false);
   for (int i = 0; i < 3; ++i) {
     mNow += 50ms;
-    agent::OnRenewalFailed(mControl,
-                           "t-1",
-                           lease::renewal_failure::Refused,
-                           std::nullopt,
-                           mNow,
-                           mNow,
-                           mEffects);
+    RefuseRenewal();
     agent::Tick(mControl, mNow, mEffects);
     BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::NoTarget));
     const auto state = agent::StateOf(mControl, kFirstEntry, mNow);
