--- /dev/null
+++ b/tests/platform/soak/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, faults and checks of the soak test."""
