--- a/src/libgooseberry/entry/entry_control.cpp
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -29,7 +29,6 @@
   control.mRetryBudget.mSettings = aOptions.mRetry;
   control.mOptions = std::move(aOptions);
   control.mStartedAt = aNow;
-  control.mJoining.mJoiningSince = aNow;
   if (control.mOptions.mLeasedRuns) {
     control.mJoining.mStage = join_stage::Open;
   }
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -83,9 +83,7 @@
 struct joining
 {
   join_stage mStage = join_stage::Registering;
-  core::instant mJoiningSince{};
   core::instant mRowWrittenAt{};
-  std::set<std::string> mAsked;  ///< Unused.
   std::set<std::string> mCopied; ///< Names of entries that have answered.
   core::instant mNextRound{};
   /** End of the time in which every attempt takes the recovery path, as no open
--- a/src/libgooseberry/entry/joining.cpp
+++ b/src/libgooseberry/entry/joining.cpp
@@ -146,7 +146,6 @@
     // Others have removed the row of this entry: its jobs have ended. Join
     // again.
     state = {};
-    state.mJoiningSince = aNow;
   }
   SettleInquiries(aControl, aSentAt, aNow, aEffects);
   if (std::exchange(aControl.mMembersReadAgain, false)) {
--- a/src/libgooseberry/lease/call.h
+++ b/src/libgooseberry/lease/call.h
@@ -23,10 +23,9 @@
   std::string mTarget;  ///< Name of the called target.
   std::string mAddress; ///< `ip:port` of its HTTP server.
   /** The target rejects calls with a lower token than it has seen. */
-  /** As known when the call was made. */
   std::uint64_t mFencingToken = 0;
-  std::uint64_t mTargetIncarnation = 0;
-  core::duration mDeadline{}; ///< Of the whole call.
+  std::uint64_t mTargetIncarnation = 0; ///< As known when the call was made.
+  core::duration mDeadline{};           ///< Of the whole call.
 };
 
 /** Starts a run; the answer goes to `OnStartAnswer`. */
