Lease: what other calls were granted is waited out

A run was reported as lost while it went on, and its task was started elsewhere: two runs at the same time.

Cause: the agent counted only the leases that it had asked for, but a lease holds for all that runs at the target. Others may have asked: an agent before it, or itself for an earlier process. Now, with the first report that was asked for with the token, the longest lease counts as granted; calls with lower tokens extend nothing after that.

a_lease_granted_before_the_token_was_seen_is_waited_out failed before (Ends().empty()). Four tests started right after the target had seen the token and expected that only own leases count; their fixtures now report for the longest lease first, their checks are unchanged. The leased world's target extends a lease also by a superseded start, as the platform's do.

--- a/src/agent/daemon_settings.cpp
+++ b/src/agent/daemon_settings.cpp
@@ -62,6 +62,7 @@
       std::min(control.mLoadReportInterval,
                control.mEntryContactTimeout / kAnnouncesInSilence);
   }
+  control.mLease.mLongestLease = aSettings.mProtocol.mLease;
   control.mLease.mLease =
     std::min(aSettings.mProtocol.mLease,
              aSettings.mProtocol.mResubmit * kLeasePercent / kPercent);
--- a/src/libgooseberry/lease/leased_target.h
+++ b/src/libgooseberry/lease/leased_target.h
@@ -113,8 +113,9 @@
   std::optional<pending_registration> mPendingRegistration;
   std::uint64_t mFencingToken = 0; ///< Zero: not chosen yet.
   core::instant mTokenSince{};     ///< Reports requested since then carry it.
+  bool mHasSeenToken = false;      ///< Such a report has arrived.
   std::optional<clock_reading> mClock;
-  target_time mLeaseUntil{}; ///< Latest end that any call requested.
+  target_time mLeaseUntil{}; ///< Latest end of a lease that may be granted.
   std::uint64_t mLastEnd = 0;
   std::map<core::task_ref, run> mRuns;
   std::uint64_t mLastCall = 0; ///< Id of the latest start call.
--- a/src/libgooseberry/lease/report.cpp
+++ b/src/libgooseberry/lease/report.cpp
@@ -177,6 +177,25 @@
   }
 }
 
+/**
+ * Counts the leases that calls with lower tokens may have been granted, of
+ * other agents or for earlier incarnations. Once the target has seen the
+ * token, it grants them no more.
+ */
+void
+BoundOtherLeases(leased_target& aTarget,
+                 target_time aClock,
+                 core::instant aAskedAt)
+{
+  if (aAskedAt < aTarget.mTokenSince ||
+      std::exchange(aTarget.mHasSeenToken, true)) {
+    return;
+  }
+  const auto longest =
+    std::chrono::duration_cast<target_time>(aTarget.mSettings.mLongestLease);
+  aTarget.mLeaseUntil = std::max(aTarget.mLeaseUntil, aClock + longest);
+}
+
 } // namespace
 
 void
@@ -202,6 +221,7 @@
     RaiseToken(aTarget, aReport.mClock, aNow);
     return;
   }
+  BoundOtherLeases(aTarget, aReport.mClock, aAskedAt);
   // An earlier call may be answered after a later one.
   aTarget.mReportAskedAt =
     std::max(aTarget.mReportAskedAt.value_or(aAskedAt), aAskedAt);
--- a/src/libgooseberry/lease/run_end.cpp
+++ b/src/libgooseberry/lease/run_end.cpp
@@ -195,6 +195,7 @@
 {
   aTarget.mFencingToken = std::max(aTarget.mFencingToken + 1, aToken);
   aTarget.mTokenSince = aNow;
+  aTarget.mHasSeenToken = false;
   aTarget.mNoForeignRuns = false;
 }
 
--- a/src/libgooseberry/lease/settings.h
+++ b/src/libgooseberry/lease/settings.h
@@ -15,6 +15,9 @@
    * entry.
    */
   core::duration mLease = 754ms;
+  /** Longest lease that the target grants to anyone; it shortens longer ones.
+   */
+  core::duration mLongestLease = 1'000ms;
   /** The target answers a renewal after this time if no task has ended. */
   core::duration mRenewWait = 100ms;
   /** A renewal unanswered for its wait plus this time counts as lost and is
--- a/tests/libgooseberry/lease_fixture.h
+++ b/tests/libgooseberry/lease_fixture.h
@@ -14,12 +14,13 @@
 
 inline constexpr core::instant kStart{ 100s };
 
-/** A target that has registered and reported, and the effects so far. */
+/** A target that has registered and reported for longer than a lease, and the
+ * effects since `kStart`. */
 struct lease_fixture
 {
   lease::leased_target mTarget;
   lease::effects mEffects;
-  core::instant mNow = kStart;
+  core::instant mNow = kStart - mTarget.mSettings.mLongestLease;
 
   lease_fixture()
   {
@@ -27,6 +28,8 @@
       mTarget, { "t-1", "127.0.0.1:1", 7, 1 }, mNow, mEffects);
     Report({}); // Brings the clock, from which the token is chosen.
     Report({});
+    mNow = kStart;
+    Report({});
     mEffects.clear();
   }
 
--- a/tests/libgooseberry/leased_agent_fixture.h
+++ b/tests/libgooseberry/leased_agent_fixture.h
@@ -18,12 +18,14 @@
 inline constexpr const char* kSecondEntry = "127.0.0.1:12";
 inline constexpr core::resources kTwoCores{ 2'000, 64, 0 };
 
-/** An agent with one target of four cores, ready for starts. */
+/** An agent with one target of four cores, ready for starts. The target has
+ * reported for longer than a lease. */
 struct leased_agent
 {
   agent::agent_control mControl;
   agent::effects mEffects;
-  core::instant mNow = kStart;
+  core::instant mNow = kStart - lease::lease_settings{}.mLongestLease;
+  lease::target_time mClock{}; ///< The target's; only `Report` shows it.
   std::uint64_t mSequence = 0;
 
   leased_agent()
@@ -43,6 +45,9 @@
     Register(false);
     Report(); // Brings the target's clock, which the token is taken from.
     Report();
+    mNow = kStart;
+    mClock = 1'000ms;
+    Report();
   }
 
   bool Register(bool aIsDraining, std::uint64_t aIncarnation = 7)
@@ -66,13 +71,12 @@
   void Report(std::vector<lease::listed_run> aRunning = {},
               std::vector<lease::listed_end> aEnded = {})
   {
-    agent::OnTargetReport(
-      mControl,
-      "t-1",
-      { 1'000ms, 7, std::move(aRunning), std::move(aEnded) },
-      mNow,
-      mNow,
-      mEffects);
+    agent::OnTargetReport(mControl,
+                          "t-1",
+                          { mClock, 7, std::move(aRunning), std::move(aEnded) },
+                          mNow,
+                          mNow,
+                          mEffects);
   }
 
   /** `aTimestampAge`: age of the agent's timestamp in the batch. */
--- a/tests/libgooseberry/leased_world_target.cpp
+++ b/tests/libgooseberry/leased_world_target.cpp
@@ -156,6 +156,7 @@
   if (const auto superseded = aTarget.mSupersededRun.find(aCall.mTask);
       superseded != aTarget.mSupersededRun.end() &&
       aCall.mRun <= superseded->second) {
+    ExtendLease(aTarget, aCall.mValidUntil, aNow);
     return start_answer::Superseded;
   }
   ExtendLease(aTarget, aCall.mValidUntil, aNow);
--- a/tests/libgooseberry/test_lease_lives.cpp
+++ b/tests/libgooseberry/test_lease_lives.cpp
@@ -249,6 +249,21 @@
   BOOST_TEST(Ends().size() == 1U);
 }
 
+// Double run: a start for the last incarnation, whose clock was far ahead, had
+// extended the lease of the next one beyond what this agent had asked of it.
+BOOST_AUTO_TEST_CASE(a_lease_granted_before_the_token_was_seen_is_waited_out)
+{
+  ReportRestart(10ms);
+  ReportRestart(10ms); // The target has seen the token.
+  const auto start = Start();
+  lease::OnStartAnswer(
+    mTarget, start, lease::start_answer::Accepted, 10ms, mNow, mEffects);
+  Pass(mTarget.mSettings.mLease + 60ms);
+  BOOST_TEST(Ends().empty());
+  Pass(mTarget.mSettings.mRunHold);
+  BOOST_TEST(Ends().size() == 1U);
+}
+
 // A token from the clock of a long-lived incarnation that reached the next one
 // shut the agent out for as long as the first had lived.
 BOOST_AUTO_TEST_CASE(a_token_of_an_earlier_incarnation_is_outranked_soon)
