--- a/tests/platform/soak/harness/callers.py
+++ b/tests/platform/soak/harness/callers.py
@@ -10,8 +10,9 @@
 RESEND_SECONDS = 1.3
 MAX_SENDS = 4
 THINK_SECONDS = (0.05, 0.6)
-#: Tasks, thousandths of a core of each, seconds of each.
-KINDS = ((8, 1600, 0.06), (4, 1600, 0.9), (2, 1600, 0.2))
+#: Tasks, thousandths of a core of each, seconds of each. Some outlast the time
+#: after which a job is sent again.
+KINDS = ((8, 1600, 0.06), (4, 1600, 0.9), (2, 1600, 0.2), (2, 1600, 3.0))
 
 
 class Caller:
@@ -39,7 +40,8 @@
     async def submit_one(self):
         """Submits one job until it is answered, refused or given up."""
         job = self.new_job()
-        deadline = time.monotonic() + self._random.uniform(1.5, 6)
+        deadline = time.monotonic() + self._random.uniform(1.5, 6) \
+            + 2 * job.run_seconds
         leaves_after = self._random.choice([None] * 5 + [0.02, 0.3, 1.0])
         for _ in range(MAX_SENDS):
             if await self.send(job, deadline, leaves_after):
