--- a/tests/platform/soak/harness/cluster.py
+++ b/tests/platform/soak/harness/cluster.py
@@ -6,7 +6,7 @@
 import os
 import signal
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from . import http
 from .store import Store
@@ -60,15 +60,14 @@
 
 @dataclass
 class Process:
-    """One program of ours; `is_ended` tells of ends that were not asked for."""
+    """One program of ours; its end is a fault unless `expects_end`."""
     name: str
     role: str
     ip: str
     zone: str
     child: asyncio.subprocess.Process = None
     expects_end: bool = False
-    stopped_until: float = 0
-    exits: list = field(default_factory=list)
+    suspensions: int = 0  # Under way.
 
     @property
     def is_running(self):
@@ -221,10 +220,10 @@
             await self.spawn(process)
 
     async def suspend(self, process, seconds):
-        """Suspends a process; overlapping suspensions add up to the last."""
-        until = time.monotonic() + seconds
-        process.stopped_until = max(process.stopped_until, until)
+        """Suspends a process, until the last of several suspensions ends."""
+        process.suspensions += 1
         self.signal(process, signal.SIGSTOP)
         await asyncio.sleep(seconds)
-        if time.monotonic() >= process.stopped_until:
+        process.suspensions -= 1
+        if process.suspensions == 0:
             self.signal(process, signal.SIGCONT)
--- a/tests/platform/soak/harness/target.py
+++ b/tests/platform/soak/harness/target.py
@@ -165,6 +165,8 @@
     # Calls.
 
     async def _serve(self, request):
+        if not self.is_up:
+            raise http.Reset  # Read before the crash.
         if request.headers.get("gooseberrywing-expect-instance",
                                self.name) != self.name:
             return http.Response(421)
@@ -255,9 +257,10 @@
     async def _report(self, call, asked_at):
         """Waits for an end that the caller has not seen, then lists all."""
         until = asked_at + min(call.get("waitMs", 0), 2000) / 1000
+        born = self._born
         while not self._ends and time.monotonic() < until:
             await asyncio.sleep(POLL_SECONDS)
-            if not self.is_up:
+            if not self.is_up or self._born != born:
                 raise http.Reset
             self.settle(time.monotonic())
         return http.Response(200, {
--- a/tests/platform/soak/test_harness.py
+++ b/tests/platform/soak/test_harness.py
@@ -1,6 +1,7 @@
 #!/usr/bin/env python3
 """Tests of the soak's stand-ins and checks."""
 
+import asyncio
 import os
 import sys
 import time
@@ -10,7 +11,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 from harness.checks import Checks, Job  # noqa: E402
-from harness.http import Request  # noqa: E402
+from harness.http import Request, Reset  # noqa: E402
 from harness.target import MAX_LEASE_MS, Target  # noqa: E402
 from harness.template import render  # noqa: E402
 
@@ -85,6 +86,11 @@
         earlier = start(target, self.now, run=2, token=5)
         self.assertEqual(earlier.body["reason"], "old")
 
+    def test_a_call_read_before_a_crash_is_not_carried_out(self):
+        target = make_target("a", self.checks)
+        with self.assertRaises(Reset):
+            asyncio.run(target._serve(Request("POST", "/hold", {}, {}, b"")))
+
     def test_templates_are_filled_in(self):
         text = "{{#zones}}{{@}}{{,}} {{/zones}}{{a.0}}{{^b}}-{{/b}}"
         fields = {"zones": {"x": 1, "y": 1}, "a": [3]}
