Agent: a registration of unknown incarnation shows no new one

Callers could see starts on a target whose draining had been acknowledged: a registration without a start time ended the draining, and let an earlier one in by its sequence number.

Cause: an incarnation that is not told was compared as if it were another one. Now such a registration leaves the draining and the sequence as they are. A new incarnation shows in one that tells its start time, or in the target's reports.

a_registration_of_unknown_incarnation_ends_no_draining and a_registration_of_unknown_incarnation_keeps_the_sequence failed before: Accepted in place of Leaving, and the reverse.

--- a/src/libgooseberry/agent/leased_runs.cpp
+++ b/src/libgooseberry/agent/leased_runs.cpp
@@ -139,10 +139,12 @@
       agent_event::TargetChanged, known->first, "late_registration", aOut);
     return true;
   }
-  const bool wasDraining = !isNew && known->second.mLeaving &&
-                           known->second.mLeased &&
-                           known->second.mLeased->mTargetIncarnation ==
-                             aRegistration.mTargetIncarnation;
+  // Without an incarnation, a registration does not show a new one.
+  const bool namesIncarnation = aRegistration.mTargetIncarnation != 0;
+  const bool wasDraining =
+    !isNew && known->second.mLeaving && known->second.mLeased &&
+    (!namesIncarnation || known->second.mLeased->mTargetIncarnation ==
+                            aRegistration.mTargetIncarnation);
   if (!OnTargetRegistered(aControl, aTargetRegistration, aNow, aOut)) {
     return false;
   }
@@ -155,8 +157,10 @@
     target.mLeased->mSettings = aControl.mSettings.mLease;
     target.mLeased->mLastCall = aControl.mLastForgottenCall;
   }
-  target.mSequence = aRegistration.mSequence;
-  target.mSequenceIncarnation = aRegistration.mTargetIncarnation;
+  if (namesIncarnation) {
+    target.mSequence = aRegistration.mSequence;
+    target.mSequenceIncarnation = aRegistration.mTargetIncarnation;
+  }
   lease::effects calls;
   lease::OnRegistration(*target.mLeased, aRegistration, aNow, calls);
   ApplyLeaseEffects(aControl, aTargetRegistration.mName, calls, aNow, aOut);
--- a/tests/libgooseberry/test_agent_leased_targets.cpp
+++ b/tests/libgooseberry/test_agent_leased_targets.cpp
@@ -14,6 +14,27 @@
   BOOST_TEST((Start("b", 1, kFirstEntry) == core::start_verdict::Leaving));
 }
 
+// A start after the target's draining had been acknowledged.
+BOOST_AUTO_TEST_CASE(a_registration_of_unknown_incarnation_ends_no_draining)
+{
+  Register(true);
+  Register(false, 0);
+  BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::Leaving));
+  Register(false, 8); // A new incarnation, whose reports are awaited.
+  BOOST_TEST((Start("b", 1, kFirstEntry) == core::start_verdict::NoTarget));
+}
+
+// A sequence number of unknown incarnation let an earlier registration in.
+BOOST_AUTO_TEST_CASE(a_registration_of_unknown_incarnation_keeps_the_sequence)
+{
+  Register(false);
+  const auto sequence = mSequence;
+  Register(false, 0);
+  mSequence = sequence - 2;
+  Register(true); // Sent before the first one here.
+  BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::Accepted));
+}
+
 // Double run: a late or false unregistration counted active runs as over.
 BOOST_AUTO_TEST_CASE(
   an_unregistration_ends_no_run_that_the_target_still_reports)
