--- a/tests/libgooseberry/test_agent_leased_targets.cpp
+++ b/tests/libgooseberry/test_agent_leased_targets.cpp
@@ -14,6 +14,27 @@
   BOOST_TEST((Start("b", 1, kFirstEntry) == core::start_verdict::Leaving));
 }
 
+// A start after the target's draining had been acknowledged.
+BOOST_AUTO_TEST_CASE(a_registration_of_unknown_incarnation_ends_no_draining)
+{
+  Register(true);
+  Register(false, 0);
+  BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::Leaving));
+  Register(false, 8); // A new incarnation, whose reports are awaited.
+  BOOST_TEST((Start("b", 1, kFirstEntry) == core::start_verdict::NoTarget));
+}
+
+// A sequence number of unknown incarnation let an earlier registration in.
+BOOST_AUTO_TEST_CASE(a_registration_of_unknown_incarnation_keeps_the_sequence)
+{
+  Register(false);
+  const auto sequence = mSequence;
+  Register(false, 0);
+  mSequence = sequence - 2;
+  Register(true); // Sent before the first one here.
+  BOOST_TEST((Start("a", 1, kFirstEntry) == core::start_verdict::Accepted));
+}
+
 // Double run: a late or false unregistration counted active runs as over.
 BOOST_AUTO_TEST_CASE(
   an_unregistration_ends_no_run_that_the_target_still_reports)
@@ -185,4 +206,56 @@
   BOOST_TEST(Count<lease::renew_call>() == 1U);
 }
 
+// Double run: a delayed copy of a start whose run had been lost, as had that of
+// the next start of the task, was started, while the task ran elsewhere.
+BOOST_AUTO_TEST_CASE(a_copy_of_an_earlier_start_of_a_task_starts_nothing)
+{
+  const auto first = mPlacements;
+  for (std::uint64_t run = 1; run <= 2; ++run) {
+    Start("a", 1, kFirstEntry);
+    Report({}, { { run, { "a", 0 }, 1, core::task_end::Lost, "stopped" } });
+  }
+  mPlacements = first; // Of the copy.
+  mEffects.clear();
+  Start("a", 1, kFirstEntry, 200ms);
+  BOOST_TEST(Count<lease::start_call>() == 0U);
+}
+
+// Double run: the same, where the target refused the next start.
+BOOST_AUTO_TEST_CASE(a_copy_of_a_start_before_a_returned_one_starts_nothing)
+{
+  const auto first = mPlacements;
+  Start("a", 1, kFirstEntry);
+  Report({}, { { 1, { "a", 0 }, 1, core::task_end::Lost, "stopped" } });
+  agent::OnStartAnswered(mControl,
+                         StartCallOf("a"),
+                         lease::start_answer::NoRoom,
+                         std::nullopt,
+                         mNow,
+                         mEffects);
+  mPlacements = first; // Of the copy.
+  mEffects.clear();
+  Start("a", 1, kFirstEntry, 200ms);
+  BOOST_TEST(Count<lease::start_call>() == 0U);
+}
+
+// Double run: after the host's time of day had been set back, a start made
+// before its target was forgotten outranked all later ones.
+BOOST_AUTO_TEST_CASE(a_token_does_not_fall_when_its_target_is_forgotten)
+{
+  const auto first = StartCallOf("a");
+  agent::OnStartAnswered(mControl,
+                         first,
+                         lease::start_answer::Withdrawn,
+                         std::nullopt,
+                         mNow,
+                         mEffects);
+  mNow += 6s;
+  agent::Tick(mControl, mNow, mEffects);
+  BOOST_REQUIRE(mControl.mTargets.empty());
+  Register(false, 3);
+  BOOST_TEST(mControl.mTargets.at("t-1").mLeased->mFencingToken >
+             first.mHeader.mFencingToken);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
