--- a/tests/libgooseberry/leased_world.cpp
+++ b/tests/libgooseberry/leased_world.cpp
@@ -51,22 +51,18 @@
 } // namespace
 
 world::world(const options& aOptions)
-  : mOptions(aOptions)
-  , mRandom(aOptions.mSeed)
-  , mEntries(aOptions.mEntries)
-  , mAgents(aOptions.mAgents)
+  : environment(aOptions.mSeed, aOptions.mEntries, aOptions.mAgents)
+  , mOptions(aOptions)
+  , mCalls(aOptions.mAgents)
   , mTargets(aOptions.mAgents)
   , mTargetFaults(aOptions.mAgents)
   , mScheduledChange(aOptions.mAgents)
 {
   for (std::size_t i = 0; i < mEntries.size(); ++i) {
-    mEntries[i].mIndex = i;
     mEntries[i].mName = "e" + std::to_string(i);
     StartEntry(i);
   }
   for (std::size_t i = 0; i < mAgents.size(); ++i) {
-    mAgents[i].mRole = role::Agent;
-    mAgents[i].mIndex = i;
     mAgents[i].mName = "a" + std::to_string(i);
     mTargets[i].mName = "t" + std::to_string(i);
     StartAgent(i);
@@ -75,27 +71,6 @@
   RunFor(3s);
 }
 
-void
-world::At(instant aWhen, action aAction)
-{
-  mEvents.push(
-    { aWhen, mOrder++, std::make_shared<action>(std::move(aAction)) });
-}
-
-void
-world::RunFor(duration aTime)
-{
-  const instant end = mNow + aTime;
-  while (mViolation.empty() && !mEvents.empty() &&
-         mEvents.top().mDueAt <= end) {
-    const scheduled_action next = mEvents.top();
-    mEvents.pop();
-    mNow = std::max(mNow, next.mDueAt);
-    (*next.mAction)();
-  }
-  mNow = mViolation.empty() ? end : mNow;
-}
-
 std::uint64_t
 world::Draw(std::uint64_t aFirst, std::uint64_t aLast)
 {
@@ -130,20 +105,11 @@
   });
 }
 
-void
-world::Deliver(process& aTo, std::uint64_t aIncarnation, const action& aAction)
+instant
+world::DrawWakeTime(const process& aFrozen)
 {
-  if (!aTo.mAlive || aTo.mIncarnation != aIncarnation) {
-    return;
-  }
-  if (aTo.mFrozenUntil <= mNow) {
-    return aAction();
-  }
   // Several threads read the waiting messages, so in any order.
-  const auto woken = aTo.mFrozenUntil + duration(Draw(0, 3 * kMillisecond));
-  At(woken, [this, &aTo, aIncarnation, aAction] {
-    Deliver(aTo, aIncarnation, aAction);
-  });
+  return aFrozen.mFrozenUntil + duration(Draw(0, 3 * kMillisecond));
 }
 
 void
@@ -170,10 +136,7 @@
 world::StartEntry(std::size_t aIndex)
 {
   entry_process& started = mEntries[aIndex];
-  started.mAlive = true;
-  started.mIncarnation = mRandom() >> 1U;
-  started.mStartedAt = mNow;
-  started.mFrozenUntil = {};
+  Activate(started);
   WithEntry(started, [&](entry::effects& aEffects) {
     started.mControl = std::make_unique<entry::entry_control>(
       entry::MakeEntry(EntryOptions(started.mName),
@@ -182,49 +145,18 @@
                        mNow,
                        aEffects));
   });
-  TickEntry(started, started.mIncarnation);
+  TickEntry(started, started.mIncarnation, kTick);
 }
 
 void
 world::StartAgent(std::size_t aIndex)
 {
   agent_process& started = mAgents[aIndex];
-  started.mAlive = true;
-  started.mIncarnation = mRandom() >> 1U;
-  started.mStartedAt = mNow;
-  started.mFrozenUntil = {};
-  started.mQueuedCalls.clear();
-  started.mOpenStarts.clear();
-  started.mRunningCalls = 0;
+  Activate(started);
+  mCalls[aIndex] = {};
   started.mControl = std::make_unique<agent::agent_control>(
     agent::MakeControl(AgentSettings(started.mName, started.mIncarnation)));
-  TickAgent(started, started.mIncarnation);
-}
-
-void
-world::TickEntry(entry_process& aEntry, std::uint64_t aIncarnation)
-{
-  At(mNow + kTick, [this, &aEntry, aIncarnation] {
-    Deliver(aEntry, aIncarnation, [this, &aEntry, aIncarnation] {
-      WithEntry(aEntry, [&](entry::effects& aEffects) {
-        entry::Tick(*aEntry.mControl, mNow, aEffects);
-      });
-      TickEntry(aEntry, aIncarnation);
-    });
-  });
-}
-
-void
-world::TickAgent(agent_process& aAgent, std::uint64_t aIncarnation)
-{
-  At(mNow + kTick, [this, &aAgent, aIncarnation] {
-    Deliver(aAgent, aIncarnation, [this, &aAgent, aIncarnation] {
-      WithAgent(aAgent, [&](agent::effects& aEffects) {
-        agent::Tick(*aAgent.mControl, mNow, aEffects);
-      });
-      TickAgent(aAgent, aIncarnation);
-    });
-  });
+  TickAgent(started, started.mIncarnation, kTick);
 }
 
 void
@@ -272,24 +204,4 @@
   });
 }
 
-entry_process*
-world::EntryAt(const std::string& aAddress)
-{
-  const auto found = std::find_if(
-    mEntries.begin(), mEntries.end(), [&](const entry_process& aEntry) {
-      return aAddress == "entry:" + aEntry.mName;
-    });
-  return found == mEntries.end() ? nullptr : &*found;
-}
-
-agent_process*
-world::AgentAt(const std::string& aAddress)
-{
-  const auto found = std::find_if(
-    mAgents.begin(), mAgents.end(), [&](const agent_process& aAgent) {
-      return aAddress == "agent:" + aAgent.mName;
-    });
-  return found == mAgents.end() ? nullptr : &*found;
-}
-
 } // namespace gooseberry::leased_world
--- a/tests/libgooseberry/leased_world.h
+++ b/tests/libgooseberry/leased_world.h
@@ -1,17 +1,13 @@
 #pragma once
 
 #include "leased_world_target.h"
-#include "libgooseberry/agent/agent_control.h"
-#include "libgooseberry/entry/entry_control.h"
+#include "simulation.h"
 
 #include <cstdint>
 #include <deque>
 #include <functional>
 #include <map>
-#include <memory>
 #include <optional>
-#include <queue>
-#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -26,8 +22,9 @@
  */
 namespace gooseberry::leased_world {
 
-/** Start of the virtual time; timestamps in histories are relative to it. */
-inline constexpr instant kStartTime{ std::chrono::seconds(1000) };
+using simulation::agent_process;
+using simulation::entry_process;
+using simulation::process;
 
 /** Kinds of calls between entries and agents, each with own connections. */
 enum class channel : std::uint8_t
@@ -39,31 +36,6 @@
   Other,
 };
 
-enum class role : std::uint8_t
-{
-  Entry,
-  Agent,
-};
-
-/** State that entry and agent processes share. */
-struct process
-{
-  role mRole = role::Entry;
-  std::size_t mIndex = 0;
-  std::string mName;
-  std::uint64_t mIncarnation = 0;
-  bool mAlive = false;
-  instant mStartedAt{};
-  instant mFrozenUntil{};
-  instant mSlowUntil{};
-  duration mMaxInputDelay{}; ///< While the process is slow.
-};
-
-struct entry_process : process
-{
-  std::unique_ptr<entry::entry_control> mControl;
-};
-
 /** A start call of an agent that has no answer yet. */
 struct open_start
 {
@@ -71,9 +43,9 @@
   bool mIsSent = false;
 };
 
-struct agent_process : process
+/** Calls of an agent to its target. */
+struct target_calls
 {
-  std::unique_ptr<agent::agent_control> mControl;
   /** Starts and stops that wait for a free thread. */
   std::deque<std::function<void()>> mQueuedCalls;
   std::size_t mRunningCalls = 0;
@@ -142,15 +114,12 @@
   std::uint64_t mExpired = 0;
 };
 
-class world
+/** A simulated world; it ends at the first failed check. */
+class world final : public simulation::environment
 {
 public:
   explicit world(const options& aOptions);
 
-  instant Now() const { return mNow; }
-  /** Runs all events of this time; ends early when a check fails. */
-  void RunFor(duration aTime);
-  void At(instant aWhen, std::function<void()> aAction);
   std::uint64_t Draw(std::uint64_t aFirst, std::uint64_t aLast);
   duration Milliseconds(std::uint64_t aFirst, std::uint64_t aLast);
   bool Chance(double aProbability);
@@ -182,8 +151,6 @@
   /** Schedules overlapping series of random faults until `aEnd`. */
   void DrawFaults(instant aEnd);
 
-  entry_process& Entry(std::size_t aIndex) { return mEntries[aIndex]; }
-  agent_process& Agent(std::size_t aIndex) { return mAgents[aIndex]; }
   /** Returns the targets that run a task of the job now. */
   std::vector<std::size_t> TargetsRunning(const std::string& aKey) const;
 
@@ -192,26 +159,14 @@
   const counters& Counters() const { return mCounters; }
 
 private:
-  using action = std::function<void()>;
-  struct scheduled_action
-  {
-    instant mDueAt;
-    std::uint64_t mOrder;
-    std::shared_ptr<action> mAction;
-    bool operator>(const scheduled_action& aOther) const
-    {
-      return mDueAt != aOther.mDueAt ? mDueAt > aOther.mDueAt
-                                     : mOrder > aOther.mOrder;
-    }
-  };
   /** When a message arrives; none if it is lost. */
   using arrival_time = std::optional<instant>;
 
+  bool HasEnded() const override { return !mViolation.empty(); }
+  instant DrawWakeTime(const process& aFrozen) override;
   duration Latency() { return duration(Draw(200, 2'000)); }
   /** Delivers an action with the delay of a slow process. */
   void Arrive(process& aTo, std::uint64_t aIncarnation, const action& aAction);
-  /** Runs an action at a process, after its freeze, unless it was killed. */
-  void Deliver(process& aTo, std::uint64_t aIncarnation, const action& aAction);
   const cut* FindCut(const process& aFrom,
                      const process& aTo,
                      channel aChannel);
@@ -233,16 +188,10 @@
   void Transmit(const outgoing_call& aCall);
   void CallStore(process& aFrom, const std::function<action()>& aServe);
 
-  using entry_step = std::function<void(entry::effects&)>;
-  using agent_step = std::function<void(agent::effects&)>;
-  void WithEntry(entry_process& aEntry, const entry_step& aStep);
-  void WithAgent(agent_process& aAgent, const agent_step& aStep);
+  void WithEntry(entry_process& aEntry, const entry_step& aStep) override;
+  void WithAgent(agent_process& aAgent, const agent_step& aStep) override;
   void StartEntry(std::size_t aIndex);
   void StartAgent(std::size_t aIndex);
-  void TickEntry(entry_process& aEntry, std::uint64_t aIncarnation);
-  void TickAgent(agent_process& aAgent, std::uint64_t aIncarnation);
-  entry_process* EntryAt(const std::string& aAddress);
-  agent_process* AgentAt(const std::string& aAddress);
 
   void Do(entry_process& aFrom, const entry::send_start& aEffect);
   void Do(entry_process& aFrom, const entry::send_cancel& aEffect);
@@ -274,7 +223,7 @@
   /** Answers at the agent, which takes in events with its usual delay. */
   void Withdraw(agent_process& aAgent, const lease::withdraw_call& aCall);
   /** Returns whether the call is sent now; a withdrawn start is not. */
-  static bool BeginSending(agent_process& aAgent, const lease::call& aCall);
+  bool BeginSending(const agent_process& aAgent, const lease::call& aCall);
   /** Runs the first action that it gets and ignores the later ones. */
   using settler = std::function<void(const action& aReply)>;
   settler SettleOnce(agent_process& aAgent, bool aHoldsThread);
@@ -336,15 +285,7 @@
   std::set<std::size_t> DrawSubset(std::size_t aCount);
 
   options mOptions;
-  std::mt19937_64 mRandom;
-  instant mNow = kStartTime;
-  std::uint64_t mOrder = 0;
-  std::priority_queue<scheduled_action,
-                      std::vector<scheduled_action>,
-                      std::greater<>>
-    mEvents;
-  std::vector<entry_process> mEntries;
-  std::vector<agent_process> mAgents;
+  std::vector<target_calls> mCalls; ///< By agent.
   std::vector<fake_target> mTargets;
   std::vector<target_fault> mTargetFaults;
   /** By target: the time of its next scheduled change. */
--- a/tests/libgooseberry/leased_world_callers.cpp
+++ b/tests/libgooseberry/leased_world_callers.cpp
@@ -284,7 +284,7 @@
 std::string
 world::Timestamp() const
 {
-  return core::FormatMilliseconds(mNow - kStartTime);
+  return core::FormatMilliseconds(mNow - simulation::kStartTime);
 }
 
 void
--- a/tests/libgooseberry/leased_world_runs.cpp
+++ b/tests/libgooseberry/leased_world_runs.cpp
@@ -100,9 +100,9 @@
     return Withdraw(aFrom, *call);
   }
   if (const auto* call = std::get_if<lease::start_call>(&aEffect.mCall)) {
-    aFrom.mOpenStarts.emplace(call->mId, open_start{ *call });
+    mCalls[aFrom.mIndex].mOpenStarts.emplace(call->mId, open_start{ *call });
   }
-  aFrom.mQueuedCalls.push_back(
+  mCalls[aFrom.mIndex].mQueuedCalls.push_back(
     [this, &aFrom, call = aEffect.mCall] { SendToTarget(aFrom, call); });
   StartNextCall(aFrom, aFrom.mIncarnation);
 }
@@ -110,11 +110,12 @@
 void
 world::StartNextCall(agent_process& aAgent, std::uint64_t aIncarnation)
 {
-  if (aAgent.mIncarnation == aIncarnation && !aAgent.mQueuedCalls.empty() &&
-      aAgent.mRunningCalls < kCallThreads) {
-    ++aAgent.mRunningCalls;
-    const action next = std::move(aAgent.mQueuedCalls.front());
-    aAgent.mQueuedCalls.pop_front();
+  target_calls& calls = mCalls[aAgent.mIndex];
+  if (aAgent.mIncarnation == aIncarnation && !calls.mQueuedCalls.empty() &&
+      calls.mRunningCalls < kCallThreads) {
+    ++calls.mRunningCalls;
+    const action next = std::move(calls.mQueuedCalls.front());
+    calls.mQueuedCalls.pop_front();
     next();
   }
 }
@@ -122,13 +123,14 @@
 void
 world::Withdraw(agent_process& aAgent, const lease::withdraw_call& aCall)
 {
-  const auto found = aAgent.mOpenStarts.find(aCall.mStartId);
-  if (found == aAgent.mOpenStarts.end()) {
+  auto& starts = mCalls[aAgent.mIndex].mOpenStarts;
+  const auto found = starts.find(aCall.mStartId);
+  if (found == starts.end()) {
     return;
   }
   const open_start start = found->second;
   if (!start.mIsSent) {
-    aAgent.mOpenStarts.erase(found);
+    starts.erase(found);
   }
   const std::uint64_t sender = aAgent.mIncarnation;
   Arrive(aAgent, sender, [this, &aAgent, aCall, start] {
--- a/tests/libgooseberry/leased_world_target_calls.cpp
+++ b/tests/libgooseberry/leased_world_target_calls.cpp
@@ -10,14 +10,15 @@
 using namespace std::chrono_literals;
 
 bool
-world::BeginSending(agent_process& aAgent, const lease::call& aCall)
+world::BeginSending(const agent_process& aAgent, const lease::call& aCall)
 {
   const auto* call = std::get_if<lease::start_call>(&aCall);
   if (call == nullptr) {
     return true;
   }
-  const auto found = aAgent.mOpenStarts.find(call->mId);
-  if (found == aAgent.mOpenStarts.end()) {
+  auto& starts = mCalls[aAgent.mIndex].mOpenStarts;
+  const auto found = starts.find(call->mId);
+  if (found == starts.end()) {
     return false;
   }
   found->second.mIsSent = true;
@@ -53,7 +54,7 @@
         return;
       }
       if (aHoldsThread) {
-        --aAgent.mRunningCalls;
+        --mCalls[aAgent.mIndex].mRunningCalls;
         StartNextCall(aAgent, sender);
       }
       aReply();
@@ -142,7 +143,7 @@
   RecordChanges(aReceived.mTarget, changes);
   agent_process& agent = mAgents[aReceived.mTarget];
   aReceived.mReply([=, this, &agent, clock = ClockOf(target, mNow)] {
-    agent.mOpenStarts.erase(aCall.mId);
+    mCalls[agent.mIndex].mOpenStarts.erase(aCall.mId);
     WithAgent(agent, [&](agent::effects& aEffects) {
       agent::OnStartAnswered(
         *agent.mControl, aCall, answer, clock, mNow, aEffects);
@@ -226,7 +227,7 @@
             bool aDelivered,
             instant)
 {
-  aAgent.mOpenStarts.erase(aCall.mId);
+  mCalls[aAgent.mIndex].mOpenStarts.erase(aCall.mId);
   const auto answer =
     aDelivered ? lease::start_answer::NoAnswer : lease::start_answer::NotSent;
   WithAgent(aAgent, [&](agent::effects& aEffects) {
--- /dev/null
+++ b/tests/libgooseberry/simulation.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "libgooseberry/agent/agent_control.h"
+#include "libgooseberry/entry/entry_control.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+/**
+ * What the simulated worlds share: virtual time, scheduled actions, and
+ * processes that run the control functions of the programs.
+ */
+namespace gooseberry::simulation {
+
+using core::duration;
+using core::instant;
+
+/** Start of the virtual time. */
+inline constexpr instant kStartTime{ std::chrono::seconds(1000) };
+
+/** State that entry and agent processes share. */
+struct process
+{
+  std::size_t mIndex = 0; ///< Among the processes of its kind.
+  std::string mName;
+  std::uint64_t mIncarnation = 0;
+  bool mAlive = false;
+  instant mStartedAt{};
+  instant mFrozenUntil{};
+  instant mSlowUntil{};
+  duration mMaxInputDelay{}; ///< While the process is slow.
+};
+
+struct entry_process : process
+{
+  std::unique_ptr<entry::entry_control> mControl;
+};
+
+struct agent_process : process
+{
+  std::unique_ptr<agent::agent_control> mControl;
+};
+
+/** Runs scheduled actions in virtual time; a world derives from it. */
+class environment
+{
+public:
+  using action = std::function<void()>;
+
+  environment(const environment&) = delete;
+  environment& operator=(const environment&) = delete;
+  virtual ~environment() = default;
+
+  instant Now() const { return mNow; }
+  /** Runs all actions of this time; ends early when the world has ended. */
+  void RunFor(duration aTime);
+  /** Schedules an action; actions of one time run in the order scheduled. */
+  void At(instant aWhen, action aAction);
+
+  entry_process& Entry(std::size_t aIndex) { return mEntries[aIndex]; }
+  agent_process& Agent(std::size_t aIndex) { return mAgents[aIndex]; }
+
+protected:
+  using entry_step = std::function<void(entry::effects&)>;
+  using agent_step = std::function<void(agent::effects&)>;
+
+  environment(std::uint64_t aSeed, std::size_t aEntries, std::size_t aAgents);
+
+  /** Returns whether no more actions are to run. */
+  virtual bool HasEnded() const { return false; }
+  /** Returns when a frozen process handles a message that waits for it. */
+  virtual instant DrawWakeTime(const process& aFrozen);
+  /** Takes a step of a process and carries out its effects. */
+  virtual void WithEntry(entry_process& aEntry, const entry_step& aStep) = 0;
+  virtual void WithAgent(agent_process& aAgent, const agent_step& aStep) = 0;
+
+  /** Marks a process as started now, with a new incarnation. */
+  void Activate(process& aProcess);
+  /** Runs an action at a process, after its freeze, unless it was killed. */
+  void Deliver(process& aTo, std::uint64_t aIncarnation, const action& aAction);
+  /** Ticks a process every `aPeriod` until it is killed. */
+  void TickEntry(entry_process& aEntry,
+                 std::uint64_t aIncarnation,
+                 duration aPeriod);
+  void TickAgent(agent_process& aAgent,
+                 std::uint64_t aIncarnation,
+                 duration aPeriod);
+  /** Returns the process with this address, or null. */
+  entry_process* EntryAt(const std::string& aAddress);
+  agent_process* AgentAt(const std::string& aAddress);
+
+  std::mt19937_64 mRandom;
+  instant mNow = kStartTime;
+  std::vector<entry_process> mEntries;
+  std::vector<agent_process> mAgents;
+
+private:
+  struct scheduled_action
+  {
+    instant mDueAt;
+    std::uint64_t mOrder;
+    std::shared_ptr<action> mAction;
+    bool operator>(const scheduled_action& aOther) const
+    {
+      return mDueAt != aOther.mDueAt ? mDueAt > aOther.mDueAt
+                                     : mOrder > aOther.mOrder;
+    }
+  };
+
+  std::uint64_t mOrder = 0;
+  std::priority_queue<scheduled_action,
+                      std::vector<scheduled_action>,
+                      std::greater<>>
+    mEvents;
+};
+
+} // namespace gooseberry::simulation
--- a/tests/libgooseberry/world.cpp
+++ b/tests/libgooseberry/world.cpp
@@ -21,11 +21,15 @@
 
 } // namespace
 
+std::string
+DomainOf(const process& aProcess)
+{
+  return kDomains[aProcess.mIndex % std::size(kDomains)];
+}
+
 cluster::cluster(const options& aOptions)
-  : mOptions(aOptions)
-  , mRandom(aOptions.mSeed)
-  , mEntries(aOptions.mEntries)
-  , mAgents(aOptions.mAgents)
+  : environment(aOptions.mSeed, aOptions.mEntries, aOptions.mAgents)
+  , mOptions(aOptions)
 {
   mStored = { { 1, ConfigurationText({}) }, "first", "nobody", 1 };
   for (std::size_t i = 0; i < mEntries.size(); ++i) {
@@ -34,31 +38,10 @@
   }
   for (std::size_t i = 0; i < mAgents.size(); ++i) {
     mAgents[i].mName = "agent-" + std::to_string(i);
-    mAgents[i].mDomain = kDomains[i % std::size(kDomains)];
     StartAgent(i);
   }
 }
 
-void
-cluster::At(instant aWhen, action aAction)
-{
-  mEvents.push(
-    { aWhen, mOrder++, std::make_shared<action>(std::move(aAction)) });
-}
-
-void
-cluster::RunFor(duration aTime)
-{
-  const instant end = mNow + aTime;
-  while (!mEvents.empty() && mEvents.top().mDueAt <= end) {
-    const scheduled_action next = mEvents.top();
-    mEvents.pop();
-    mNow = std::max(mNow, next.mDueAt);
-    (*next.mAction)();
-  }
-  mNow = end;
-}
-
 bool
 cluster::Chance(double aProbability)
 {
@@ -79,23 +62,6 @@
   return delay;
 }
 
-void
-cluster::Deliver(process& aTo,
-                 std::uint64_t aIncarnation,
-                 const action& aAction)
-{
-  if (!aTo.mAlive || aTo.mIncarnation != aIncarnation) {
-    return;
-  }
-  if (aTo.mPausedUntil > mNow) {
-    At(aTo.mPausedUntil, [this, &aTo, aIncarnation, aAction] {
-      Deliver(aTo, aIncarnation, aAction);
-    });
-    return;
-  }
-  aAction();
-}
-
 bool
 cluster::IsCut(const process& aLeft, const process& aRight) const
 {
@@ -172,21 +138,19 @@
 cluster::StartEntry(std::size_t aIndex)
 {
   entry_process& entry = mEntries[aIndex];
-  entry.mAlive = true;
-  entry.mIncarnation = mRandom() >> 1U;
-  entry.mPausedUntil = {};
-  entry.mGenerationSeen = 0;
+  Activate(entry);
+  mGenerationsSeen[entry.mName] = 0;
   entry::entry_options options;
   options.mName = entry.mName;
   options.mAddress = "entry:" + entry.mName;
-  options.mFailureDomain = kDomains[aIndex % std::size(kDomains)];
+  options.mFailureDomain = DomainOf(entry);
   options.mTrustFirstAttempt = mOptions.mTrustFirstAttempt;
   options.mPlacement.mAffinitySeed = aIndex;
   entry::effects effects;
   entry.mControl = std::make_unique<entry::entry_control>(
     entry::MakeEntry(options, entry.mIncarnation, mRandom(), mNow, effects));
   Run(entry, effects);
-  TickEntry(aIndex, entry.mIncarnation);
+  TickEntry(entry, entry.mIncarnation, kTick);
 }
 
 void
@@ -199,30 +163,28 @@
 cluster::StartAgent(std::size_t aIndex)
 {
   agent_process& agent = mAgents[aIndex];
-  agent.mAlive = true;
-  agent.mIncarnation = mRandom() >> 1U;
-  agent.mPausedUntil = {};
-  agent.mGenerationSeen = 0;
+  Activate(agent);
+  mGenerationsSeen[agent.mName] = 0;
   agent::control_settings settings;
   settings.mAgent = { agent.mName, agent.mIncarnation };
   settings.mAddress = "agent:" + agent.mName;
-  settings.mFailureDomain = agent.mDomain;
+  settings.mFailureDomain = DomainOf(agent);
   agent.mControl =
     std::make_unique<agent::agent_control>(agent::MakeControl(settings));
-  TickAgent(aIndex, agent.mIncarnation);
+  TickAgent(agent, agent.mIncarnation, kTick);
   RegisterTarget(aIndex, agent.mIncarnation);
 }
 
 void
 cluster::PauseEntry(std::size_t aIndex, duration aTime)
 {
-  mEntries[aIndex].mPausedUntil = mNow + aTime;
+  mEntries[aIndex].mFrozenUntil = mNow + aTime;
 }
 
 void
 cluster::PauseAgent(std::size_t aIndex, duration aTime)
 {
-  mAgents[aIndex].mPausedUntil = mNow + aTime;
+  mAgents[aIndex].mFrozenUntil = mNow + aTime;
 }
 
 void
@@ -249,30 +211,30 @@
 }
 
 void
-cluster::WithEntry(entry_process& aEntry,
-                   const std::function<void(entry::effects&)>& aStep)
+cluster::CheckGeneration(const process& aProcess, core::generation aNow)
+{
+  core::generation& seen = mGenerationsSeen[aProcess.mName];
+  if (aNow < seen) {
+    mViolation = "generation decreased at " + aProcess.mName;
+  }
+  seen = aNow;
+}
+
+void
+cluster::WithEntry(entry_process& aEntry, const entry_step& aStep)
 {
   entry::effects effects;
   aStep(effects);
-  const core::generation now = aEntry.mControl->mRow.mConfiguration.mGeneration;
-  if (now < aEntry.mGenerationSeen) {
-    mViolation = "generation decreased at " + aEntry.mName;
-  }
-  aEntry.mGenerationSeen = now;
+  CheckGeneration(aEntry, aEntry.mControl->mRow.mConfiguration.mGeneration);
   Run(aEntry, effects);
 }
 
 void
-cluster::WithAgent(agent_process& aAgent,
-                   const std::function<void(agent::effects&)>& aStep)
+cluster::WithAgent(agent_process& aAgent, const agent_step& aStep)
 {
   agent::effects effects;
   aStep(effects);
-  const core::generation now = aAgent.mControl->mConfiguration.mGeneration;
-  if (now < aAgent.mGenerationSeen) {
-    mViolation = "generation decreased at " + aAgent.mName;
-  }
-  aAgent.mGenerationSeen = now;
+  CheckGeneration(aAgent, aAgent.mControl->mConfiguration.mGeneration);
   Run(aAgent, effects);
 }
 
@@ -292,34 +254,6 @@
   }
 }
 
-void
-cluster::TickEntry(std::size_t aIndex, std::uint64_t aIncarnation)
-{
-  entry_process& entry = mEntries[aIndex];
-  At(mNow + kTick, [this, aIndex, aIncarnation, &entry] {
-    Deliver(entry, aIncarnation, [this, aIndex, aIncarnation, &entry] {
-      WithEntry(entry, [&](entry::effects& aEffects) {
-        entry::Tick(*entry.mControl, mNow, aEffects);
-      });
-      TickEntry(aIndex, aIncarnation);
-    });
-  });
-}
-
-void
-cluster::TickAgent(std::size_t aIndex, std::uint64_t aIncarnation)
-{
-  agent_process& agent = mAgents[aIndex];
-  At(mNow + kTick, [this, aIndex, aIncarnation, &agent] {
-    Deliver(agent, aIncarnation, [this, aIndex, aIncarnation, &agent] {
-      WithAgent(agent, [&](agent::effects& aEffects) {
-        agent::Tick(*agent.mControl, mNow, aEffects);
-      });
-      TickAgent(aIndex, aIncarnation);
-    });
-  });
-}
-
 void
 cluster::RegisterTarget(std::size_t aIndex, std::uint64_t aIncarnation)
 {
@@ -340,28 +274,6 @@
   });
 }
 
-entry_process*
-cluster::EntryAt(const std::string& aAddress)
-{
-  for (entry_process& entry : mEntries) {
-    if (aAddress == "entry:" + entry.mName) {
-      return &entry;
-    }
-  }
-  return nullptr;
-}
-
-agent_process*
-cluster::AgentAt(const std::string& aAddress)
-{
-  for (agent_process& agent : mAgents) {
-    if (aAddress == "agent:" + agent.mName) {
-      return &agent;
-    }
-  }
-  return nullptr;
-}
-
 void
 cluster::Do(agent_process& aFrom, const agent::run_task& aEffect)
 {
@@ -375,12 +287,12 @@
   Trace(aAgent.mName,
         { "start",
           { { "task", ToString(start.mTask) },
-            { "domain", aAgent.mDomain },
+            { "domain", DomainOf(aAgent) },
             { "round", std::to_string(start.mBallot.mRound) },
             { "try", std::to_string(start.mTry) } } });
   const std::size_t index = mStarts.size();
   mStarts.push_back(
-    { start.mTask, start.mTry, aAgent.mDomain, mNow, false, {} });
+    { start.mTask, start.mTry, DomainOf(aAgent), mNow, false, {} });
   const duration time(std::uniform_int_distribution<std::int64_t>(
     mOptions.mMinRunTime.count(), mOptions.mMaxRunTime.count())(mRandom));
   const bool fails = Chance(mOptions.mFaults.mTaskFailureRate);
--- a/tests/libgooseberry/world.h
+++ b/tests/libgooseberry/world.h
@@ -1,13 +1,9 @@
 #pragma once
 
-#include "libgooseberry/agent/agent_control.h"
-#include "libgooseberry/entry/entry_control.h"
+#include "simulation.h"
 
 #include <functional>
 #include <map>
-#include <memory>
-#include <queue>
-#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -22,9 +18,16 @@
 
 using core::duration;
 using core::instant;
+using simulation::agent_process;
+using simulation::entry_process;
+using simulation::process;
 
 inline constexpr const char* kDomains[] = { "cluj", "brasov", "iasi" };
 
+/** Returns the failure domain of a process. */
+std::string
+DomainOf(const process& aProcess);
+
 /** Returns a configuration in which the failure domains `aOut` are out. */
 std::string
 ConfigurationText(const std::set<std::string>& aOut);
@@ -72,27 +75,6 @@
   core::job_answer mAnswer;
 };
 
-/** State that entry and agent processes share. */
-struct process
-{
-  std::string mName;
-  std::uint64_t mIncarnation = 0;
-  bool mAlive = false;
-  instant mPausedUntil{};
-  core::generation mGenerationSeen = 0;
-};
-
-struct entry_process : process
-{
-  std::unique_ptr<entry::entry_control> mControl;
-};
-
-struct agent_process : process
-{
-  std::unique_ptr<agent::agent_control> mControl;
-  std::string mDomain;
-};
-
 /** A period in which a domain is out. It begins with the operator's answer. */
 struct domain_out_period
 {
@@ -101,14 +83,11 @@
   instant mUntil = instant::max();
 };
 
-class cluster
+class cluster final : public simulation::environment
 {
 public:
   explicit cluster(const options& aOptions);
 
-  instant Now() const { return mNow; }
-  void RunFor(duration aTime);
-
   // Actions of callers and operators.
   void Submit(std::size_t aEntry,
               const std::string& aJob,
@@ -138,47 +117,22 @@
   std::size_t CountAnswers(core::job_outcome aOutcome) const;
   /** Returns the number of changes that were reported as applied. */
   std::size_t AcceptedChanges() const { return mAccepted; }
-  entry_process& Entry(std::size_t aIndex) { return mEntries[aIndex]; }
-  agent_process& Agent(std::size_t aIndex) { return mAgents[aIndex]; }
 
 private:
-  using action = std::function<void()>;
-  struct scheduled_action
-  {
-    instant mDueAt;
-    std::uint64_t mOrder;
-    std::shared_ptr<action> mAction;
-    bool operator>(const scheduled_action& aOther) const
-    {
-      return mDueAt != aOther.mDueAt ? mDueAt > aOther.mDueAt
-                                     : mOrder > aOther.mOrder;
-    }
-  };
-  struct stored_row
-  {
-    std::string mKey;
-    membership::member_row mRow;
-  };
-
-  void At(instant aWhen, action aAction);
   bool Chance(double aProbability);
   duration Latency();
-  /** Runs an action at a process, after its pause, unless it was killed. */
-  void Deliver(process& aTo, std::uint64_t aIncarnation, const action& aAction);
   /** Makes a call; request and reply are subject to faults. */
   void Call(process& aFrom,
             process* aTo,
             const std::function<action()>& aServe,
             const std::function<void(bool aDelivered)>& aFailed);
 
-  void WithEntry(entry_process& aEntry,
-                 const std::function<void(entry::effects&)>& aStep);
-  void WithAgent(agent_process& aAgent,
-                 const std::function<void(agent::effects&)>& aStep);
+  void WithEntry(entry_process& aEntry, const entry_step& aStep) override;
+  void WithAgent(agent_process& aAgent, const agent_step& aStep) override;
+  /** Checks that the generation that a process knows never decreases. */
+  void CheckGeneration(const process& aProcess, core::generation aNow);
   void Run(entry_process& aEntry, const entry::effects& aEffects);
   void Run(agent_process& aAgent, const agent::effects& aEffects);
-  void TickEntry(std::size_t aIndex, std::uint64_t aIncarnation);
-  void TickAgent(std::size_t aIndex, std::uint64_t aIncarnation);
   void RegisterTarget(std::size_t aIndex, std::uint64_t aIncarnation);
   void StartTask(agent_process& aAgent, const agent::run_task& aEffect);
 
@@ -210,8 +164,6 @@
   void Do(agent_process&, const agent::left&) {}
   void Do(agent_process&, const agent::log_event&) {}
 
-  entry_process* EntryAt(const std::string& aAddress);
-  agent_process* AgentAt(const std::string& aAddress);
   bool IsCut(const process& aLeft, const process& aRight) const;
   /** Calls the store; `aServe` returns the action that handles the reply. */
   void CallStore(process& aFrom,
@@ -227,17 +179,10 @@
   std::string CheckAnswers() const;
 
   options mOptions;
-  std::mt19937_64 mRandom;
-  instant mNow{ std::chrono::seconds(1000) };
-  std::uint64_t mOrder = 0;
-  std::priority_queue<scheduled_action,
-                      std::vector<scheduled_action>,
-                      std::greater<>>
-    mEvents;
-  std::vector<entry_process> mEntries;
-  std::vector<agent_process> mAgents;
   std::set<std::string> mCuts; ///< `a|b` with sorted names, or `store|a`.
   bool mStoreUp = true;
+  /** By the name of a process: the last generation that it knew. */
+  std::map<std::string, core::generation> mGenerationsSeen;
   std::map<std::string, membership::member_row> mRows;
   entry::configuration_row mStored;
   std::uint64_t mNextToken = 1;
--- a/tests/libgooseberry/world_calls.cpp
+++ b/tests/libgooseberry/world_calls.cpp
@@ -389,7 +389,7 @@
   const membership::member_row row{ membership::role::Agent,
                                     { aFrom.mName, aFrom.mIncarnation },
                                     "agent:" + aFrom.mName,
-                                    aFrom.mDomain };
+                                    DomainOf(aFrom) };
   CallStore(
     aFrom,
     [this, &aFrom, row]() -> action {
