--- a/tests/libgooseberry/leased_world.cpp
+++ b/tests/libgooseberry/leased_world.cpp
@@ -11,6 +11,9 @@
 
 constexpr duration kTick = 10ms;
 constexpr std::uint64_t kMillisecond = 1'000;
+constexpr const char* kConfiguration =
+  "[state]\nformat = 1\nname = x\n[failure_domain d]\nregion = r\n"
+  "state = in\n[service plans]\ntargets = *\n";
 
 entry::entry_options
 EntryOptions(const std::string& aName)
@@ -58,6 +61,7 @@
   , mTargetFaults(aOptions.mAgents)
   , mScheduledChange(aOptions.mAgents)
 {
+  mStored = { { 1, kConfiguration }, "", "", 1 };
   for (std::size_t i = 0; i < mEntries.size(); ++i) {
     mEntries[i].mName = "e" + std::to_string(i);
     StartEntry(i);
--- a/tests/libgooseberry/leased_world.h
+++ b/tests/libgooseberry/leased_world.h
@@ -164,9 +164,11 @@
 
   bool HasEnded() const override { return !mViolation.empty(); }
   instant DrawWakeTime(const process& aFrozen) override;
-  duration Latency() { return duration(Draw(200, 2'000)); }
+  duration Latency() override { return duration(Draw(200, 2'000)); }
   /** Delivers an action with the delay of a slow process. */
-  void Arrive(process& aTo, std::uint64_t aIncarnation, const action& aAction);
+  void Arrive(process& aTo,
+              std::uint64_t aIncarnation,
+              const action& aAction) override;
   const cut* FindCut(const process& aFrom,
                      const process& aTo,
                      channel aChannel);
@@ -186,20 +188,16 @@
   /** Makes a call. Request and reply may arrive after the call's deadline. */
   void Call(outgoing_call aCall);
   void Transmit(const outgoing_call& aCall);
-  void CallStore(process& aFrom, const std::function<action()>& aServe);
 
   void WithEntry(entry_process& aEntry, const entry_step& aStep) override;
   void WithAgent(agent_process& aAgent, const agent_step& aStep) override;
   void StartEntry(std::size_t aIndex);
   void StartAgent(std::size_t aIndex);
 
+  using environment::Do;
   void Do(entry_process& aFrom, const entry::send_start& aEffect);
   void Do(entry_process& aFrom, const entry::send_cancel& aEffect);
   void Do(entry_process& aFrom, const entry::send_heartbeat& aEffect);
-  void Do(entry_process& aFrom, const entry::read_members& aEffect);
-  void Do(entry_process& aFrom, const entry::write_member& aEffect);
-  void Do(entry_process& aFrom, const entry::delete_member& aEffect);
-  void Do(entry_process& aFrom, const entry::read_configuration& aEffect);
   void Do(entry_process& aFrom, const entry::answer_caller& aEffect);
   void Do(entry_process& aFrom, const entry::log_line& aEffect);
   template<typename Effect>
@@ -209,7 +207,6 @@
   void Do(agent_process& aFrom, const agent::call_target& aEffect);
   void Do(agent_process& aFrom, const agent::send_finish& aEffect);
   void Do(agent_process& aFrom, const agent::send_load_report& aEffect);
-  void Do(agent_process& aFrom, const agent::read_rows& aEffect);
   void Do(agent_process& aFrom, const agent::log_event& aEffect);
   template<typename Effect>
   void Do(agent_process&, const Effect&)
@@ -291,7 +288,6 @@
   /** By target: the time of its next scheduled change. */
   std::vector<instant> mScheduledChange;
   std::vector<cut> mCuts;
-  std::map<std::string, membership::member_row> mRows;
   std::map<std::string, job_record> mJobs;
   std::map<std::uint64_t, request> mRequests; ///< By token.
   std::uint64_t mNextToken = 1;
--- a/tests/libgooseberry/leased_world_calls.cpp
+++ b/tests/libgooseberry/leased_world_calls.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-/** Calls between entries and agents, and to the store. */
+/** Calls between entries and agents. */
 namespace gooseberry::leased_world {
 
 using namespace std::chrono_literals;
@@ -249,92 +249,4 @@
          } });
 }
 
-void
-world::CallStore(process& aFrom, const std::function<action()>& aServe)
-{
-  const std::uint64_t sender = aFrom.mIncarnation;
-  At(mNow + 1ms + Latency(), [this, &aFrom, aServe, sender] {
-    const action reply = aServe();
-    At(mNow + Latency(),
-       [this, &aFrom, reply, sender] { Arrive(aFrom, sender, reply); });
-  });
-}
-
-void
-world::Do(entry_process& aFrom, const entry::read_members&)
-{
-  const instant sentAt = mNow;
-  CallStore(aFrom, [this, &aFrom, sentAt]() -> action {
-    std::vector<membership::member_row> rows;
-    for (const auto& [key, row] : mRows) {
-      rows.push_back(row);
-    }
-    return [this, &aFrom, rows, sentAt] {
-      WithEntry(aFrom, [&](entry::effects& aEffects) {
-        entry::OnMembers(*aFrom.mControl, rows, sentAt, mNow, aEffects);
-      });
-    };
-  });
-}
-
-void
-world::Do(entry_process& aFrom, const entry::write_member& aEffect)
-{
-  CallStore(aFrom, [this, &aFrom, aEffect]() -> action {
-    mRows[membership::RowKey(aEffect.mRow)] = aEffect.mRow;
-    return [this, &aFrom] {
-      WithEntry(aFrom, [&](entry::effects& aEffects) {
-        entry::OnMemberWritten(*aFrom.mControl, true, mNow, aEffects);
-      });
-    };
-  });
-}
-
-void
-world::Do(entry_process& aFrom, const entry::delete_member& aEffect)
-{
-  CallStore(aFrom, [this, aEffect]() -> action {
-    mRows.erase(membership::RowKey(aEffect.mRow));
-    return [] {};
-  });
-}
-
-void
-world::Do(entry_process& aFrom, const entry::read_configuration&)
-{
-  const instant sentAt = mNow;
-  CallStore(aFrom, [this, &aFrom, sentAt]() -> action {
-    return [this, &aFrom, sentAt] {
-      const entry::configuration_row row{
-        { 1,
-          "[state]\nformat = 1\nname = x\n[failure_domain d]\nregion = r\n"
-          "state = in\n[service plans]\ntargets = *\n" },
-        "",
-        "",
-        1
-      };
-      WithEntry(aFrom, [&](entry::effects& aEffects) {
-        entry::OnConfigurationRead(
-          *aFrom.mControl, row, sentAt, mNow, aEffects);
-      });
-    };
-  });
-}
-
-void
-world::Do(agent_process& aFrom, const agent::read_rows&)
-{
-  CallStore(aFrom, [this, &aFrom]() -> action {
-    std::vector<membership::member_row> rows;
-    for (const auto& [key, row] : mRows) {
-      rows.push_back(row);
-    }
-    return [this, &aFrom, rows] {
-      WithAgent(aFrom, [&](agent::effects& aEffects) {
-        agent::OnRows(*aFrom.mControl, rows, mNow, aEffects);
-      });
-    };
-  });
-}
-
 } // namespace gooseberry::leased_world
--- a/tests/libgooseberry/simulation.cpp
+++ b/tests/libgooseberry/simulation.cpp
@@ -72,6 +72,14 @@
   });
 }
 
+void
+environment::Arrive(process& aTo,
+                    std::uint64_t aIncarnation,
+                    const action& aAction)
+{
+  Deliver(aTo, aIncarnation, aAction);
+}
+
 void
 environment::TickEntry(entry_process& aEntry,
                        std::uint64_t aIncarnation,
--- a/tests/libgooseberry/simulation.h
+++ b/tests/libgooseberry/simulation.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <queue>
 #include <random>
@@ -76,6 +77,10 @@
   virtual bool HasEnded() const { return false; }
   /** Returns when a frozen process handles a message that waits for it. */
   virtual instant DrawWakeTime(const process& aFrozen);
+  /** Draws the time that a message takes. */
+  virtual duration Latency() = 0;
+  /** Returns whether calls of a process reach the store now. */
+  virtual bool ReachesStore(const process&) const { return true; }
   /** Takes a step of a process and carries out its effects. */
   virtual void WithEntry(entry_process& aEntry, const entry_step& aStep) = 0;
   virtual void WithAgent(agent_process& aAgent, const agent_step& aStep) = 0;
@@ -84,6 +89,14 @@
   void Activate(process& aProcess);
   /** Runs an action at a process, after its freeze, unless it was killed. */
   void Deliver(process& aTo, std::uint64_t aIncarnation, const action& aAction);
+  /** Delivers an action with the delays of its receiver. */
+  virtual void Arrive(process& aTo,
+                      std::uint64_t aIncarnation,
+                      const action& aAction);
+  /** Calls the store; `aServe` returns the action that handles the reply. */
+  void CallStore(process& aFrom,
+                 const std::function<action()>& aServe,
+                 const action& aFailed);
   /** Ticks a process every `aPeriod` until it is killed. */
   void TickEntry(entry_process& aEntry,
                  std::uint64_t aIncarnation,
@@ -95,10 +108,20 @@
   entry_process* EntryAt(const std::string& aAddress);
   agent_process* AgentAt(const std::string& aAddress);
 
+  // Effects that the worlds carry out alike.
+  void Do(entry_process& aFrom, const entry::read_members& aEffect);
+  void Do(entry_process& aFrom, const entry::write_member& aEffect);
+  void Do(entry_process& aFrom, const entry::delete_member& aEffect);
+  void Do(entry_process& aFrom, const entry::read_configuration& aEffect);
+  void Do(agent_process& aFrom, const agent::read_rows& aEffect);
+
   std::mt19937_64 mRandom;
   instant mNow = kStartTime;
   std::vector<entry_process> mEntries;
   std::vector<agent_process> mAgents;
+  // The store.
+  std::map<std::string, membership::member_row> mRows;
+  entry::configuration_row mStored;
 
 private:
   struct scheduled_action
--- a/tests/libgooseberry/world.cpp
+++ b/tests/libgooseberry/world.cpp
@@ -115,17 +115,10 @@
   }
 }
 
-void
-cluster::CallStore(process& aFrom,
-                   const std::function<action()>& aServe,
-                   const action& aFailed)
+bool
+cluster::ReachesStore(const process& aFrom) const
 {
-  const std::uint64_t caller = aFrom.mIncarnation;
-  const bool reached = mStoreUp && !mCuts.contains("store|" + aFrom.mName);
-  At(mNow + 1ms + Latency(), [=, this, &aFrom] {
-    const action reply = reached ? aServe() : aFailed;
-    At(mNow + Latency(), [=, this, &aFrom] { Deliver(aFrom, caller, reply); });
-  });
+  return mStoreUp && !mCuts.contains("store|" + aFrom.mName);
 }
 
 void
--- a/tests/libgooseberry/world.h
+++ b/tests/libgooseberry/world.h
@@ -120,7 +120,8 @@
 
 private:
   bool Chance(double aProbability);
-  duration Latency();
+  duration Latency() override;
+  bool ReachesStore(const process& aFrom) const override;
   /** Makes a call; request and reply are subject to faults. */
   void Call(process& aFrom,
             process* aTo,
@@ -136,6 +137,7 @@
   void RegisterTarget(std::size_t aIndex, std::uint64_t aIncarnation);
   void StartTask(agent_process& aAgent, const agent::run_task& aEffect);
 
+  using environment::Do;
   void Do(entry_process& aFrom, const entry::send_start& aEffect);
   void Do(entry_process& aFrom, const entry::send_cancel& aEffect);
   void Do(entry_process& aFrom, const entry::send_fence& aEffect);
@@ -144,10 +146,6 @@
   void Do(entry_process& aFrom, const entry::send_deliver& aEffect);
   void Do(entry_process& aFrom, const entry::copy_promises& aEffect);
   void Do(entry_process& aFrom, const entry::push_configuration& aEffect);
-  void Do(entry_process& aFrom, const entry::read_members& aEffect);
-  void Do(entry_process& aFrom, const entry::write_member& aEffect);
-  void Do(entry_process& aFrom, const entry::delete_member& aEffect);
-  void Do(entry_process& aFrom, const entry::read_configuration& aEffect);
   void Do(entry_process& aFrom, const entry::write_configuration& aEffect);
   void Do(entry_process& aFrom, const entry::answer_caller& aEffect);
   void Do(entry_process& aFrom, const entry::answer_operator& aEffect);
@@ -158,17 +156,12 @@
   void Do(agent_process& aFrom, const agent::send_finish& aEffect);
   void Do(agent_process& aFrom, const agent::send_load_report& aEffect);
   void Do(agent_process& aFrom, const agent::copy_fences_from& aEffect);
-  void Do(agent_process& aFrom, const agent::read_rows& aEffect);
   void Do(agent_process& aFrom, const agent::write_row& aEffect);
   void Do(agent_process&, const agent::call_target&) {}
   void Do(agent_process&, const agent::left&) {}
   void Do(agent_process&, const agent::log_event&) {}
 
   bool IsCut(const process& aLeft, const process& aRight) const;
-  /** Calls the store; `aServe` returns the action that handles the reply. */
-  void CallStore(process& aFrom,
-                 const std::function<action()>& aServe,
-                 const action& aFailed);
 
   /** Prints a decision if GOOSEBERRY_TRACE is set in the environment. */
   void Trace(const std::string& aProcess, const entry::log_line& aLine) const;
@@ -183,8 +176,6 @@
   bool mStoreUp = true;
   /** By the name of a process: the last generation that it knew. */
   std::map<std::string, core::generation> mGenerationsSeen;
-  std::map<std::string, membership::member_row> mRows;
-  entry::configuration_row mStored;
   std::uint64_t mNextToken = 1;
   std::map<std::uint64_t, answer_record> mPendingSubmissions; ///< By token.
   struct domain_change
--- a/tests/libgooseberry/world_calls.cpp
+++ b/tests/libgooseberry/world_calls.cpp
@@ -183,78 +183,6 @@
        {});
 }
 
-void
-cluster::Do(entry_process& aFrom, const entry::read_members&)
-{
-  const instant sentAt = mNow;
-  CallStore(
-    aFrom,
-    [this, &aFrom, sentAt]() -> action {
-      std::vector<membership::member_row> rows;
-      for (const auto& [key, row] : mRows) {
-        rows.push_back(row);
-      }
-      return [this, &aFrom, rows, sentAt] {
-        WithEntry(aFrom, [&](entry::effects& aEffects) {
-          entry::OnMembers(*aFrom.mControl, rows, sentAt, mNow, aEffects);
-        });
-      };
-    },
-    [this, &aFrom] {
-      WithEntry(aFrom, [&](entry::effects& aEffects) {
-        entry::OnMembersFailed(*aFrom.mControl, mNow, aEffects);
-      });
-    });
-}
-
-void
-cluster::Do(entry_process& aFrom, const entry::write_member& aEffect)
-{
-  const auto answer = [this, &aFrom](bool aStands) -> action {
-    return [this, &aFrom, aStands] {
-      WithEntry(aFrom, [&](entry::effects& aEffects) {
-        entry::OnMemberWritten(*aFrom.mControl, aStands, mNow, aEffects);
-      });
-    };
-  };
-  CallStore(
-    aFrom,
-    [this, aEffect, answer]() {
-      mRows[membership::RowKey(aEffect.mRow)] = aEffect.mRow;
-      return answer(true);
-    },
-    answer(false));
-}
-
-void
-cluster::Do(entry_process& aFrom, const entry::delete_member& aEffect)
-{
-  CallStore(
-    aFrom,
-    [this, aEffect]() -> action {
-      mRows.erase(membership::RowKey(aEffect.mRow));
-      return [] {};
-    },
-    [] {});
-}
-
-void
-cluster::Do(entry_process& aFrom, const entry::read_configuration&)
-{
-  const instant sentAt = mNow;
-  CallStore(
-    aFrom,
-    [this, &aFrom, sentAt]() -> action {
-      return [this, &aFrom, row = mStored, sentAt] {
-        WithEntry(aFrom, [&](entry::effects& aEffects) {
-          entry::OnConfigurationRead(
-            *aFrom.mControl, row, sentAt, mNow, aEffects);
-        });
-      };
-    },
-    [] {});
-}
-
 void
 cluster::Do(entry_process& aFrom, const entry::write_configuration& aEffect)
 {
@@ -364,25 +292,6 @@
        {});
 }
 
-void
-cluster::Do(agent_process& aFrom, const agent::read_rows&)
-{
-  CallStore(
-    aFrom,
-    [this, &aFrom]() -> action {
-      std::vector<membership::member_row> rows;
-      for (const auto& [key, row] : mRows) {
-        rows.push_back(row);
-      }
-      return [this, &aFrom, rows] {
-        WithAgent(aFrom, [&](agent::effects& aEffects) {
-          agent::OnRows(*aFrom.mControl, rows, mNow, aEffects);
-        });
-      };
-    },
-    [] {});
-}
-
 void
 cluster::Do(agent_process& aFrom, const agent::write_row&)
 {
