--- a/tests/libgooseberry/leased_world.cpp
+++ b/tests/libgooseberry/leased_world.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-/** Events, and the start and end of processes. */
+/** Random draws, and the start and end of processes. */
 namespace gooseberry::leased_world {
 
 using namespace std::chrono_literals;
--- a/tests/libgooseberry/leased_world.h
+++ b/tests/libgooseberry/leased_world.h
@@ -23,19 +23,10 @@
 namespace gooseberry::leased_world {
 
 using simulation::agent_process;
+using simulation::channel;
 using simulation::entry_process;
 using simulation::process;
 
-/** Kinds of calls between entries and agents, each with own connections. */
-enum class channel : std::uint8_t
-{
-  Start,
-  Cancel,
-  Announce,
-  Finish,
-  Other,
-};
-
 /** A start call of an agent that has no answer yet. */
 struct open_start
 {
@@ -177,16 +168,8 @@
   arrival_time DrawArrival(const process& aFrom,
                            const process& aTo,
                            channel aChannel);
-  struct outgoing_call
-  {
-    process* mFrom = nullptr;
-    process* mTo = nullptr;
-    channel mChannel = channel::Other;
-    std::function<action()> mServe;
-    std::function<void(bool aDelivered)> mFailed;
-  };
   /** Makes a call. Request and reply may arrive after the call's deadline. */
-  void Call(outgoing_call aCall);
+  void Call(outgoing_call aCall) override;
   void Transmit(const outgoing_call& aCall);
 
   void WithEntry(entry_process& aEntry, const entry_step& aStep) override;
@@ -195,9 +178,7 @@
   void StartAgent(std::size_t aIndex);
 
   using environment::Do;
-  void Do(entry_process& aFrom, const entry::send_start& aEffect);
   void Do(entry_process& aFrom, const entry::send_cancel& aEffect);
-  void Do(entry_process& aFrom, const entry::send_heartbeat& aEffect);
   void Do(entry_process& aFrom, const entry::answer_caller& aEffect);
   void Do(entry_process& aFrom, const entry::log_line& aEffect);
   template<typename Effect>
@@ -206,7 +187,6 @@
   }
   void Do(agent_process& aFrom, const agent::call_target& aEffect);
   void Do(agent_process& aFrom, const agent::send_finish& aEffect);
-  void Do(agent_process& aFrom, const agent::send_load_report& aEffect);
   void Do(agent_process& aFrom, const agent::log_event& aEffect);
   template<typename Effect>
   void Do(agent_process&, const Effect&)
--- a/tests/libgooseberry/leased_world_calls.cpp
+++ b/tests/libgooseberry/leased_world_calls.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-/** Calls between entries and agents. */
+/** Connections and cuts, and calls that only this world makes so. */
 namespace gooseberry::leased_world {
 
 using namespace std::chrono_literals;
@@ -65,70 +65,26 @@
 {
   process& from = *aCall.mFrom;
   process* const to = aCall.mTo;
-  const std::uint64_t sender = from.mIncarnation;
-  auto settled = std::make_shared<bool>(false);
-  const auto fail = [=, this, &from](duration aAfter, bool aDelivered) {
-    At(mNow + aAfter, [=, this, &from] {
-      Deliver(from, sender, [=] {
-        if (!std::exchange(*settled, true) && aCall.mFailed) {
-          aCall.mFailed(aDelivered);
-        }
-      });
-    });
-  };
+  const open_call_ptr call = Open(aCall);
   if (to == nullptr || !to->mAlive) {
-    return fail(Latency(), false); // The connection is refused.
+    return FailAfter(Latency(), call, false); // The connection is refused.
   }
   if (!CanConnect(from, *to, aCall.mChannel)) {
-    return fail(kCallDeadline, false);
+    return FailAfter(kCallDeadline, call, false);
   }
-  fail(kCallDeadline, true);
+  FailAfter(kCallDeadline, call, true);
   const auto arrivesAt = DrawArrival(from, *to, aCall.mChannel);
   if (!arrivesAt) {
     return;
   }
-  const std::uint64_t receiver = to->mIncarnation;
-  const auto answer = [=, this, &from](const action& aReply) {
-    if (const auto repliedAt = DrawArrival(*to, from, aCall.mChannel)) {
-      At(*repliedAt, [=, this, &from] {
-        Arrive(from, sender, [=] {
-          if (!std::exchange(*settled, true)) {
-            aReply();
-          }
-        });
-      });
-    }
-  };
-  At(*arrivesAt,
-     [=, this] { Arrive(*to, receiver, [=] { answer(aCall.mServe()); }); });
-}
-
-void
-world::Do(entry_process& aFrom, const entry::send_start& aEffect)
-{
-  agent_process* const to = AgentAt(aEffect.mAddress);
-  Call({ &aFrom,
-         to,
-         channel::Start,
-         [this, to, &aFrom, aEffect]() -> action {
-           core::start_reply reply;
-           WithAgent(*to, [&](agent::effects& aEffects) {
-             reply =
-               agent::OnStart(*to->mControl, aEffect.mBatch, mNow, aEffects);
-           });
-           return [this, &aFrom, aEffect, reply] {
-             WithEntry(aFrom, [&](entry::effects& aEffects) {
-               entry::OnStartReply(
-                 *aFrom.mControl, aEffect.mCall, reply, mNow, aEffects);
-             });
-           };
-         },
-         [this, &aFrom, aEffect](bool aDelivered) {
-           WithEntry(aFrom, [&](entry::effects& aEffects) {
-             entry::OnStartFailed(
-               *aFrom.mControl, aEffect.mCall, aDelivered, mNow, aEffects);
-           });
-         } });
+  At(*arrivesAt, [=, this, &from, receiver = to->mIncarnation] {
+    Arrive(*to, receiver, [=, this, &from] {
+      const action reply = call->mCall.mServe();
+      if (const auto at = DrawArrival(*to, from, call->mCall.mChannel)) {
+        ReplyAt(*at, call, reply);
+      }
+    });
+  });
 }
 
 void
@@ -153,100 +109,16 @@
          } });
 }
 
-void
-world::Do(entry_process& aFrom, const entry::send_heartbeat& aEffect)
-{
-  entry_process* const to = EntryAt(aEffect.mAddress);
-  const instant sentAt = mNow;
-  Call({ &aFrom,
-         to,
-         channel::Other,
-         [this, to, &aFrom, aEffect, sentAt]() -> action {
-           core::heartbeat reply;
-           WithEntry(*to, [&](entry::effects& aEffects) {
-             reply =
-               entry::OnHeartbeat(*to->mControl, aEffect.mBeat, mNow, aEffects);
-           });
-           return [this, &aFrom, reply, sentAt] {
-             WithEntry(aFrom, [&](entry::effects& aEffects) {
-               entry::OnHeartbeatReply(
-                 *aFrom.mControl, reply, sentAt, mNow, aEffects);
-             });
-           };
-         },
-         {} });
-}
-
 void
 world::Do(agent_process& aFrom, const agent::send_finish& aEffect)
 {
-  entry_process* const to = EntryAt(aEffect.mEntryAddress);
-  const instant sentAt = mNow;
-  core::finish_batch batch = aEffect.mFinish;
+  agent::send_finish sent = aEffect;
   if (mOptions.mOldAgents) {
-    for (core::task_result& result : batch.mResults) {
+    for (core::task_result& result : sent.mFinish.mResults) {
       result.mBallot = {};
     }
   }
-  Call({ &aFrom,
-         to,
-         channel::Finish,
-         [this, to, &aFrom, aEffect, batch, sentAt]() -> action {
-           core::entry_reply reply;
-           WithEntry(*to, [&](entry::effects& aEffects) {
-             reply = entry::OnFinish(*to->mControl, batch, mNow, aEffects);
-           });
-           return [this, &aFrom, aEffect, reply, sentAt] {
-             WithAgent(aFrom, [&](agent::effects& aEffects) {
-               agent::OnFinishAnswered(*aFrom.mControl,
-                                       aEffect.mId,
-                                       aEffect.mEntryAddress,
-                                       reply,
-                                       sentAt,
-                                       mNow,
-                                       aEffects);
-             });
-           };
-         },
-         [this, &aFrom, aEffect](bool) {
-           WithAgent(aFrom, [&](agent::effects& aEffects) {
-             agent::OnFinishFailed(
-               *aFrom.mControl, aEffect.mId, mNow, aEffects);
-           });
-         } });
-}
-
-void
-world::Do(agent_process& aFrom, const agent::send_load_report& aEffect)
-{
-  entry_process* const to = EntryAt(aEffect.mEntryAddress);
-  const instant sentAt = mNow;
-  Call({ &aFrom,
-         to,
-         channel::Announce,
-         [this, to, &aFrom, aEffect, sentAt]() -> action {
-           core::entry_reply reply;
-           WithEntry(*to, [&](entry::effects& aEffects) {
-             reply =
-               entry::OnAnnounce(*to->mControl, aEffect.mState, mNow, aEffects);
-           });
-           return [this, &aFrom, aEffect, reply, sentAt] {
-             WithAgent(aFrom, [&](agent::effects& aEffects) {
-               agent::OnLoadReportAnswered(*aFrom.mControl,
-                                           aEffect.mEntryAddress,
-                                           reply,
-                                           sentAt,
-                                           mNow,
-                                           aEffects);
-             });
-           };
-         },
-         [this, &aFrom, aEffect](bool) {
-           WithAgent(aFrom, [&](agent::effects& aEffects) {
-             agent::OnLoadReportFailed(
-               *aFrom.mControl, aEffect.mEntryAddress, mNow, aEffects);
-           });
-         } });
+  environment::Do(aFrom, sent);
 }
 
 } // namespace gooseberry::leased_world
--- a/tests/libgooseberry/simulation.h
+++ b/tests/libgooseberry/simulation.h
@@ -48,6 +48,16 @@
   std::unique_ptr<agent::agent_control> mControl;
 };
 
+/** Kinds of calls between processes, each with own connections. */
+enum class channel : std::uint8_t
+{
+  Start,
+  Cancel,
+  Announce,
+  Finish,
+  Other,
+};
+
 /** Runs scheduled actions in virtual time; a world derives from it. */
 class environment
 {
@@ -93,6 +103,28 @@
   virtual void Arrive(process& aTo,
                       std::uint64_t aIncarnation,
                       const action& aAction);
+  struct outgoing_call
+  {
+    process* mFrom = nullptr;
+    process* mTo = nullptr; ///< Null if no process has the address.
+    channel mChannel = channel::Other;
+    /** Runs at the receiver; returns the action that handles the reply. */
+    std::function<action()> mServe;
+    std::function<void(bool aDelivered)> mFailed;
+  };
+  /** A call under way. Its first outcome reaches the caller, no later one. */
+  struct open_call
+  {
+    outgoing_call mCall;
+    std::uint64_t mCaller = 0; ///< Incarnation.
+    bool mIsSettled = false;
+  };
+  using open_call_ptr = std::shared_ptr<open_call>;
+  /** Makes a call; request and reply are subject to faults. */
+  virtual void Call(outgoing_call aCall) = 0;
+  static open_call_ptr Open(outgoing_call aCall);
+  void ReplyAt(instant aWhen, const open_call_ptr& aCall, const action& aReply);
+  void FailAfter(duration aTime, const open_call_ptr& aCall, bool aDelivered);
   /** Calls the store; `aServe` returns the action that handles the reply. */
   void CallStore(process& aFrom,
                  const std::function<action()>& aServe,
@@ -108,11 +140,16 @@
   entry_process* EntryAt(const std::string& aAddress);
   agent_process* AgentAt(const std::string& aAddress);
 
+  std::vector<membership::member_row> StoredRows() const;
   // Effects that the worlds carry out alike.
+  void Do(entry_process& aFrom, const entry::send_start& aEffect);
+  void Do(entry_process& aFrom, const entry::send_heartbeat& aEffect);
   void Do(entry_process& aFrom, const entry::read_members& aEffect);
   void Do(entry_process& aFrom, const entry::write_member& aEffect);
   void Do(entry_process& aFrom, const entry::delete_member& aEffect);
   void Do(entry_process& aFrom, const entry::read_configuration& aEffect);
+  void Do(agent_process& aFrom, const agent::send_finish& aEffect);
+  void Do(agent_process& aFrom, const agent::send_load_report& aEffect);
   void Do(agent_process& aFrom, const agent::read_rows& aEffect);
 
   std::mt19937_64 mRandom;
--- a/tests/libgooseberry/world.cpp
+++ b/tests/libgooseberry/world.cpp
@@ -70,46 +70,27 @@
 }
 
 void
-cluster::Call(process& aFrom,
-              process* aTo,
-              const std::function<action()>& aServe,
-              const std::function<void(bool)>& aFailed)
+cluster::Call(outgoing_call aCall)
 {
-  const std::uint64_t caller = aFrom.mIncarnation;
-  auto settled = std::make_shared<bool>(false);
-  const auto fail = [=, this, &aFrom](duration aAfter, bool aDelivered) {
-    At(mNow + aAfter, [=, this, &aFrom] {
-      Deliver(aFrom, caller, [=] {
-        if (!std::exchange(*settled, true) && aFailed) {
-          aFailed(aDelivered);
-        }
-      });
-    });
-  };
-  if (aTo == nullptr || !aTo->mAlive) {
-    fail(Latency(), false); // The connection is refused.
-    return;
+  process& from = *aCall.mFrom;
+  process* const to = aCall.mTo;
+  const open_call_ptr call = Open(std::move(aCall));
+  if (to == nullptr || !to->mAlive) {
+    return FailAfter(Latency(), call, false); // The connection is refused.
   }
-  fail(kCallDeadline, true);
-  if (IsCut(aFrom, *aTo) || Chance(mOptions.mFaults.mLossRate)) {
+  FailAfter(kCallDeadline, call, true);
+  if (IsCut(from, *to) || Chance(mOptions.mFaults.mLossRate)) {
     return;
   }
-  const std::uint64_t receiver = aTo->mIncarnation;
+  const std::uint64_t receiver = to->mIncarnation;
   const int copies = Chance(mOptions.mFaults.mDuplicationRate) ? 2 : 1;
   for (int i = 0; i < copies; ++i) {
-    At(mNow + Latency(), [=, this, &aFrom] {
-      Deliver(*aTo, receiver, [=, this, &aFrom] {
-        const action reply = aServe();
-        if (Chance(mOptions.mFaults.mLossRate) || IsCut(aFrom, *aTo)) {
-          return;
+    At(mNow + Latency(), [=, this, &from] {
+      Deliver(*to, receiver, [=, this, &from] {
+        const action reply = call->mCall.mServe();
+        if (!Chance(mOptions.mFaults.mLossRate) && !IsCut(from, *to)) {
+          ReplyAt(mNow + Latency(), call, reply);
         }
-        At(mNow + Latency(), [=, this, &aFrom] {
-          Deliver(aFrom, caller, [=] {
-            if (!std::exchange(*settled, true)) {
-              reply();
-            }
-          });
-        });
       });
     });
   }
--- a/tests/libgooseberry/world.h
+++ b/tests/libgooseberry/world.h
@@ -2,7 +2,6 @@
 
 #include "simulation.h"
 
-#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -19,6 +18,7 @@
 using core::duration;
 using core::instant;
 using simulation::agent_process;
+using simulation::channel;
 using simulation::entry_process;
 using simulation::process;
 
@@ -122,11 +122,7 @@
   bool Chance(double aProbability);
   duration Latency() override;
   bool ReachesStore(const process& aFrom) const override;
-  /** Makes a call; request and reply are subject to faults. */
-  void Call(process& aFrom,
-            process* aTo,
-            const std::function<action()>& aServe,
-            const std::function<void(bool aDelivered)>& aFailed);
+  void Call(outgoing_call aCall) override;
 
   void WithEntry(entry_process& aEntry, const entry_step& aStep) override;
   void WithAgent(agent_process& aAgent, const agent_step& aStep) override;
@@ -138,11 +134,9 @@
   void StartTask(agent_process& aAgent, const agent::run_task& aEffect);
 
   using environment::Do;
-  void Do(entry_process& aFrom, const entry::send_start& aEffect);
   void Do(entry_process& aFrom, const entry::send_cancel& aEffect);
   void Do(entry_process& aFrom, const entry::send_fence& aEffect);
   void Do(entry_process& aFrom, const entry::send_locate& aEffect);
-  void Do(entry_process& aFrom, const entry::send_heartbeat& aEffect);
   void Do(entry_process& aFrom, const entry::send_deliver& aEffect);
   void Do(entry_process& aFrom, const entry::copy_promises& aEffect);
   void Do(entry_process& aFrom, const entry::push_configuration& aEffect);
@@ -153,8 +147,6 @@
   void Do(entry_process&, const entry::drained&) {}
 
   void Do(agent_process& aFrom, const agent::run_task& aEffect);
-  void Do(agent_process& aFrom, const agent::send_finish& aEffect);
-  void Do(agent_process& aFrom, const agent::send_load_report& aEffect);
   void Do(agent_process& aFrom, const agent::copy_fences_from& aEffect);
   void Do(agent_process& aFrom, const agent::write_row& aEffect);
   void Do(agent_process&, const agent::call_target&) {}
