--- a/tests/libgooseberry/test_entry_resubmission.cpp
+++ b/tests/libgooseberry/test_entry_resubmission.cpp
@@ -132,6 +132,39 @@
   BOOST_TEST(ReportLoad().mCancelled.empty());
 }
 
+// The answer to the call for the first cancellation arrives after the job has
+// been submitted and cancelled again.
+BOOST_AUTO_TEST_CASE(a_late_answer_does_not_confirm_a_later_cancellation)
+{
+  Submit(1, "job");
+  entry::OnCallerLeft(mControl, 1, "job", mNow, mEffects);
+  Advance(kTick);
+  mEffects.clear();
+  Submit(2, "job");
+  entry::OnCallerLeft(mControl, 2, "job", mNow, mEffects);
+  entry::OnCancelAnswered(mControl, "w:1", { "job" });
+  BOOST_TEST(ReportLoad().mCancelled.size() == 1U);
+}
+
+// A late message of its predecessor, taken for that of a successor, shut an
+// agent out that had been silent for a while.
+BOOST_AUTO_TEST_CASE(a_late_message_of_its_predecessor_shuts_no_agent_out)
+{
+  core::agent_state earlier = mAgent;
+  earlier.mAgent.mIncarnation = 3;
+  mNow += 10ms;
+  ReportLoad();
+  mNow += 1'400ms;
+  entry::OnAnnounce(mControl, earlier, mNow, mEffects);
+  mNow += 10ms;
+  for (int i = 0; i < 100; ++i) {
+    ReportLoad();
+    Advance(100ms);
+  }
+  const auto& known = mControl.mMembers.mAgents.at("w").mState.mAgent;
+  BOOST_TEST(known.mIncarnation == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_cancellation_is_repeated_while_a_run_may_be_there)
 {
   Submit(1, "job");
