--- a/tests/libgooseberry/leased_agent_fixture.h
+++ b/tests/libgooseberry/leased_agent_fixture.h
@@ -154,6 +154,13 @@
     return LastStartCall();
   }
 
+  /** Handles an answer to a start call that brings no clock. */
+  void AnswerStart(const lease::start_call& aCall, lease::start_answer aAnswer)
+  {
+    agent::OnStartAnswered(
+      mControl, aCall, aAnswer, std::nullopt, mNow, mEffects);
+  }
+
   lease::start_call LastStartCall() const
   {
     lease::start_call last;
--- a/tests/libgooseberry/test_agent_leased_targets.cpp
+++ b/tests/libgooseberry/test_agent_leased_targets.cpp
@@ -171,11 +171,8 @@
 BOOST_AUTO_TEST_CASE(
   a_start_call_id_is_not_reused_after_its_target_is_forgotten)
 {
-  const auto answerFirst = [&, first = StartCallOf("a")](auto aAnswer) {
-    agent::OnStartAnswered(
-      mControl, first, aAnswer, std::nullopt, mNow, mEffects);
-  };
-  answerFirst(lease::start_answer::Withdrawn);
+  const auto first = StartCallOf("a");
+  AnswerStart(first, lease::start_answer::Withdrawn);
   mNow += 6s;
   agent::Tick(mControl, mNow, mEffects);
   BOOST_REQUIRE(mControl.mTargets.empty());
@@ -184,7 +181,7 @@
   Report();
   StartCallOf("a");
   mEffects.clear();
-  answerFirst(lease::start_answer::NotSent);
+  AnswerStart(first, lease::start_answer::NotSent);
   BOOST_TEST(!LastResult());
   BOOST_TEST(mControl.mTargets.at("t-1").mLeased->mRuns.size() == 1U);
 }
@@ -194,12 +191,7 @@
 BOOST_AUTO_TEST_CASE(a_new_incarnation_is_called_when_it_registers)
 {
   const auto first = StartCallOf("a");
-  agent::OnStartAnswered(mControl,
-                         first,
-                         lease::start_answer::Withdrawn,
-                         std::nullopt,
-                         mNow,
-                         mEffects);
+  AnswerStart(first, lease::start_answer::Withdrawn);
   agent::TickLeases(mControl, mNow, mEffects);
   mEffects.clear();
   Register(false, 7 + 5'000);
@@ -227,12 +219,7 @@
   const auto first = mPlacements;
   Start("a", 1, kFirstEntry);
   Report({}, { { 1, { "a", 0 }, 1, core::task_end::Lost, "stopped" } });
-  agent::OnStartAnswered(mControl,
-                         StartCallOf("a"),
-                         lease::start_answer::NoRoom,
-                         std::nullopt,
-                         mNow,
-                         mEffects);
+  AnswerStart(StartCallOf("a"), lease::start_answer::NoRoom);
   mPlacements = first; // Of the copy.
   mEffects.clear();
   Start("a", 1, kFirstEntry, 200ms);
@@ -244,12 +231,7 @@
 BOOST_AUTO_TEST_CASE(a_token_does_not_fall_when_its_target_is_forgotten)
 {
   const auto first = StartCallOf("a");
-  agent::OnStartAnswered(mControl,
-                         first,
-                         lease::start_answer::Withdrawn,
-                         std::nullopt,
-                         mNow,
-                         mEffects);
+  AnswerStart(first, lease::start_answer::Withdrawn);
   mNow += 6s;
   agent::Tick(mControl, mNow, mEffects);
   BOOST_REQUIRE(mControl.mTargets.empty());
