--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -109,22 +109,21 @@
     """The store, with an address of its own for each process.
 
     A process in `turned_away` gets 503, as do machines that the store turns
-    away while it serves the others.
+    away while it serves the others. One in `cut_off` gets no answer.
     """
 
-    def __init__(self, seed, record):
+    def __init__(self, seed):
         super().__init__(seed)
         self.turned_away = set()
-        self.on_read = None
-        self._record = record
+        self.cut_off = set()
         self._doors = []
 
     async def open_door(self, name, ip, port):
         async def serve(request):
             if name in self.turned_away:
                 return http.Response(503)
-            if self.on_read and request.path == "/rows-get":
-                self.on_read(name, request.query.get("table"))
+            if name in self.cut_off:
+                raise http.NoAnswer
             return await self._serve(request)
         door = http.Server(serve)
         await door.start(ip, port)
@@ -142,7 +141,7 @@
     def __init__(self, out, entries, agents, watch, record):
         super().__init__(ROOT, out, entries, agents, watch, 1)
         self.record = record
-        self.store = Doors(1, record)
+        self.store = Doors(1)
         self._doors = {}
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
             self._roles = tomllib.load(file)["roles"]
@@ -217,6 +216,25 @@
     return answer
 
 
+async def press(cluster, watch, record, clients, stop):
+    """Several clients of each entry that is up hand in one job after the
+    other, until `stop`: enough to keep the workers of all zones busy."""
+    number = 0
+
+    async def submit(entry):
+        nonlocal number
+        while not stop.is_set():
+            number += 1
+            job = watch.add_job(Job(f"{number:016x}", 10, 1600, 0.2))
+            if entry.is_running:
+                await call(record, entry, "POST", PATH + job.name,
+                           job.body(), 1.5)
+            await asyncio.sleep(0.05)
+
+    await asyncio.gather(*[submit(entry) for entry in cluster.entries
+                           for _ in range(clients)])
+
+
 def run_case(folder, case, entries=3, agents=6):
     """Runs `case(deployment, watch, record)`, which returns the broken
     rules, and exits with the status that the review asks for."""
