--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -29,7 +29,7 @@
 ZONES = soak_cluster.ZONES
 SERVICE = soak_cluster.SERVICE
 HOST = soak_cluster.HOST
-PATH = soak_cluster.PATH
+PATH = "/orders/"
 CALLER_PORT = soak_cluster.CALLER_PORT
 STORE_PORT = soak_cluster.STORE_PORT
 
