Configuration: a state that returns comes into force again

Cause: the adapter numbered a state by the read at which this process first saw its text, judged by the process's own last read. A process that was told of the state in between by a peer read its own last text again, gave it the old number, and dropped it as older than what is in force. Routes removed and added again fared alike.

An entry that is behind the last own read of another no longer brings anything back: the state in force is numbered by its confirmation and sent to all.

--- a/src/libgooseberry/entry/configure.cpp
+++ b/src/libgooseberry/entry/configure.cpp
@@ -78,6 +78,56 @@
   }
 }
 
+configuration::in_force
+InForce(const entry_control& aControl)
+{
+  return { aControl.mRow.mConfiguration, aControl.mConfirmedGeneration };
+}
+
+/**
+ * Numbers the configuration in force by the last read that has confirmed it, so
+ * that it replaces what processes hold that have missed its return.
+ */
+void
+RenewGeneration(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  aControl.mRow.mConfiguration.mGeneration = aControl.mConfirmedGeneration;
+  Log(aEffects,
+      "configuration_renewed",
+      { { "generation", std::to_string(aControl.mConfirmedGeneration) } });
+  BroadcastConfiguration(aControl, aNow, aEffects);
+}
+
+/**
+ * Adopts what a read of the operators' rows returned, if it is newer. Returns
+ * whether it is in force now.
+ */
+bool
+AdoptRead(entry_control& aControl,
+          const core::versioned_configuration& aRead,
+          core::instant aNow,
+          effects& aEffects)
+{
+  const auto relation = configuration::CompareRead(InForce(aControl), aRead);
+  if (relation == configuration::relation::Outdated) {
+    return false;
+  }
+  const bool isInForce = relation == configuration::relation::Same ||
+                         AdoptConfiguration(aControl, aRead, aNow, aEffects);
+  if (isInForce) {
+    aControl.mConfirmedGeneration = aRead.mGeneration;
+  }
+  return isInForce;
+}
+
+/** The configuration in force was read by a call sent at `aSentAt`. */
+void
+RecordStoreContact(entry_control& aControl, core::instant aSentAt)
+{
+  aControl.mLastContact =
+    std::max(aControl.mLastContact.value_or(aSentAt), aSentAt);
+}
+
 /** Adopts the stored row if it is not older than the current one. */
 void
 AdoptRow(entry_control& aControl,
@@ -156,7 +206,11 @@
                    core::instant aNow,
                    effects& aEffects)
 {
-  if (aNewer.mGeneration <= aControl.mRow.mConfiguration.mGeneration) {
+  const auto relation = configuration::CompareSent(InForce(aControl), aNewer);
+  if (relation == configuration::relation::Outdated) {
+    RenewGeneration(aControl, aNow, aEffects);
+  }
+  if (relation != configuration::relation::Newer) {
     return false;
   }
   const auto parsed = configuration::Parse(aNewer.mText, "configuration");
@@ -189,9 +243,29 @@
                     effects& aEffects)
 {
   aControl.mStoreRead = true;
-  aControl.mLastContact =
-    std::max(aControl.mLastContact.value_or(aSentAt), aSentAt);
-  AdoptRow(aControl, aRow, aNow, aEffects);
+  if (aRow.mNumbering == configuration::numbering::Stored) {
+    RecordStoreContact(aControl, aSentAt);
+    AdoptRow(aControl, aRow, aNow, aEffects);
+  } else if (AdoptRead(aControl, aRow.mConfiguration, aNow, aEffects)) {
+    RecordStoreContact(aControl, aSentAt);
+  }
+}
+
+void
+TickGeneration(entry_control& aControl, core::instant aNow, effects& aEffects)
+{
+  const core::generation own = aControl.mRow.mConfiguration.mGeneration;
+  const auto& agents = aControl.mMembers.mAgents;
+  const bool anyHoldsReplaced =
+    std::any_of(agents.begin(), agents.end(), [&](const auto& aAgent) {
+      const auto& view = aAgent.second;
+      return aNow - view.mLastSeen <= aControl.mOptions.mAgentLost &&
+             view.mState.mGeneration > own &&
+             view.mState.mGeneration <= aControl.mConfirmedGeneration;
+    });
+  if (anyHoldsReplaced) {
+    RenewGeneration(aControl, aNow, aEffects);
+  }
 }
 
 void
--- a/src/libgooseberry/entry/effects.h
+++ b/src/libgooseberry/entry/effects.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libgooseberry/configuration/adoption.h"
 #include "libgooseberry/core/error.h"
 #include "libgooseberry/core/message.h"
 #include "libgooseberry/membership/members.h"
@@ -109,6 +110,7 @@
   std::string mRequest;          ///< Id of the change, set by the operator.
   std::string mBy;               ///< Name of the entry that wrote it.
   std::uint64_t mRowVersion = 0; ///< Set by the store; 0: no row yet.
+  configuration::numbering mNumbering = configuration::numbering::Stored;
 };
 
 /** Compare-and-set the configuration row; reports to
--- a/src/libgooseberry/entry/entry_control.cpp
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -205,6 +205,7 @@
     return;
   }
   aControl.mNextHeartbeat = aNow + aControl.mOptions.mHeartbeat;
+  TickGeneration(aControl, aNow, aEffects);
   SendHeartbeats(aControl, aNow, aEffects);
 }
 
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -107,6 +107,9 @@
   bool mLeaving = false;
 
   configuration_row mRow;
+  /** Version of the last read that returned the configuration in force, where
+   * configurations are numbered by reads. */
+  core::generation mConfirmedGeneration = 0;
   configuration::desired_state mDesired;
   std::vector<pending_apply> mApplies;
 
--- a/src/libgooseberry/entry/internal.h
+++ b/src/libgooseberry/entry/internal.h
@@ -67,6 +67,11 @@
         const std::string& aEntryName,
         const core::job_answer& aAnswer);
 
+/** Numbers the configuration in force anew where an agent reports a generation
+ * that was replaced before the last read. */
+void
+TickGeneration(entry_control& aControl, core::instant aNow, effects& aEffects);
+
 /** Sends a heartbeat to every other entry. */
 void
 SendHeartbeats(entry_control& aControl, core::instant aNow, effects& aEffects);
--- a/src/libgooseberryio/rows.cpp
+++ b/src/libgooseberryio/rows.cpp
@@ -128,7 +128,8 @@
     { "generation", aRow.mConfiguration.mGeneration },
     { "text", aRow.mConfiguration.mText },
     { "by", aRow.mBy },
-    { "request", aRow.mRequest }
+    { "request", aRow.mRequest },
+    { "numbering", configuration::kNumberingNames.NameOf(aRow.mNumbering) }
   }.dump();
 }
 
@@ -147,6 +148,13 @@
     row.mConfiguration.mText = Text(json, "text");
     row.mBy = Text(json, "by");
     row.mRequest = Text(json, "request");
+    // Rows of the version before have none.
+    const auto numbering =
+      configuration::kNumberingNames.ValueOf(json.value("numbering", "stored"));
+    if (!numbering) {
+      return BadRow("unknown numbering");
+    }
+    row.mNumbering = *numbering;
     return row;
   } catch (const std::exception& failure) {
     return BadRow(failure.what());
--- a/tests/platform/store_standin.cpp
+++ b/tests/platform/store_standin.cpp
@@ -69,6 +69,14 @@
   mFaults = std::move(aFaults);
 }
 
+void
+store_standin::Remove(const std::string& aTable, const std::string& aKey)
+{
+  const std::lock_guard lock(mMutex);
+  ++mVersion;
+  mTables[aTable].erase(aKey);
+}
+
 void
 store_standin::Put(const std::string& aTable,
                    const std::string& aKey,
--- a/tests/platform/store_standin.h
+++ b/tests/platform/store_standin.h
@@ -41,6 +41,9 @@
            const std::string& aKey,
            const std::string& aText);
 
+  /** Deletes a row as the operators do. */
+  void Remove(const std::string& aTable, const std::string& aKey);
+
   /** The next calls are answered with these bodies, the last one for ever. */
   void Say(std::deque<std::string> aBodies);
 
