--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -61,17 +61,27 @@
   return handlers;
 }
 
-member_handlers
-MakeMemberHandlers(control_thread& aControl)
+store_handlers
+MakeStoreHandlers(control_thread& aControl)
 {
-  return { [&aControl](std::vector<membership::member_row> aRows) {
-            aControl.Post([rows = std::move(aRows)](agent_control& aState,
-                                                    core::instant aNow,
-                                                    effects& aOut) {
-              agent::OnRows(aState, rows, aNow, aOut);
-            });
-          },
-           [&aControl] { aControl.Post(agent::OnRowWritten); } };
+  return {
+    [&aControl](std::vector<membership::member_row> aRows) {
+      aControl.Post([rows = std::move(aRows)](agent_control& aState,
+                                              core::instant aNow,
+                                              effects& aOut) {
+        agent::OnRows(aState, rows, aNow, aOut);
+      });
+    },
+    [&aControl] { aControl.Post(agent::OnRowWritten); },
+    [&aControl](const entry::configuration_row& aRow, core::instant aSentAt) {
+      aControl.Post([row = aRow, aSentAt](agent_control& aState,
+                                          core::instant aNow,
+                                          effects& aOut) {
+        agent::OnConfigurationRead(
+          aState, row.mConfiguration, row.mNumbering, aSentAt, aNow, aOut);
+      });
+    }
+  };
 }
 
 report_handler
@@ -130,11 +140,11 @@
   , mRunner({ mSettings.mMaxResult, mSettings.mMaxTargetThreads },
             MakeReportHandler(mControl))
   , mLink(mSettings.mMakeLink ? mSettings.mMakeLink(mControl) : nullptr)
-  , mMembers(mSettings.mMakeStore(), MakeMemberHandlers(mControl))
+  , mStore(mSettings.mMakeStore(), MakeStoreHandlers(mControl))
   , mEntries(PoolSettings(mSettings))
   , mAgents(PoolSettings(mSettings))
   , mParts{ mSettings,   mControl, mRunner,
-            mLink.get(), mMembers, mEntries,
+            mLink.get(), mStore,   mEntries,
             mAgents,     mMetrics, [this] { mHasLeft = true; } }
   , mPeerServer(mSettings.mListen, MakeHandlers(mControl))
   , mHttpServer(HttpSettings(mSettings))
@@ -188,7 +198,7 @@
 {
   mHttpServer.Stop();
   mPeerServer.Stop();
-  mMembers.Stop();
+  mStore.Stop();
   mRunner.Stop();
   if (mLink) {
     mLink->Stop();
--- a/src/agent/agent_daemon.h
+++ b/src/agent/agent_daemon.h
@@ -47,7 +47,7 @@
   control_thread mControl;
   target_runner mRunner;
   std::unique_ptr<target_link> mLink;
-  member_table mMembers;
+  store_thread mStore;
   io::peer_pool<io::entry_client> mEntries;
   io::peer_pool<io::agent_client> mAgents;
   effect_parts mParts;
--- a/src/agent/effect_performer.cpp
+++ b/src/agent/effect_performer.cpp
@@ -142,17 +142,23 @@
 
   followup operator()(agent::read_rows&) const
   {
-    mParts.mMembers.Post(read_members{});
+    mParts.mStore.Post(read_members{});
+    return std::nullopt;
+  }
+
+  followup operator()(agent::read_configuration&) const
+  {
+    mParts.mStore.Post(read_configuration{});
     return std::nullopt;
   }
 
   followup operator()(agent::write_row&) const
   {
     const auto& control = mParts.mSettings.mControl;
-    mParts.mMembers.Post(write_member{ { membership::role::Agent,
-                                         control.mAgent,
-                                         control.mAddress,
-                                         control.mFailureDomain } });
+    mParts.mStore.Post(write_member{ { membership::role::Agent,
+                                       control.mAgent,
+                                       control.mAddress,
+                                       control.mFailureDomain } });
     return std::nullopt;
   }
 
--- a/src/agent/effect_performer.h
+++ b/src/agent/effect_performer.h
@@ -2,7 +2,7 @@
 
 #include "agent/control_thread.h"
 #include "agent/daemon_settings.h"
-#include "agent/member_table.h"
+#include "agent/store_thread.h"
 #include "agent/target_link.h"
 #include "agent/target_runner.h"
 #include "libgooseberryio/metrics.h"
@@ -19,7 +19,7 @@
   control_thread& mControl;
   target_runner& mRunner;
   target_link* mLink; ///< Null where no target runs tasks under leases.
-  member_table& mMembers;
+  store_thread& mStore;
   io::peer_pool<io::entry_client>& mEntries;
   io::peer_pool<io::agent_client>& mAgents;
   io::metrics& mMetrics;
--- a/src/agent/store_thread.cpp
+++ b/src/agent/store_thread.cpp
@@ -1,5 +1,6 @@
-#include "agent/member_table.h"
+#include "agent/store_thread.h"
 
+#include "libgooseberryio/clock.h"
 #include "libgooseberryio/log.h"
 #include "libgooseberryio/rows.h"
 
@@ -15,13 +16,13 @@
 void
 LogFailure(const core::error& aError)
 {
-  io::log_event("member_table", io::log_level::Warning).Add(aError);
+  io::log_event("table_service", io::log_level::Warning).Add(aError);
 }
 
 } // namespace
 
-member_table::member_table(std::unique_ptr<io::table_store> aStore,
-                           member_handlers aHandlers)
+store_thread::store_thread(std::unique_ptr<io::table_store> aStore,
+                           store_handlers aHandlers)
   : mStore(std::move(aStore))
   , mHandlers(std::move(aHandlers))
   , mRequests(kMaxRequests)
@@ -29,20 +30,20 @@
 {
 }
 
-member_table::~member_table()
+store_thread::~store_thread()
 {
   Stop();
 }
 
 void
-member_table::Post(member_request aRequest)
+store_thread::Post(store_request aRequest)
 {
   // Requests are repeated until they are answered, so that none is missed.
   static_cast<void>(mRequests.Push(std::move(aRequest)));
 }
 
 void
-member_table::Stop()
+store_thread::Stop()
 {
   mRequests.Close();
   mStore->Stop();
@@ -52,11 +53,11 @@
 }
 
 void
-member_table::Run()
+store_thread::Run()
 {
   while (true) {
     if (const auto request = mRequests.Pop(kIdleWait); request) {
-      Do(*request);
+      std::visit([this](const auto& aRequest) { Do(aRequest); }, *request);
     } else if (mRequests.IsClosed()) {
       return;
     }
@@ -64,27 +65,48 @@
 }
 
 void
-member_table::Do(const member_request& aRequest)
+store_thread::Do(const read_members& /*aRequest*/)
 {
-  if (std::holds_alternative<read_members>(aRequest)) {
-    const auto rows = mStore->ListRows(io::kMembersTable);
-    if (const auto* error = std::get_if<core::error>(&rows)) {
-      LogFailure(*error);
-    } else {
-      mHandlers.mOnRows(io::ParseMembers(
-        std::get<std::vector<io::table_row>>(rows), mLoggedRows));
-    }
-  } else if (const auto* write = std::get_if<write_member>(&aRequest)) {
-    const auto result = mStore->WriteRow(io::kMembersTable,
-                                         membership::RowKey(write->mRow),
-                                         io::FormatMember(write->mRow),
-                                         std::nullopt);
-    if (const auto* error = std::get_if<core::error>(&result)) {
-      LogFailure(*error);
-    } else {
-      mHandlers.mOnWritten();
-    }
+  const auto rows = mStore->ListRows(io::kMembersTable);
+  if (const auto* error = std::get_if<core::error>(&rows)) {
+    return LogFailure(*error);
+  }
+  mHandlers.mOnRows(
+    io::ParseMembers(std::get<std::vector<io::table_row>>(rows), mLoggedRows));
+}
+
+void
+store_thread::Do(const write_member& aRequest)
+{
+  const auto result = mStore->WriteRow(io::kMembersTable,
+                                       membership::RowKey(aRequest.mRow),
+                                       io::FormatMember(aRequest.mRow),
+                                       std::nullopt);
+  if (const auto* error = std::get_if<core::error>(&result)) {
+    return LogFailure(*error);
+  }
+  mHandlers.mOnWritten();
+}
+
+void
+store_thread::Do(const read_configuration& /*aRequest*/)
+{
+  const core::instant sentAt = io::Now();
+  const auto result =
+    mStore->ReadRow(io::kConfigurationTable, io::kConfigurationKey);
+  if (const auto* error = std::get_if<core::error>(&result)) {
+    return LogFailure(*error);
+  }
+  const auto* row = std::get_if<io::table_row>(&result);
+  if (row == nullptr) {
+    return; // None has been written yet.
+  }
+  auto parsed = io::ParseConfiguration(row->mValue);
+  if (const auto* error = std::get_if<core::error>(&parsed)) {
+    return LogFailure(*error);
   }
+  mHandlers.mOnConfiguration(
+    std::get<entry::configuration_row>(std::move(parsed)), sentAt);
 }
 
 } // namespace gooseberry::agentd
--- a/src/agent/store_thread.h
+++ b/src/agent/store_thread.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "libgooseberry/entry/effects.h"
 #include "libgooseberry/membership/members.h"
 #include "libgooseberryio/event_queue.h"
 #include "libgooseberryio/log_once.h"
@@ -13,11 +14,13 @@
 
 namespace gooseberry::agentd {
 
-/** What the table's thread tells; called on that thread. */
-struct member_handlers
+/** What the thread reports; called on that thread. */
+struct store_handlers
 {
   std::function<void(std::vector<membership::member_row>)> mOnRows;
   std::function<void()> mOnWritten;
+  /** With the send time of the read. */
+  std::function<void(entry::configuration_row, core::instant)> mOnConfiguration;
 };
 
 struct read_members
@@ -26,31 +29,36 @@
 {
   membership::member_row mRow;
 };
-using member_request = std::variant<read_members, write_member>;
+struct read_configuration
+{};
+using store_request =
+  std::variant<read_members, write_member, read_configuration>;
 
-/** The table `members`, read and written on a thread of its own. */
-class member_table
+/** The agent's calls to the table service, on a thread of their own. */
+class store_thread
 {
 public:
-  member_table(std::unique_ptr<io::table_store> aStore,
-               member_handlers aHandlers);
+  store_thread(std::unique_ptr<io::table_store> aStore,
+               store_handlers aHandlers);
   /** Stops. */
-  ~member_table();
-  member_table(const member_table&) = delete;
-  member_table& operator=(const member_table&) = delete;
+  ~store_thread();
+  store_thread(const store_thread&) = delete;
+  store_thread& operator=(const store_thread&) = delete;
 
   /** Dropped where earlier requests have not been dealt with. */
-  void Post(member_request aRequest);
+  void Post(store_request aRequest);
 
   void Stop();
 
 private:
   void Run();
-  void Do(const member_request& aRequest);
+  void Do(const read_members& aRequest);
+  void Do(const write_member& aRequest);
+  void Do(const read_configuration& aRequest);
 
   const std::unique_ptr<io::table_store> mStore;
-  const member_handlers mHandlers;
-  io::event_queue<member_request> mRequests;
+  const store_handlers mHandlers;
+  io::event_queue<store_request> mRequests;
   io::log_once mLoggedRows;
   std::thread mThread;
 };
--- a/src/libgooseberry/agent/agent_control.h
+++ b/src/libgooseberry/agent/agent_control.h
@@ -9,6 +9,7 @@
 #include "libgooseberry/agent/known_entries.h"
 #include "libgooseberry/agent/record.h"
 #include "libgooseberry/agent/target_queue.h"
+#include "libgooseberry/configuration/adoption.h"
 #include "libgooseberry/configuration/desired_state.h"
 #include "libgooseberry/core/message.h"
 #include "libgooseberry/core/time.h"
@@ -72,7 +73,11 @@
   known_entries mEntries;
   join_state mJoin;
   core::versioned_configuration mConfiguration;
+  /** Version of the last own read that returned the configuration in force,
+   * where configurations are numbered by reads. */
+  core::generation mConfirmedGeneration = 0;
   configuration::desired_state mDesired;
+  std::optional<core::instant> mLastConfigurationRead;
   std::optional<core::instant> mLastRowWrite;
   std::optional<core::instant> mLastRowsRead;
   bool mLeaving = false;
@@ -226,6 +231,16 @@
                 core::instant aNow,
                 effects& aOut);
 
+/** Handles the configuration as read from the table service by a call sent at
+ * `aSentAt`. */
+void
+OnConfigurationRead(agent_control& aControl,
+                    const core::versioned_configuration& aRead,
+                    configuration::numbering aNumbering,
+                    core::instant aSentAt,
+                    core::instant aNow,
+                    effects& aOut);
+
 /** Handles the passage of time; call it every few milliseconds. */
 void
 Tick(agent_control& aControl, core::instant aNow, effects& aOut);
--- a/src/libgooseberry/agent/agent_inputs.cpp
+++ b/src/libgooseberry/agent/agent_inputs.cpp
@@ -12,6 +12,39 @@
 
 namespace {
 
+configuration::in_force
+InForce(const agent_control& aControl)
+{
+  return { aControl.mConfiguration, aControl.mConfirmedGeneration };
+}
+
+/** Brings a configuration into force; returns whether it could be read. */
+bool
+Adopt(agent_control& aControl,
+      const core::versioned_configuration& aNewer,
+      core::instant aNow,
+      effects& aOut)
+{
+  log_event event;
+  event.mGeneration = aNewer.mGeneration;
+  auto parsed = configuration::Parse(
+    aNewer.mText, "generation " + std::to_string(aNewer.mGeneration));
+  if (const auto* error = std::get_if<core::error>(&parsed)) {
+    event.mEvent = agent_event::ConfigurationRefused;
+    event.mDetail = core::ToString(*error);
+    aOut.emplace_back(std::move(event));
+    return false;
+  }
+  aControl.mConfiguration = aNewer;
+  aControl.mDesired = std::move(std::get<configuration::desired_state>(parsed));
+  event.mEvent = agent_event::Configuration;
+  event.mDetail = IsOwnDomainIn(aControl) ? "domain in" : "domain out";
+  aOut.emplace_back(std::move(event));
+  ReturnIneligibleTasks(aControl, aNow, aOut);
+  SendPending(aControl, aNow, aOut);
+  return true;
+}
+
 /** Applies an entry's reply. It counts as contact only if the agent then has
  * the entry's configuration generation or a newer one. */
 void
@@ -53,29 +86,40 @@
                 core::instant aNow,
                 effects& aOut)
 {
-  auto& current = aControl.mConfiguration;
-  if (aConfiguration.mGeneration <= current.mGeneration) {
-    return current.mGeneration;
+  switch (configuration::CompareSent(InForce(aControl), aConfiguration)) {
+    case configuration::relation::Newer:
+      static_cast<void>(Adopt(aControl, aConfiguration, aNow, aOut));
+      break;
+    case configuration::relation::Outdated:
+      aControl.mConfiguration.mGeneration = aControl.mConfirmedGeneration;
+      break;
+    case configuration::relation::Same:
+      break;
   }
-  log_event event;
-  event.mGeneration = aConfiguration.mGeneration;
-  auto parsed = configuration::Parse(
-    aConfiguration.mText,
-    "generation " + std::to_string(aConfiguration.mGeneration));
-  if (const auto* error = std::get_if<core::error>(&parsed)) {
-    event.mEvent = agent_event::ConfigurationRefused;
-    event.mDetail = core::ToString(*error);
-    aOut.emplace_back(std::move(event));
-    return current.mGeneration;
+  return aControl.mConfiguration.mGeneration;
+}
+
+void
+OnConfigurationRead(agent_control& aControl,
+                    const core::versioned_configuration& aRead,
+                    configuration::numbering aNumbering,
+                    core::instant aSentAt,
+                    core::instant aNow,
+                    effects& aOut)
+{
+  if (aNumbering == configuration::numbering::Stored) {
+    OnConfiguration(aControl, aRead, aNow, aOut);
+    return;
+  }
+  const auto relation = configuration::CompareRead(InForce(aControl), aRead);
+  if (relation == configuration::relation::Outdated) {
+    return;
+  }
+  if (relation == configuration::relation::Same ||
+      Adopt(aControl, aRead, aNow, aOut)) {
+    aControl.mConfirmedGeneration = aRead.mGeneration;
+    RecordContact(aControl.mFreshness, aSentAt, core::duration::zero());
   }
-  current = aConfiguration;
-  aControl.mDesired = std::move(std::get<configuration::desired_state>(parsed));
-  event.mEvent = agent_event::Configuration;
-  event.mDetail = IsOwnDomainIn(aControl) ? "domain in" : "domain out";
-  aOut.emplace_back(std::move(event));
-  ReturnIneligibleTasks(aControl, aNow, aOut);
-  SendPending(aControl, aNow, aOut);
-  return current.mGeneration;
 }
 
 void
--- a/src/libgooseberry/agent/control_settings.h
+++ b/src/libgooseberry/agent/control_settings.h
@@ -37,6 +37,13 @@
   core::duration mRowsInterval = 1s;
   /** Interval of reading the member rows otherwise. */
   core::duration mIdleRowsInterval = 30s;
+  /**
+   * Under leases, time without a confirmation of the configuration by an entry
+   * after which the agent reads the configuration itself.
+   */
+  core::duration mConfigurationAge = 1500ms;
+  /** Interval of these reads. */
+  core::duration mConfigurationInterval = 2s;
   std::size_t mMaxResultsPerBatch = 256;
   std::uint32_t mMaxBatchesInFlight = 4; ///< Per entry.
   /**
--- a/src/libgooseberry/agent/effects.h
+++ b/src/libgooseberry/agent/effects.h
@@ -57,6 +57,10 @@
 struct read_rows
 {};
 
+/** Report with `OnConfigurationRead`; a failed read needs no report. */
+struct read_configuration
+{};
+
 /** Report success with `OnRowWritten`; a failed write needs no report. */
 struct write_row
 {};
@@ -132,6 +136,7 @@
                             send_load_report,
                             copy_fences_from,
                             read_rows,
+                            read_configuration,
                             write_row,
                             left,
                             log_event>;
--- a/src/libgooseberry/agent/upkeep.cpp
+++ b/src/libgooseberry/agent/upkeep.cpp
@@ -135,6 +135,25 @@
   }
 }
 
+/**
+ * Reads the configuration where no entry has confirmed it lately: the entries
+ * that are left may have no path to the table service, or none may be left.
+ */
+void
+RefreshConfiguration(agent_control& aControl, core::instant aNow, effects& aOut)
+{
+  const auto& settings = aControl.mSettings;
+  if (!settings.mLeasedRuns ||
+      IsFresh(aControl.mFreshness, aNow, settings.mConfigurationAge) ||
+      !IsDue(aControl.mLastConfigurationRead,
+             aNow,
+             settings.mConfigurationInterval)) {
+    return;
+  }
+  aControl.mLastConfigurationRead = aNow;
+  aOut.emplace_back(read_configuration{});
+}
+
 } // namespace
 
 void
@@ -177,6 +196,7 @@
   ExpireLeases(aControl, aNow, aOut);
   OpenIfJoined(aControl, aNow, aOut);
   SyncMemberTable(aControl, aNow, aOut);
+  RefreshConfiguration(aControl, aNow, aOut);
   RequestPeerFences(aControl, aNow, aOut);
   ExpireGrants(aControl, aNow, aOut);
   TickLeases(aControl, aNow, aOut);
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -102,7 +102,7 @@
   joining mJoining;
   core::instant mStartedAt{};
   /** Send time of the last answered call that confirms the configuration: to
-   * the store, or to a majority of the entries. */
+   * the store or, without leases, to a majority of the entries. */
   std::optional<core::instant> mLastContact;
   bool mLeaving = false;
 
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -122,8 +122,9 @@
     view->second.mAnsweredAt =
       std::max(view->second.mAnsweredAt.value_or(aSentAt), aSentAt);
   }
-  if (const auto contactAt =
-        membership::LastMajorityContact(aControl.mMembers)) {
+  // Under leases, operators may write their rows without any entry.
+  if (const auto contactAt = membership::LastMajorityContact(aControl.mMembers);
+      contactAt && !aControl.mOptions.mLeasedRuns) {
     aControl.mLastContact =
       std::max(aControl.mLastContact.value_or(*contactAt), *contactAt);
   }
--- a/src/libgooseberry/entry/start_calls.cpp
+++ b/src/libgooseberry/entry/start_calls.cpp
@@ -104,6 +104,10 @@
   if (aVerdict == core::start_verdict::Busy && task.mTarget) {
     target::MarkFull(aControl.mTargets, *task.mTarget);
   }
+  if (aVerdict == core::start_verdict::DomainOut) {
+    // The agent has read a configuration that this entry does not have yet.
+    target::MarkAgentUnavailable(aControl.mTargets, aCall.mAgent.mName, aNow);
+  }
   ReturnTask(aControl, *found, aStart.mTask.mIndex);
 }
 
--- a/tests/libgooseberry/simulation.h
+++ b/tests/libgooseberry/simulation.h
@@ -151,6 +151,7 @@
   void Do(agent_process& aFrom, const agent::send_finish& aEffect);
   void Do(agent_process& aFrom, const agent::send_load_report& aEffect);
   void Do(agent_process& aFrom, const agent::read_rows& aEffect);
+  void Do(agent_process& aFrom, const agent::read_configuration& aEffect);
 
   std::mt19937_64 mRandom;
   instant mNow = kStartTime;
--- a/tests/libgooseberry/simulation_calls.cpp
+++ b/tests/libgooseberry/simulation_calls.cpp
@@ -268,4 +268,25 @@
     [] {});
 }
 
+void
+environment::Do(agent_process& aFrom, const agent::read_configuration&)
+{
+  const instant sentAt = mNow;
+  CallStore(
+    aFrom,
+    [this, &aFrom, sentAt]() -> action {
+      return [this, &aFrom, row = mStored, sentAt] {
+        WithAgent(aFrom, [&](agent::effects& aEffects) {
+          agent::OnConfigurationRead(*aFrom.mControl,
+                                     row.mConfiguration,
+                                     row.mNumbering,
+                                     sentAt,
+                                     mNow,
+                                     aEffects);
+        });
+      };
+    },
+    [] {});
+}
+
 } // namespace gooseberry::simulation
