Configuration: names and paths of any length and characters

Settings files with a dozen failure domains met the same 190 bytes.

Why this works: names and paths are texts of up to a row's 65,536 bytes without spaces and controls, held percent-encoded in the text, in one form for each (configuration/text_coding.h). Lines go to inih in pieces that its buffer holds. Registrations take names of services as long.

--- a/src/libgooseberry/configuration/desired_state.cpp
+++ b/src/libgooseberry/configuration/desired_state.cpp
@@ -3,6 +3,7 @@
 #include "libgooseberry/configuration/ini_document.h"
 #include "libgooseberry/configuration/key_rule.h"
 #include "libgooseberry/configuration/section_text.h"
+#include "libgooseberry/configuration/text_coding.h"
 #include "libgooseberry/configuration/value.h"
 
 #include <algorithm>
@@ -20,6 +21,11 @@
 constexpr std::string_view kQueueKind = "queue";
 constexpr std::string_view kDomainsKey = "failure_domains";
 
+constexpr std::string_view kExpectedName =
+  "a name of 1 to 64 characters of [A-Za-z0-9._-]";
+constexpr std::string_view kExpectedText =
+  "a name of [A-Za-z0-9._-] and %XX for all other bytes";
+
 constexpr std::uint64_t kMaxTries = 10;
 constexpr std::uint64_t kMaxTaskMs = 600'000;
 constexpr std::uint64_t kMaxQuotaSlots = 1'000'000;
@@ -35,6 +41,22 @@
   return IsName(aText);
 }
 
+bool
+ReadTextTo(std::string_view aText, std::string& aValue)
+{
+  const auto decoded = DecodeText(aText);
+  aValue = decoded.value_or("");
+  return decoded.has_value();
+}
+
+bool
+ReadPathTo(std::string_view aText, std::string& aPath)
+{
+  const auto decoded = DecodePath(aText);
+  aPath = decoded.value_or("");
+  return aPath.starts_with('/');
+}
+
 /** Reads a list of distinct names that all pass the check. */
 bool
 ReadNamesTo(std::string_view aText,
@@ -83,7 +105,7 @@
     } },
   { "name",
     true,
-    "a name of 1 to 64 characters of [A-Za-z0-9._-]",
+    kExpectedName,
     [](std::string_view aText, desired_state& aState) {
       return ReadNameTo(aText, aState.mName);
     } },
@@ -92,7 +114,7 @@
 const std::array<key_rule<failure_domain>, 2> kDomainKeys{ {
   { "region",
     true,
-    "a name of 1 to 64 characters of [A-Za-z0-9._-]",
+    kExpectedName,
     [](std::string_view aText, failure_domain& aDomain) {
       return ReadNameTo(aText, aDomain.mRegion);
     } },
@@ -145,22 +167,21 @@
 const std::array<key_rule<queue>, 8> kQueueKeys{ {
   { "host",
     true,
-    "a name of 1 to 64 characters of [A-Za-z0-9._-]",
+    kExpectedText,
     [](std::string_view aText, queue& aQueue) {
-      return ReadNameTo(aText, aQueue.mHost);
+      return ReadTextTo(aText, aQueue.mHost);
     } },
   { "path",
     true,
-    "a path that begins and ends with /",
+    "a path that begins with / and has %XX for all but [A-Za-z0-9._/-]",
     [](std::string_view aText, queue& aQueue) {
-      aQueue.mPath = aText;
-      return aText.starts_with('/') && aText.ends_with('/');
+      return ReadPathTo(aText, aQueue.mPath);
     } },
   { "service",
     true,
-    "a name of 1 to 64 characters of [A-Za-z0-9._-]",
+    kExpectedText,
     [](std::string_view aText, queue& aQueue) {
-      return ReadNameTo(aText, aQueue.mService);
+      return ReadTextTo(aText, aQueue.mService);
     } },
   { "priority",
     false,
@@ -194,24 +215,34 @@
     } },
 } };
 
+/** How the name in a section's heading is written. */
+struct name_form
+{
+  std::string_view mExpected;
+  bool (*mRead)(std::string_view aText, std::string& aName);
+};
+constexpr name_form kNameForm{ kExpectedName, ReadNameTo };
+constexpr name_form kTextForm{ kExpectedText, ReadTextTo };
+
 /** Reads a section whose heading has a name. */
 template<typename Value, std::size_t Count>
 std::optional<core::error>
 ReadNamed(const ini_document& aDocument,
           const ini_section& aSection,
+          const name_form& aForm,
           const std::array<key_rule<Value>, Count>& aRules,
           std::map<std::string, Value>& aValues)
 {
-  if (!IsName(aSection.mName)) {
+  std::string name;
+  if (!aForm.mRead(aSection.mName, name)) {
     return ErrorAt(aDocument,
                    aSection.mLine,
                    aSection,
                    "",
-                   "expected a name of 1 to 64 characters of [A-Za-z0-9._-] "
-                   "after " +
+                   "expected " + std::string(aForm.mExpected) + " after " +
                      aSection.mKind);
   }
-  return ReadKeys<Value>(aDocument, aSection, aRules, aValues[aSection.mName]);
+  return ReadKeys<Value>(aDocument, aSection, aRules, aValues[name]);
 }
 
 std::optional<core::error>
@@ -223,16 +254,19 @@
     return ReadKeys<desired_state>(aDocument, aSection, kStateKeys, aState);
   }
   if (aSection.mKind == kDomainKind) {
-    return ReadNamed(aDocument, aSection, kDomainKeys, aState.mFailureDomains);
+    return ReadNamed(
+      aDocument, aSection, kNameForm, kDomainKeys, aState.mFailureDomains);
   }
   if (aSection.mKind == kServiceKind) {
-    return ReadNamed(aDocument, aSection, kServiceKeys, aState.mServices);
+    return ReadNamed(
+      aDocument, aSection, kTextForm, kServiceKeys, aState.mServices);
   }
   if (aSection.mKind == kTeamKind) {
-    return ReadNamed(aDocument, aSection, kTeamKeys, aState.mTeams);
+    return ReadNamed(aDocument, aSection, kNameForm, kTeamKeys, aState.mTeams);
   }
   if (aSection.mKind == kQueueKind) {
-    return ReadNamed(aDocument, aSection, kQueueKeys, aState.mQueues);
+    return ReadNamed(
+      aDocument, aSection, kTextForm, kQueueKeys, aState.mQueues);
   }
   return ErrorAt(aDocument,
                  aSection.mLine,
--- a/src/libgooseberry/configuration/desired_state.h
+++ b/src/libgooseberry/configuration/desired_state.h
@@ -62,7 +62,7 @@
 struct queue
 {
   std::string mHost; ///< Host name that requests are sent to.
-  std::string mPath; ///< Prefix of the request path; ends in `/`.
+  std::string mPath; ///< Prefix of the request path; begins with `/`.
   std::string mService;
   std::uint32_t mPriority = 0; ///< Smaller values go first.
   std::uint32_t mMaxTries = 1; ///< Starts allowed for each task.
@@ -74,7 +74,10 @@
   bool operator==(const queue&) const = default;
 };
 
-/** Everything that operators declare, as one value. */
+/**
+ * Everything that operators declare, as one value. Names of services and queues
+ * may have any bytes; files hold them as `text_coding.h` says.
+ */
 struct desired_state
 {
   std::string mName;
--- a/src/libgooseberry/configuration/ini_document.cpp
+++ b/src/libgooseberry/configuration/ini_document.cpp
@@ -8,6 +8,7 @@
 #include <cstring>
 #include <optional>
 #include <set>
+#include <vector>
 
 namespace gooseberry::configuration {
 
@@ -16,10 +17,17 @@
 constexpr std::string_view kStep = "read configuration";
 constexpr std::string_view kByteOrderMark = "\xEF\xBB\xBF";
 
-/** State shared by the two callbacks that inih calls. */
+/**
+ * State shared by the two callbacks that inih calls. A line that its buffer
+ * does not hold goes to it in pieces, each of which it takes as a line that
+ * continues the one before.
+ */
 struct read_state
 {
   std::string_view mRemaining;
+  std::string_view mPieces; ///< What is left of the line being read.
+  bool mIsPiece = false;    ///< The last piece is not the first of its line.
+  std::vector<int> mLineOfPiece;
   int mLine = 0;
   ini_document mDocument;
   std::set<std::string> mTitles;
@@ -120,25 +128,104 @@
   }
 }
 
-/** `ini_reader` of inih: returns one line per call. */
+bool
+IsSpace(char aByte)
+{
+  return aByte == ' ' || aByte == '\t';
+}
+
+/** Removes a comment at the end of a line. */
+std::string_view
+WithoutComment(std::string_view aLine)
+{
+  for (std::size_t at = aLine.find(';', 1); at != std::string_view::npos;
+       at = aLine.find(';', at + 1)) {
+    if (IsSpace(aLine[at - 1])) {
+      return aLine.substr(0, at);
+    }
+  }
+  return aLine;
+}
+
+/** Returns what inih needs of a line that its buffer does not hold. */
+std::string_view
+ShortenLine(std::string_view aLine)
+{
+  const auto text = Trim(aLine);
+  if (text.empty() || text.front() == ';' || text.front() == '#') {
+    return {};
+  }
+  if (text.front() == '[') {
+    return "[]"; // The section has been read.
+  }
+  return WithoutComment(aLine);
+}
+
+/**
+ * Returns whether a line may be cut before this byte: inih removes spaces at
+ * both ends of a piece, and takes some bytes at its start for a comment.
+ */
+bool
+MayCutBefore(std::string_view aLine, std::size_t aAt)
+{
+  constexpr std::string_view kCommentMarks = ";#";
+  return !IsSpace(aLine[aAt - 1]) && !IsSpace(aLine[aAt]) &&
+         kCommentMarks.find(aLine[aAt]) == std::string_view::npos;
+}
+
+/** Takes the next piece of at most that many bytes off the line. */
+std::string_view
+TakePiece(read_state& aState, std::size_t aMaxBytes)
+{
+  auto& rest = aState.mPieces;
+  std::size_t size = std::min(rest.size(), aMaxBytes);
+  while (size > 0 && size < rest.size() && !MayCutBefore(rest, size)) {
+    --size;
+  }
+  if (size == 0 && !rest.empty()) {
+    SetError(aState, "expected fewer spaces or comment marks in a row");
+  }
+  const auto piece = rest.substr(0, size);
+  rest.remove_prefix(size);
+  return piece;
+}
+
+/** Reads the next line, to pass it on in pieces. */
+void
+StartLine(read_state& aState, std::size_t aBufferBytes)
+{
+  ++aState.mLine;
+  aState.mPieces = ExtractLine(aState.mRemaining);
+  CheckLine(aState, aState.mPieces);
+  if (aState.mPieces.size() > aBufferBytes) {
+    aState.mPieces = ShortenLine(aState.mPieces);
+  }
+}
+
+/** `ini_reader` of inih: returns one line, or piece of a line, per call. */
 char*
 NextLine(char* aBuffer, int aSize, void* aState)
 {
+  constexpr std::string_view kContinuation = " ";
+  const auto bufferBytes = static_cast<std::size_t>(aSize) - 1;
   auto& state = *static_cast<read_state*>(aState);
-  if (state.mError || state.mRemaining.empty()) {
+  if (state.mError) {
     return nullptr;
   }
-  ++state.mLine;
-  const auto line = ExtractLine(state.mRemaining);
-  CheckLine(state, line);
-  if (!state.mError && line.size() + 1 > static_cast<std::size_t>(aSize)) {
-    SetError(state, "expected a shorter line");
+  state.mIsPiece = !state.mPieces.empty();
+  if (!state.mIsPiece) {
+    if (state.mRemaining.empty()) {
+      return nullptr;
+    }
+    StartLine(state, bufferBytes);
   }
+  std::string line(state.mIsPiece ? kContinuation : std::string_view());
+  line += TakePiece(state, bufferBytes - line.size());
   if (state.mError) {
     return nullptr;
   }
-  std::memcpy(aBuffer, line.data(), line.size());
-  aBuffer[line.size()] = '\0';
+  state.mLineOfPiece.push_back(state.mLine);
+  std::memcpy(aBuffer, line.c_str(), line.size() + 1);
   return aBuffer;
 }
 
@@ -153,6 +240,10 @@
 {
   auto& state = *static_cast<read_state*>(aState);
   auto& section = state.mDocument.mSections.back();
+  if (state.mIsPiece) {
+    section.mEntries.back().mValue += aValue;
+    return 1;
+  }
   if (state.mIndented) {
     section.mEntries.back().mValue += std::string(" ") + aValue;
     return 1;
@@ -188,7 +279,11 @@
   if (aText.starts_with(kByteOrderMark)) {
     state.mRemaining.remove_prefix(kByteOrderMark.size());
   }
-  const int badLine = ini_parse_stream(NextLine, &state, AddEntry, &state);
+  const int badPiece = ini_parse_stream(NextLine, &state, AddEntry, &state);
+  const int badLine =
+    badPiece == 0
+      ? 0
+      : state.mLineOfPiece.at(static_cast<std::size_t>(badPiece) - 1);
   if (badLine != 0 && (!state.mError || badLine < state.mErrorLine)) {
     state.mLine = badLine;
     SetError(state, "expected `key = value` or `[section]`");
--- a/src/libgooseberry/configuration/ini_document.h
+++ b/src/libgooseberry/configuration/ini_document.h
@@ -9,7 +9,7 @@
 namespace gooseberry::configuration {
 
 /** Length limit of a line of an INI file, in bytes. */
-inline constexpr std::size_t kMaxLineBytes = 190;
+inline constexpr std::size_t kMaxLineBytes = 262'144;
 /** Size limit of an INI file, in bytes. */
 inline constexpr std::size_t kMaxFileBytes = 1U << 20U;
 
--- a/src/libgooseberry/configuration/section_text.cpp
+++ b/src/libgooseberry/configuration/section_text.cpp
@@ -1,5 +1,7 @@
 #include "libgooseberry/configuration/section_text.h"
 
+#include "libgooseberry/configuration/text_coding.h"
+
 namespace gooseberry::configuration {
 
 namespace {
@@ -51,9 +53,9 @@
 std::vector<key_text>
 ToKeys(const queue& aQueue)
 {
-  return { { "host", aQueue.mHost },
-           { "path", aQueue.mPath },
-           { "service", aQueue.mService },
+  return { { "host", EncodeText(aQueue.mHost) },
+           { "path", EncodePath(aQueue.mPath) },
+           { "service", EncodeText(aQueue.mService) },
            { "priority", std::to_string(aQueue.mPriority) },
            { "max_tries", std::to_string(aQueue.mMaxTries) },
            { "timeout_ms", Milliseconds(aQueue.mTimeout) },
@@ -68,7 +70,7 @@
        const Values& aValues)
 {
   for (const auto& [name, value] : aValues) {
-    aSections.push_back({ aKind, name, ToKeys(value) });
+    aSections.push_back({ aKind, EncodeText(name), ToKeys(value) });
   }
 }
 
--- a/src/libgooseberry/configuration/section_text.h
+++ b/src/libgooseberry/configuration/section_text.h
@@ -21,7 +21,7 @@
 {
   /** `state`, `failure_domain`, `service`, `team` or `queue`. */
   std::string mKind;
-  std::string mName; ///< Empty for `state`.
+  std::string mName; ///< As in the heading; empty for `state`.
   std::vector<key_text> mKeys;
 
   bool operator==(const section_text&) const = default;
--- a/src/libgooseberry/configuration/value.cpp
+++ b/src/libgooseberry/configuration/value.cpp
@@ -9,14 +9,6 @@
 
 constexpr std::size_t kMaxQuotedBytes = 60;
 
-bool
-IsNameCharacter(char aByte)
-{
-  return (aByte >= 'A' && aByte <= 'Z') || (aByte >= 'a' && aByte <= 'z') ||
-         (aByte >= '0' && aByte <= '9') || aByte == '.' || aByte == '_' ||
-         aByte == '-';
-}
-
 } // namespace
 
 std::string_view
@@ -29,6 +21,14 @@
   return aText.substr(first, aText.find_last_not_of(" \t") - first + 1);
 }
 
+bool
+IsNameCharacter(char aByte)
+{
+  return (aByte >= 'A' && aByte <= 'Z') || (aByte >= 'a' && aByte <= 'z') ||
+         (aByte >= '0' && aByte <= '9') || aByte == '.' || aByte == '_' ||
+         aByte == '-';
+}
+
 bool
 IsName(std::string_view aText)
 {
--- a/src/libgooseberry/configuration/value.h
+++ b/src/libgooseberry/configuration/value.h
@@ -8,16 +8,17 @@
 
 namespace gooseberry::configuration {
 
-/**
- * Length limit of the name of a service, failure domain, team or process, in
- * bytes.
- */
+/** Length limit of the name of a failure domain, team or process, in bytes. */
 inline constexpr std::size_t kMaxNameBytes = 64;
 
 /** Removes spaces and tabs at both ends. */
 std::string_view
 Trim(std::string_view aText);
 
+/** Returns whether a byte is one of `[A-Za-z0-9._-]`. */
+bool
+IsNameCharacter(char aByte);
+
 /**
  * Returns whether the text is 1 to `kMaxNameBytes` characters of
  * `[A-Za-z0-9._-]`.
--- a/tests/libgooseberry/test_configuration.cpp
+++ b/tests/libgooseberry/test_configuration.cpp
@@ -1,6 +1,7 @@
 #include "libgooseberry/configuration/change.h"
 #include "libgooseberry/configuration/command.h"
 #include "libgooseberry/configuration/desired_state.h"
+#include "libgooseberry/configuration/text_coding.h"
 #include "libgooseberry/configuration/value.h"
 
 #include <boost/test/unit_test.hpp>
@@ -128,6 +129,45 @@
   BOOST_TEST(state.mTeams.at("notary").mQuotaSlots == 20U);
 }
 
+BOOST_AUTO_TEST_CASE(lines_of_any_length_are_read)
+{
+  std::string names;
+  for (int i = 0; i < 200; ++i) {
+    names += (i == 0 ? "t-" : ", t-") + std::to_string(i);
+  }
+  const std::string text =
+    "[state]\nformat = 1\nname = a\n; " + std::string(500, 'x') +
+    "\n[service s" + std::string(300, 's') +
+    "]  ; a comment\ntargets = " + names + ",\n  " + names.substr(0, 3) + "x" +
+    std::string(50, ' ') + "; " + std::string(300, '=') + "\nmax_tries = 2\n";
+  const auto read = Parse(text, "f");
+  if (const auto* error = std::get_if<core::error>(&read)) {
+    BOOST_FAIL(error->mReason);
+  }
+  const auto& state = std::get<desired_state>(read);
+  const auto& service = state.mServices.at("s" + std::string(300, 's'));
+  BOOST_TEST(service.mTargets.size() == 201U);
+  BOOST_TEST(service.mTargets.at(157) == "t-157");
+  BOOST_TEST(service.mTargets.back() == "t-0x");
+  BOOST_TEST(service.mMaxTries == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(one_name_has_one_form)
+{
+  for (const char* const text :
+       { "", "%", "%4", "%41", "%2d", "%zz", "% 1", "%-1", "a b", "a,b" }) {
+    BOOST_TEST_CONTEXT(text)
+    {
+      BOOST_TEST(!DecodeText(text).has_value());
+    }
+  }
+  BOOST_TEST(!DecodeText(std::string(kMaxTextBytes + 1, 'a')).has_value());
+  BOOST_TEST(DecodeText("a%2Cb%25%00c").value() == std::string("a,b%\0c", 6));
+  BOOST_TEST(EncodeText("a/b") == "a%2Fb");
+  BOOST_TEST(EncodePath("/a,b/") == "/a%2Cb/");
+  BOOST_TEST(DecodePath("/a%2Cb/").value() == "/a,b/");
+}
+
 BOOST_AUTO_TEST_CASE(targets_match_by_pattern_and_domain)
 {
   const auto orders = Tabcraft().mServices.at("tab-order");
--- a/tests/platform/test_target_front.cpp
+++ b/tests/platform/test_target_front.cpp
@@ -362,6 +362,21 @@
   BOOST_TEST(!platform::CheckService(control, notice("other")));
 }
 
+// Targets of a service with a long name were refused where operators may
+// declare it.
+BOOST_AUTO_TEST_CASE(a_service_name_of_any_length_is_taken)
+{
+  for (const std::string& service : { std::string(201, 's'),
+                                      std::string(60'000, 's'),
+                                      std::string("caf\xC3\xA9,;=#[]%") }) {
+    const auto notice =
+      platform::ParseNotice(kName, With("/service", service), kLease);
+    const auto* taken = std::get_if<platform::target_notice>(&notice);
+    BOOST_REQUIRE(taken != nullptr);
+    BOOST_TEST((taken->mAnnouncement.mServices.front() == service));
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(odd_calls_are_answered_and_change_nothing, front)
 {
   BOOST_TEST(Send("PUT", kName, With("/seq", 1)) == 200U);
