Configuration: processes read a change, entries do not send it to all

Cause: an entry that brought a configuration into force sent its text, some 240 KB, to every agent and entry and again in each reply to an agent that had not reported it. With 15 entries and 80 agents that fills a link of 25 Mbit/s for more than six seconds, behind which heartbeats, results and answers wait; agents then stop runs of silent entries.

Ruled out: processor time of small entries alone (it costs a tenth to a fifth before that moment), and the reading of the text alone (two seconds).

Why this works: messages carry generation and digest. Who hears of a newer one reads the store, once; who cannot read asks one entry at a time. A known digest under another number is taken as it is.

--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -80,6 +80,11 @@
         agent::OnConfigurationRead(
           aState, row.mConfiguration, row.mNumbering, aSentAt, aNow, aOut);
       });
+    },
+    [&aControl] {
+      aControl.Post([](agent_control& aState, core::instant, effects&) {
+        agent::OnConfigurationReadFailed(aState);
+      });
     }
   };
 }
--- a/src/agent/store_thread.cpp
+++ b/src/agent/store_thread.cpp
@@ -95,7 +95,8 @@
   const auto result =
     mStore->ReadRow(io::kConfigurationTable, io::kConfigurationKey);
   if (const auto* error = std::get_if<core::error>(&result)) {
-    return LogFailure(*error);
+    LogFailure(*error);
+    return mHandlers.mOnConfigurationFailed();
   }
   const auto* row = std::get_if<io::table_row>(&result);
   if (row == nullptr) {
@@ -103,7 +104,8 @@
   }
   auto parsed = io::ParseConfiguration(row->mValue);
   if (const auto* error = std::get_if<core::error>(&parsed)) {
-    return LogFailure(*error);
+    LogFailure(*error);
+    return mHandlers.mOnConfigurationFailed();
   }
   mHandlers.mOnConfiguration(
     std::get<entry::configuration_row>(std::move(parsed)), sentAt);
--- a/src/agent/store_thread.h
+++ b/src/agent/store_thread.h
@@ -21,6 +21,7 @@
   std::function<void()> mOnWritten;
   /** With the send time of the read. */
   std::function<void(entry::configuration_row, core::instant)> mOnConfiguration;
+  std::function<void()> mOnConfigurationFailed;
 };
 
 struct read_members
--- a/src/libgooseberry/agent/agent_control.cpp
+++ b/src/libgooseberry/agent/agent_control.cpp
@@ -169,6 +169,10 @@
   state.mFailureDomain = settings.mFailureDomain;
   state.mRack = settings.mRack;
   state.mGeneration = aControl.mConfiguration.mGeneration;
+  state.mDigest = aControl.mDigest;
+  const std::string& asked = aControl.mSource.mAskedEntry;
+  state.mReadsConfiguration =
+    settings.mLeasedRuns && (asked.empty() || aReceiver != asked);
   state.mTimestamp = aNow;
   state.mOpen = aControl.mJoin.mPhase == join_phase::Open;
   state.mLeaving = aControl.mLeaving;
--- a/src/libgooseberry/agent/agent_control.h
+++ b/src/libgooseberry/agent/agent_control.h
@@ -56,6 +56,18 @@
   slot_grants mGrants;
 };
 
+/** Where the agent gets newer configurations from, under leases. */
+struct configuration_source
+{
+  std::optional<core::instant> mLastRead; ///< From the table service.
+  /** An entry has a newer one, which is to be read. */
+  bool mIsBehind = false;
+  bool mHasReadFailed = false; ///< The last read.
+  /** Entry that is asked instead; empty: none. */
+  std::string mAskedEntry;
+  core::instant mAskedAt{};
+};
+
 struct agent_control
 {
   control_settings mSettings;
@@ -76,8 +88,9 @@
   /** Version of the last own read that returned the configuration in force,
    * where configurations are numbered by reads. */
   core::generation mConfirmedGeneration = 0;
+  std::uint64_t mDigest = 0; ///< Of the configuration in force.
   configuration::desired_state mDesired;
-  std::optional<core::instant> mLastConfigurationRead;
+  configuration_source mSource;
   std::optional<core::instant> mLastRowWrite;
   std::optional<core::instant> mLastRowsRead;
   bool mLeaving = false;
@@ -241,6 +254,10 @@
                     core::instant aNow,
                     effects& aOut);
 
+/** Handles that the table service did not return the configuration. */
+void
+OnConfigurationReadFailed(agent_control& aControl);
+
 /** Handles the passage of time; call it every few milliseconds. */
 void
 Tick(agent_control& aControl, core::instant aNow, effects& aOut);
--- a/src/libgooseberry/agent/agent_inputs.cpp
+++ b/src/libgooseberry/agent/agent_inputs.cpp
@@ -15,7 +15,15 @@
 configuration::in_force
 InForce(const agent_control& aControl)
 {
-  return { aControl.mConfiguration, aControl.mConfirmedGeneration };
+  return { { aControl.mConfiguration.mGeneration, aControl.mDigest },
+           aControl.mConfirmedGeneration };
+}
+
+configuration::version
+VersionOf(const core::versioned_configuration& aConfiguration)
+{
+  return { aConfiguration.mGeneration,
+           configuration::Digest(aConfiguration.mText) };
 }
 
 /** Brings a configuration into force; returns whether it could be read. */
@@ -36,6 +44,9 @@
     return false;
   }
   aControl.mConfiguration = aNewer;
+  aControl.mDigest = configuration::Digest(aNewer.mText);
+  aControl.mSource.mIsBehind = false;
+  aControl.mSource.mAskedEntry.clear();
   aControl.mDesired = std::move(std::get<configuration::desired_state>(parsed));
   event.mEvent = agent_event::Configuration;
   event.mDetail = IsOwnDomainIn(aControl) ? "domain in" : "domain out";
@@ -45,6 +56,53 @@
   return true;
 }
 
+/**
+ * Asks the entry at this address for its configuration, where the table service
+ * does not return it; one entry at a time.
+ */
+void
+AskForConfiguration(agent_control& aControl,
+                    const std::string& aAddress,
+                    core::instant aNow)
+{
+  constexpr core::duration kAskGap = std::chrono::seconds(1);
+  auto& source = aControl.mSource;
+  if (!source.mHasReadFailed ||
+      (!source.mAskedEntry.empty() && aNow - source.mAskedAt < kAskGap)) {
+    return;
+  }
+  source.mAskedEntry = aAddress;
+  source.mAskedAt = aNow;
+  if (const auto entry = aControl.mEntries.mByAddress.find(aAddress);
+      entry != aControl.mEntries.mByAddress.end()) {
+    entry->second.mReportDue = true;
+  }
+}
+
+/** Handles what an entry says of its configuration. */
+void
+LearnOfConfiguration(agent_control& aControl,
+                     const std::string& aAddress,
+                     const core::entry_reply& aReply,
+                     core::instant aNow)
+{
+  switch (configuration::CompareSent(InForce(aControl),
+                                     { aReply.mGeneration, aReply.mDigest })) {
+    case configuration::relation::Newer:
+      aControl.mSource.mIsBehind = true;
+      AskForConfiguration(aControl, aAddress, aNow);
+      return;
+    case configuration::relation::Renumbered:
+      aControl.mConfiguration.mGeneration = aReply.mGeneration;
+      return;
+    case configuration::relation::Outdated:
+      aControl.mConfiguration.mGeneration = aControl.mConfirmedGeneration;
+      return;
+    case configuration::relation::Same:
+      return;
+  }
+}
+
 /** Applies an entry's reply. It counts as contact only if the agent then has
  * the entry's configuration generation or a newer one. */
 void
@@ -58,6 +116,9 @@
   if (aReply.mConfiguration) {
     OnConfiguration(aControl, *aReply.mConfiguration, aNow, aOut);
   }
+  if (aControl.mSettings.mLeasedRuns) {
+    LearnOfConfiguration(aControl, aAddress, aReply, aNow);
+  }
   if (aControl.mConfiguration.mGeneration >= aReply.mGeneration) {
     RecordContact(aControl.mFreshness, aSentAt, aReply.mLastContactAge);
   }
@@ -86,8 +147,10 @@
                 core::instant aNow,
                 effects& aOut)
 {
-  switch (configuration::CompareSent(InForce(aControl), aConfiguration)) {
+  switch (
+    configuration::CompareSent(InForce(aControl), VersionOf(aConfiguration))) {
     case configuration::relation::Newer:
+    case configuration::relation::Renumbered:
       static_cast<void>(Adopt(aControl, aConfiguration, aNow, aOut));
       break;
     case configuration::relation::Outdated:
@@ -107,11 +170,14 @@
                     core::instant aNow,
                     effects& aOut)
 {
+  aControl.mSource.mIsBehind = false;
+  aControl.mSource.mHasReadFailed = false;
   if (aNumbering == configuration::numbering::Stored) {
     OnConfiguration(aControl, aRead, aNow, aOut);
     return;
   }
-  const auto relation = configuration::CompareRead(InForce(aControl), aRead);
+  const auto relation =
+    configuration::CompareRead(InForce(aControl), VersionOf(aRead));
   if (relation == configuration::relation::Outdated) {
     return;
   }
@@ -122,6 +188,12 @@
   }
 }
 
+void
+OnConfigurationReadFailed(agent_control& aControl)
+{
+  aControl.mSource.mHasReadFailed = true;
+}
+
 void
 OnCopiedFences(agent_control& aControl,
                const core::peer_ref& aAskedPeer,
--- a/src/libgooseberry/agent/control_settings.h
+++ b/src/libgooseberry/agent/control_settings.h
@@ -44,6 +44,8 @@
   core::duration mConfigurationAge = 1500ms;
   /** Interval of these reads. */
   core::duration mConfigurationInterval = 2s;
+  /** Interval of reads while an entry has a newer configuration. */
+  core::duration mConfigurationRetry = 500ms;
   std::size_t mMaxResultsPerBatch = 256;
   std::uint32_t mMaxBatchesInFlight = 4; ///< Per entry.
   /**
--- a/src/libgooseberry/agent/effects.h
+++ b/src/libgooseberry/agent/effects.h
@@ -57,7 +57,7 @@
 struct read_rows
 {};
 
-/** Report with `OnConfigurationRead`; a failed read needs no report. */
+/** Report with `OnConfigurationRead` or `OnConfigurationReadFailed`. */
 struct read_configuration
 {};
 
--- a/src/libgooseberry/agent/upkeep.cpp
+++ b/src/libgooseberry/agent/upkeep.cpp
@@ -136,22 +136,26 @@
 }
 
 /**
- * Reads the configuration where no entry has confirmed it lately: the entries
- * that are left may have no path to the table service, or none may be left.
+ * Reads the configuration where an entry has a newer one, or where none has
+ * confirmed it lately: the entries that are left may have no path to the table
+ * service, or none may be left.
  */
 void
 RefreshConfiguration(agent_control& aControl, core::instant aNow, effects& aOut)
 {
   const auto& settings = aControl.mSettings;
-  if (!settings.mLeasedRuns ||
-      IsFresh(aControl.mFreshness, aNow, settings.mConfigurationAge) ||
-      !IsDue(aControl.mLastConfigurationRead,
-             aNow,
-             settings.mConfigurationInterval)) {
+  auto& source = aControl.mSource;
+  const bool isRecent =
+    IsFresh(aControl.mFreshness, aNow, settings.mConfigurationAge);
+  if (!settings.mLeasedRuns || (isRecent && !source.mIsBehind)) {
     return;
   }
-  aControl.mLastConfigurationRead = aNow;
-  aOut.emplace_back(read_configuration{});
+  const auto interval = source.mIsBehind ? settings.mConfigurationRetry
+                                         : settings.mConfigurationInterval;
+  if (IsDue(source.mLastRead, aNow, interval)) {
+    source.mLastRead = aNow;
+    aOut.emplace_back(read_configuration{});
+  }
 }
 
 } // namespace
--- a/src/libgooseberry/configuration/adoption.h
+++ b/src/libgooseberry/configuration/adoption.h
@@ -4,6 +4,7 @@
 #include "libgooseberry/core/message.h"
 
 #include <cstdint>
+#include <string_view>
 
 /** Which of two configurations is the later one. */
 namespace gooseberry::configuration {
@@ -25,32 +26,43 @@
   { "stored", "by_read" }
 };
 
+/** Identifies the text of a configuration; never 0, which stands for unknown.
+ */
+std::uint64_t
+Digest(std::string_view aText);
+
+/** A configuration, without its text. */
+struct version
+{
+  core::generation mGeneration = 0;
+  std::uint64_t mDigest = 0;
+};
+
 /** The configuration in force at a process. */
 struct in_force
 {
-  const core::versioned_configuration& mCurrent;
-  core::generation mConfirmed; ///< Version of the last read that returned it.
+  version mCurrent;
+  core::generation mConfirmed = 0; ///< Version of the last read of it.
 };
 
 /** How a configuration relates to the one in force. */
 enum class relation : std::uint8_t
 {
-  Same,     ///< Nothing to adopt.
-  Newer,    ///< Comes into force.
-  Outdated, ///< Was replaced before the one in force was confirmed.
+  Same,       ///< Nothing to adopt.
+  Renumbered, ///< The one in force, with a higher generation.
+  Newer,      ///< Comes into force.
+  Outdated,   ///< Was replaced before the one in force was confirmed.
 };
 
-/** Relation of a configuration that another process has sent. */
+/** Relation of a configuration that another process has. */
 relation
-CompareSent(const in_force& aInForce,
-            const core::versioned_configuration& aSent);
+CompareSent(const in_force& aInForce, const version& aSent);
 
 /**
  * Relation of what a read returned, with the generation `numbering::ByRead`.
  * `Outdated` where a later read was handled before.
  */
 relation
-CompareRead(const in_force& aInForce,
-            const core::versioned_configuration& aRead);
+CompareRead(const in_force& aInForce, const version& aRead);
 
 } // namespace gooseberry::configuration
--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -50,6 +50,10 @@
   bool mOpen = false;    ///< Has joined and accepts starts.
   bool mLeaving = false; ///< Accepts no new starts.
   std::vector<target_load> mTargets;
+  /** The agent reads newer configurations itself: replies do not include them.
+   */
+  bool mReadsConfiguration = false;
+  std::uint64_t mDigest = 0; ///< Of its configuration; 0: unknown.
 };
 
 /** Text of an accepted configuration, with its generation. */
@@ -181,12 +185,14 @@
 {
   peer_ref mEntry;
   generation mGeneration = 0;
+  std::uint64_t mDigest = 0; ///< Of its configuration; 0: unknown.
   /**
    * Time since the entry's last contact that confirms its configuration as the
    * newest; none where it is disconnected.
    */
   std::optional<duration> mLastContactAge;
-  /** Set where the caller's generation is older. */
+  /** Set where the caller's generation is older, and the caller does not read
+   * it itself. */
   std::optional<versioned_configuration> mConfiguration;
   /** Names and addresses of the entries known to the sender. */
   std::map<std::string, std::string> mEntries;
@@ -317,9 +323,13 @@
   peer_ref mEntry;
   std::string mAddress;
   generation mGeneration = 0;
+  std::uint64_t mDigest = 0; ///< Of its configuration; 0: unknown.
   std::map<std::string, team_use> mTeams;
-  /** Set in a reply where the caller's generation is older. */
+  /** Set in a reply where the caller's generation is older, and the caller does
+   * not read it itself. */
   std::optional<versioned_configuration> mConfiguration;
+  /** The sender reads newer configurations itself. */
+  bool mReadsConfiguration = false;
   bool mLeaving = false;
   bool mBusy = false; ///< Its own processor is, or recently was, overloaded.
   std::string mFailureDomain;
--- a/src/libgooseberry/entry/configure.cpp
+++ b/src/libgooseberry/entry/configure.cpp
@@ -7,7 +7,8 @@
 
 namespace {
 
-/** Sends the current configuration to all other processes. */
+/** Tells all other processes of the current configuration; those that do not
+ * read it themselves get it. */
 void
 BroadcastConfiguration(entry_control& aControl,
                        core::instant aNow,
@@ -15,7 +16,8 @@
 {
   SendHeartbeats(aControl, aNow, aEffects);
   for (const auto& [name, view] : aControl.mMembers.mAgents) {
-    if (view.mState.mGeneration < aControl.mRow.mConfiguration.mGeneration) {
+    if (!view.mState.mReadsConfiguration &&
+        view.mState.mGeneration < aControl.mRow.mConfiguration.mGeneration) {
       aEffects.emplace_back(push_configuration{
         name, view.mState.mAddress, aControl.mRow.mConfiguration });
     }
@@ -81,7 +83,45 @@
 configuration::in_force
 InForce(const entry_control& aControl)
 {
-  return { aControl.mRow.mConfiguration, aControl.mConfirmedGeneration };
+  return { { aControl.mRow.mConfiguration.mGeneration, aControl.mDigest },
+           aControl.mConfirmedGeneration };
+}
+
+configuration::version
+VersionOf(const core::versioned_configuration& aConfiguration)
+{
+  return { aConfiguration.mGeneration,
+           configuration::Digest(aConfiguration.mText) };
+}
+
+/** Brings a configuration into force; returns whether it could be read. */
+bool
+BringIntoForce(entry_control& aControl,
+               const core::versioned_configuration& aNewer,
+               core::instant aNow,
+               effects& aEffects)
+{
+  const auto parsed = configuration::Parse(aNewer.mText, "configuration");
+  if (const auto* error = std::get_if<core::error>(&parsed)) {
+    Log(aEffects,
+        "configuration_unreadable",
+        { { "generation", std::to_string(aNewer.mGeneration) },
+          { "reason", ToString(*error) } });
+    return false;
+  }
+  aControl.mRow.mConfiguration = aNewer;
+  aControl.mDigest = configuration::Digest(aNewer.mText);
+  // Peers do not send the author; the next read of the store has it.
+  aControl.mRow.mRequest.clear();
+  aControl.mRow.mBy.clear();
+  aControl.mDesired = std::get<configuration::desired_state>(parsed);
+  target::SetConfiguration(aControl.mTargets, aControl.mDesired, aNow);
+  Log(aEffects,
+      "configuration_in_force",
+      { { "generation", std::to_string(aNewer.mGeneration) } });
+  BroadcastConfiguration(aControl, aNow, aEffects);
+  Dispatch(aControl, aNow, aEffects);
+  return true;
 }
 
 /**
@@ -108,12 +148,13 @@
           core::instant aNow,
           effects& aEffects)
 {
-  const auto relation = configuration::CompareRead(InForce(aControl), aRead);
+  const auto relation =
+    configuration::CompareRead(InForce(aControl), VersionOf(aRead));
   if (relation == configuration::relation::Outdated) {
     return false;
   }
   const bool isInForce = relation == configuration::relation::Same ||
-                         AdoptConfiguration(aControl, aRead, aNow, aEffects);
+                         BringIntoForce(aControl, aRead, aNow, aEffects);
   if (isInForce) {
     aControl.mConfirmedGeneration = aRead.mGeneration;
   }
@@ -128,6 +169,35 @@
     std::max(aControl.mLastContact.value_or(aSentAt), aSentAt);
 }
 
+/**
+ * Obtains a newer configuration: from the table service, or, where this has not
+ * answered lately, from the entry at this address, one at a time.
+ */
+void
+ObtainConfiguration(entry_control& aControl,
+                    const std::string& aAddress,
+                    core::instant aNow,
+                    effects& aEffects)
+{
+  constexpr core::duration kStoreContact = std::chrono::seconds(2);
+  constexpr core::duration kReadGap = std::chrono::milliseconds(100);
+  constexpr core::duration kAskGap = std::chrono::milliseconds(500);
+  if (aControl.mLastContact && aNow - *aControl.mLastContact <= kStoreContact) {
+    aControl.mNextConfiguration =
+      std::min(aControl.mNextConfiguration,
+               std::max(aNow, aControl.mLastConfigurationRead + kReadGap));
+    return;
+  }
+  auto& askedAt = aControl.mConfigurationAskedAt;
+  if (askedAt && aNow - *askedAt < kAskGap) {
+    return;
+  }
+  askedAt = aNow;
+  core::heartbeat beat = MakeHeartbeat(aControl, aNow);
+  beat.mReadsConfiguration = false;
+  aEffects.emplace_back(send_heartbeat{ aAddress, std::move(beat) });
+}
+
 /** Adopts the stored row if it is not older than the current one. */
 void
 AdoptRow(entry_control& aControl,
@@ -206,33 +276,41 @@
                    core::instant aNow,
                    effects& aEffects)
 {
-  const auto relation = configuration::CompareSent(InForce(aControl), aNewer);
-  if (relation == configuration::relation::Outdated) {
-    RenewGeneration(aControl, aNow, aEffects);
-  }
-  if (relation != configuration::relation::Newer) {
-    return false;
+  switch (configuration::CompareSent(InForce(aControl), VersionOf(aNewer))) {
+    case configuration::relation::Newer:
+      return BringIntoForce(aControl, aNewer, aNow, aEffects);
+    case configuration::relation::Renumbered:
+      // All processes are told of the generation that operators wait for.
+      return BringIntoForce(aControl, aNewer, aNow, aEffects);
+    case configuration::relation::Outdated:
+      RenewGeneration(aControl, aNow, aEffects);
+      return false;
+    case configuration::relation::Same:
+      return false;
   }
-  const auto parsed = configuration::Parse(aNewer.mText, "configuration");
-  if (const auto* error = std::get_if<core::error>(&parsed)) {
-    Log(aEffects,
-        "configuration_unreadable",
-        { { "generation", std::to_string(aNewer.mGeneration) },
-          { "reason", ToString(*error) } });
-    return false;
+  return false;
+}
+
+void
+LearnOfConfiguration(entry_control& aControl,
+                     const core::heartbeat& aBeat,
+                     core::instant aNow,
+                     effects& aEffects)
+{
+  const configuration::version heard{ aBeat.mGeneration, aBeat.mDigest };
+  switch (configuration::CompareSent(InForce(aControl), heard)) {
+    case configuration::relation::Newer:
+      ObtainConfiguration(aControl, aBeat.mAddress, aNow, aEffects);
+      return;
+    case configuration::relation::Renumbered:
+      aControl.mRow.mConfiguration.mGeneration = heard.mGeneration;
+      return;
+    case configuration::relation::Outdated:
+      RenewGeneration(aControl, aNow, aEffects);
+      return;
+    case configuration::relation::Same:
+      return;
   }
-  aControl.mRow.mConfiguration = aNewer;
-  // Peers do not send the author; the next read of the store has it.
-  aControl.mRow.mRequest.clear();
-  aControl.mRow.mBy.clear();
-  aControl.mDesired = std::get<configuration::desired_state>(parsed);
-  target::SetConfiguration(aControl.mTargets, aControl.mDesired, aNow);
-  Log(aEffects,
-      "configuration_in_force",
-      { { "generation", std::to_string(aNewer.mGeneration) } });
-  BroadcastConfiguration(aControl, aNow, aEffects);
-  Dispatch(aControl, aNow, aEffects);
-  return true;
 }
 
 void
@@ -261,7 +339,8 @@
       const auto& view = aAgent.second;
       return aNow - view.mLastSeen <= aControl.mOptions.mAgentLost &&
              view.mState.mGeneration > own &&
-             view.mState.mGeneration <= aControl.mConfirmedGeneration;
+             view.mState.mGeneration <= aControl.mConfirmedGeneration &&
+             view.mState.mDigest != aControl.mDigest;
     });
   if (anyHoldsReplaced) {
     RenewGeneration(aControl, aNow, aEffects);
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -110,6 +110,7 @@
   /** Version of the last read that returned the configuration in force, where
    * configurations are numbered by reads. */
   core::generation mConfirmedGeneration = 0;
+  std::uint64_t mDigest = 0; ///< Of the configuration in force.
   configuration::desired_state mDesired;
   std::vector<pending_apply> mApplies;
 
@@ -152,6 +153,9 @@
   core::instant mNextMembers{};
   core::instant mNextHeartbeat{};
   core::instant mNextConfiguration{};
+  core::instant mLastConfigurationRead{};
+  /** Time of the last request for another entry's configuration. */
+  std::optional<core::instant> mConfigurationAskedAt;
 
   entry_counters mCounters;
   std::vector<ended_sample> mSamples; ///< Read and cleared by the process.
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -56,6 +56,8 @@
   beat.mEntry = aControl.mSelf;
   beat.mAddress = aControl.mOptions.mAddress;
   beat.mGeneration = aControl.mRow.mConfiguration.mGeneration;
+  beat.mDigest = aControl.mDigest;
+  beat.mReadsConfiguration = aControl.mOptions.mLeasedRuns;
   for (const auto& [name, use] : aControl.mTeams) {
     if (use.mRunning > 0 || use.mWaiting > 0) {
       beat.mTeams.emplace(name, use);
@@ -96,13 +98,17 @@
 {
   ++aControl.mCounters.mHeartbeats;
   membership::RecordHeartbeat(aControl.mMembers, aBeat, aNow);
-  if (aBeat.mGeneration > aControl.mRow.mConfiguration.mGeneration) {
+  if (aControl.mOptions.mLeasedRuns) {
+    LearnOfConfiguration(aControl, aBeat, aNow, aEffects);
+  } else if (aBeat.mGeneration > aControl.mRow.mConfiguration.mGeneration) {
     // The reply to this heartbeat contains the newer configuration.
     aEffects.emplace_back(
       send_heartbeat{ aBeat.mAddress, MakeHeartbeat(aControl, aNow) });
   }
   core::heartbeat reply = MakeHeartbeat(aControl, aNow);
-  reply.mConfiguration = NewerThan(aControl, aBeat.mGeneration);
+  if (!aBeat.mReadsConfiguration) {
+    reply.mConfiguration = NewerThan(aControl, aBeat.mGeneration);
+  }
   return reply;
 }
 
@@ -130,6 +136,8 @@
   }
   if (aReply.mConfiguration) {
     AdoptConfiguration(aControl, *aReply.mConfiguration, aNow, aEffects);
+  } else if (aControl.mOptions.mLeasedRuns) {
+    LearnOfConfiguration(aControl, aReply, aNow, aEffects);
   }
 }
 
@@ -185,7 +193,10 @@
   if (aControl.mLastContact && IsFresh(aControl, aNow)) {
     reply.mLastContactAge = aNow - *aControl.mLastContact;
   }
-  reply.mConfiguration = NewerThan(aControl, aState.mGeneration);
+  reply.mDigest = aControl.mDigest;
+  if (!aState.mReadsConfiguration) {
+    reply.mConfiguration = NewerThan(aControl, aState.mGeneration);
+  }
   if (ShouldIncludeEntries(aControl, aState.mAgent, aNow)) {
     reply.mEntries = EntryAddresses(aControl);
   }
--- a/src/libgooseberry/entry/internal.h
+++ b/src/libgooseberry/entry/internal.h
@@ -67,6 +67,13 @@
         const std::string& aEntryName,
         const core::job_answer& aAnswer);
 
+/** Handles what a heartbeat says of its sender's configuration. */
+void
+LearnOfConfiguration(entry_control& aControl,
+                     const core::heartbeat& aBeat,
+                     core::instant aNow,
+                     effects& aEffects);
+
 /** Numbers the configuration in force anew where an agent reports a generation
  * that was replaced before the last read. */
 void
--- a/src/libgooseberryio/protocol/from_wire.cpp
+++ b/src/libgooseberryio/protocol/from_wire.cpp
@@ -111,7 +111,9 @@
            .mTimestamp = Instant(aState.stamp, "stamp"),
            .mOpen = aState.open,
            .mLeaving = aState.leaving,
-           .mTargets = ListFromWire(aState.targets) };
+           .mTargets = ListFromWire(aState.targets),
+           .mReadsConfiguration = aState.readsConfiguration,
+           .mDigest = static_cast<std::uint64_t>(aState.configurationDigest) };
 }
 
 core::versioned_configuration
@@ -202,6 +204,7 @@
   }
   reply.mEntries = aReply.entries;
   reply.mCancelled = aReply.cancelled;
+  reply.mDigest = static_cast<std::uint64_t>(aReply.configurationDigest);
   return reply;
 }
 
@@ -303,6 +306,8 @@
   beat.mBusy = aBeat.busy;
   beat.mFailureDomain = aBeat.failureDomain;
   beat.mMillicores = Count(aBeat.millicores, "millicores");
+  beat.mReadsConfiguration = aBeat.readsConfiguration;
+  beat.mDigest = static_cast<std::uint64_t>(aBeat.configurationDigest);
   for (const auto& [name, generation] : aBeat.agents) {
     beat.mAgents[name] = GenerationFromWire(generation);
   }
--- a/src/libgooseberryio/protocol/gooseberry.thrift
+++ b/src/libgooseberryio/protocol/gooseberry.thrift
@@ -19,7 +19,8 @@
 struct AgentState {
   1: PeerRef agent; 2: string address; 3: string failureDomain;
   4: string rack; 5: i64 generation; 6: i64 stamp; 7: bool open;
-  8: bool leaving; 9: list<TargetLoad> targets
+  8: bool leaving; 9: list<TargetLoad> targets;
+  10: bool readsConfiguration; 11: i64 configurationDigest
 }
 struct VersionedConfiguration { 1: i64 generation; 2: string text }
 
@@ -45,7 +46,8 @@
 struct EntryReply {
   1: PeerRef entry; 2: i64 generation; 3: optional i64 evidenceAge;
   4: optional VersionedConfiguration configuration;
-  5: map<string, string> entries; 6: list<string> cancelled
+  5: map<string, string> entries; 6: list<string> cancelled;
+  7: i64 configurationDigest
 }
 
 struct CancelBatch {
@@ -77,7 +79,7 @@
   4: map<string, TeamUse> teams;
   5: optional VersionedConfiguration configuration; 6: bool leaving;
   7: map<string, i64> agents; 8: bool busy; 9: string failureDomain;
-  10: i32 millicores
+  10: i32 millicores; 11: bool readsConfiguration; 12: i64 configurationDigest
 }
 struct JobAnswer {
   1: string job; 2: i8 outcome; 3: list<binary> results; 4: string reason;
--- a/src/libgooseberryio/protocol/to_wire.cpp
+++ b/src/libgooseberryio/protocol/to_wire.cpp
@@ -95,6 +95,8 @@
   state.open = aState.mOpen;
   state.leaving = aState.mLeaving;
   state.targets = ListToWire(aState.mTargets);
+  state.readsConfiguration = aState.mReadsConfiguration;
+  state.configurationDigest = Bits(aState.mDigest);
   return state;
 }
 
@@ -194,6 +196,7 @@
   }
   reply.entries = aReply.mEntries;
   reply.cancelled = aReply.mCancelled;
+  reply.configurationDigest = Bits(aReply.mDigest);
   return reply;
 }
 
@@ -304,6 +307,8 @@
   beat.busy = aBeat.mBusy;
   beat.failureDomain = aBeat.mFailureDomain;
   beat.millicores = Bits(aBeat.mMillicores);
+  beat.readsConfiguration = aBeat.mReadsConfiguration;
+  beat.configurationDigest = Bits(aBeat.mDigest);
   for (const auto& [name, generation] : aBeat.mAgents) {
     beat.agents[name] = Bits(generation);
   }
--- a/tests/libgooseberryio/test_convert.cpp
+++ b/tests/libgooseberryio/test_convert.cpp
@@ -116,6 +116,7 @@
   CheckRoundTrip(core::entry_reply{});
   CheckRoundTrip(core::entry_reply{ { "entry-1", 1 },
                                     8,
+                                    ~0ULL,
                                     core::duration(0),
                                     core::versioned_configuration{ 8, "[x]" },
                                     { { "entry-2", "127.0.0.1:3" } },
