Configuration: short texts are sent, an agent without any asks at once

Cause: with every text read from the store, a restarted agent would have refused starts until a read of a store that is down had failed (2 s), and a change of a small configuration would have reached agents one report later than before. What fills links is the size: 80 copies of 8 KiB take a link of 25 Mbit/s a fifth of a second.

Tests: a_small_change_is_sent_to_all, an_agent_without_any_configuration_asks_at_once.

--- a/src/libgooseberry/agent/agent_inputs.cpp
+++ b/src/libgooseberry/agent/agent_inputs.cpp
@@ -19,13 +19,6 @@
            aControl.mConfirmedGeneration };
 }
 
-configuration::version
-VersionOf(const core::versioned_configuration& aConfiguration)
-{
-  return { aConfiguration.mGeneration,
-           configuration::Digest(aConfiguration.mText) };
-}
-
 /** Brings a configuration into force; returns whether it could be read. */
 bool
 Adopt(agent_control& aControl,
@@ -67,7 +60,10 @@
 {
   constexpr core::duration kAskGap = std::chrono::seconds(1);
   auto& source = aControl.mSource;
-  if (!source.mHasReadFailed ||
+  // Without any configuration, nothing could be started until a read fails.
+  const bool mayWait =
+    !source.mHasReadFailed && aControl.mConfiguration.mGeneration > 0;
+  if (mayWait ||
       (!source.mAskedEntry.empty() && aNow - source.mAskedAt < kAskGap)) {
     return;
   }
@@ -147,8 +143,8 @@
                 core::instant aNow,
                 effects& aOut)
 {
-  switch (
-    configuration::CompareSent(InForce(aControl), VersionOf(aConfiguration))) {
+  switch (configuration::CompareSent(
+    InForce(aControl), configuration::VersionOf(aConfiguration))) {
     case configuration::relation::Newer:
     case configuration::relation::Renumbered:
       static_cast<void>(Adopt(aControl, aConfiguration, aNow, aOut));
@@ -176,8 +172,8 @@
     OnConfiguration(aControl, aRead, aNow, aOut);
     return;
   }
-  const auto relation =
-    configuration::CompareRead(InForce(aControl), VersionOf(aRead));
+  const auto relation = configuration::CompareRead(
+    InForce(aControl), configuration::VersionOf(aRead));
   if (relation == configuration::relation::Outdated) {
     return;
   }
--- a/src/libgooseberry/configuration/adoption.cpp
+++ b/src/libgooseberry/configuration/adoption.cpp
@@ -17,6 +17,12 @@
   return std::max<std::uint64_t>(digest, 1);
 }
 
+version
+VersionOf(const core::versioned_configuration& aConfiguration)
+{
+  return { aConfiguration.mGeneration, Digest(aConfiguration.mText) };
+}
+
 relation
 CompareSent(const in_force& aInForce, const version& aSent)
 {
--- a/src/libgooseberry/configuration/adoption.h
+++ b/src/libgooseberry/configuration/adoption.h
@@ -3,6 +3,7 @@
 #include "libgooseberry/core/enum_names.h"
 #include "libgooseberry/core/message.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string_view>
 
@@ -26,6 +27,12 @@
   { "stored", "by_read" }
 };
 
+/**
+ * Longest text that is sent to processes that could read it themselves. In a
+ * large fleet, copies of a longer one for all would fill slow links.
+ */
+inline constexpr std::size_t kMaxSentBytes = 8'192;
+
 /** Identifies the text of a configuration; never 0, which stands for unknown.
  */
 std::uint64_t
@@ -38,6 +45,9 @@
   std::uint64_t mDigest = 0;
 };
 
+version
+VersionOf(const core::versioned_configuration& aConfiguration);
+
 /** The configuration in force at a process. */
 struct in_force
 {
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -106,7 +106,7 @@
       send_heartbeat{ aBeat.mAddress, MakeHeartbeat(aControl, aNow) });
   }
   core::heartbeat reply = MakeHeartbeat(aControl, aNow);
-  if (!aBeat.mReadsConfiguration) {
+  if (IsSentTo(aControl, aBeat.mReadsConfiguration)) {
     reply.mConfiguration = NewerThan(aControl, aBeat.mGeneration);
   }
   return reply;
@@ -194,7 +194,7 @@
     reply.mLastContactAge = aNow - *aControl.mLastContact;
   }
   reply.mDigest = aControl.mDigest;
-  if (!aState.mReadsConfiguration) {
+  if (IsSentTo(aControl, aState.mReadsConfiguration)) {
     reply.mConfiguration = NewerThan(aControl, aState.mGeneration);
   }
   if (ShouldIncludeEntries(aControl, aState.mAgent, aNow)) {
--- a/src/libgooseberry/entry/internal.h
+++ b/src/libgooseberry/entry/internal.h
@@ -67,6 +67,20 @@
         const std::string& aEntryName,
         const core::job_answer& aAnswer);
 
+/**
+ * Returns whether a message to another process may include the configuration
+ * in force; `aReadsItself`: that process can read it from the table service.
+ */
+bool
+IsSentTo(const entry_control& aControl, bool aReadsItself);
+
+/** Adopts the stored row if it is not older than the current one. */
+void
+AdoptRow(entry_control& aControl,
+         const configuration_row& aRow,
+         core::instant aNow,
+         effects& aEffects);
+
 /** Handles what a heartbeat says of its sender's configuration. */
 void
 LearnOfConfiguration(entry_control& aControl,
--- a/tests/libgooseberry/test_configuration_spread.cpp
+++ b/tests/libgooseberry/test_configuration_spread.cpp
@@ -60,11 +60,15 @@
     return beat;
   }
 
-  void Change()
+  /** Adds services until the text has that many bytes. */
+  void Change(std::size_t aBytes = 200'000)
   {
     auto row = entry::test::MakeConfiguration();
     row.mConfiguration.mGeneration = 9;
-    row.mConfiguration.mText += "[service more]\ntargets = *\n";
+    std::string& text = row.mConfiguration.mText;
+    for (int i = 0; text.size() < aBytes; ++i) {
+      text += "[service s" + std::to_string(i) + "]\ntargets = *\n";
+    }
     row.mNumbering = configuration::numbering::ByRead;
     entry::OnConfigurationRead(mControl, row, mNow, mNow, mEffects);
   }
@@ -172,6 +176,14 @@
                 .mConfiguration.has_value());
 }
 
+BOOST_FIXTURE_TEST_CASE(a_small_change_is_sent_to_all, large_fleet)
+{
+  Change(500);
+  BOOST_TEST(Texts() == kAgents);
+  BOOST_TEST(entry::OnHeartbeat(mControl, Beat(0, 1), mNow, mEffects)
+               .mConfiguration.has_value());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_change_is_sent_to_those_who_ask, large_fleet)
 {
   Change();
@@ -234,6 +246,18 @@
   BOOST_TEST(Asked() == 0U);
 }
 
+// Its starts would be refused until a read of a store that is down has failed.
+BOOST_FIXTURE_TEST_CASE(an_agent_without_any_configuration_asks_at_once,
+                        behind_agent)
+{
+  mControl.mConfiguration = {};
+  mControl.mDigest = 0;
+  for (std::size_t i = 0; i < kEntries; ++i) {
+    HearOf(i, 9);
+  }
+  BOOST_TEST(Asked() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(an_agent_without_the_store_asks_one_entry_at_a_time,
                         behind_agent)
 {
