--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -50,8 +50,8 @@
   bool mOpen = false;    ///< Has joined and accepts starts.
   bool mLeaving = false; ///< Accepts no new starts.
   std::vector<target_load> mTargets;
-  /** The agent reads newer configurations itself: replies do not include them.
-   */
+  /** The agent reads newer configurations itself: replies include only short
+   * ones. */
   bool mReadsConfiguration = false;
   std::uint64_t mDigest = 0; ///< Of its configuration; 0: unknown.
 };
@@ -191,8 +191,8 @@
    * newest; none where it is disconnected.
    */
   std::optional<duration> mLastContactAge;
-  /** Set where the caller's generation is older, and the caller does not read
-   * it itself. */
+  /** Set where the caller's generation is older, and the text is short or the
+   * caller does not read it itself. */
   std::optional<versioned_configuration> mConfiguration;
   /** Names and addresses of the entries known to the sender. */
   std::map<std::string, std::string> mEntries;
@@ -325,8 +325,8 @@
   generation mGeneration = 0;
   std::uint64_t mDigest = 0; ///< Of its configuration; 0: unknown.
   std::map<std::string, team_use> mTeams;
-  /** Set in a reply where the caller's generation is older, and the caller does
-   * not read it itself. */
+  /** Set in a reply where the caller's generation is older, and the text is
+   * short or the caller does not read it itself. */
   std::optional<versioned_configuration> mConfiguration;
   /** The sender reads newer configurations itself. */
   bool mReadsConfiguration = false;
