--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -106,35 +106,35 @@
 {
   io::entry_handlers handlers;
   handlers.mAnnounce = [this](const core::agent_state& aState) {
-    return mLoop.Ask([aState](auto& aControl, auto aNow, auto& aEffects) {
+    return mLoop.Ask([&aState](auto& aControl, auto aNow, auto& aEffects) {
       return entry::OnAnnounce(aControl, aState, aNow, aEffects);
     });
   };
   handlers.mFinish = [this](const core::finish_batch& aBatch) {
-    return mLoop.Ask([aBatch](auto& aControl, auto aNow, auto& aEffects) {
+    return mLoop.Ask([&aBatch](auto& aControl, auto aNow, auto& aEffects) {
       return entry::OnFinish(aControl, aBatch, aNow, aEffects);
     });
   };
   handlers.mLocate =
     [this](const std::vector<core::locate_request>& aRequests) {
-      return mLoop.Ask([aRequests](auto& aControl, auto aNow, auto& aEffects) {
+      return mLoop.Ask([&aRequests](auto& aControl, auto aNow, auto& aEffects) {
         return entry::OnLocate(aControl, aRequests, aNow, aEffects);
       });
     };
   handlers.mCopyNotes = [this](const core::peer_ref& aJoiner) {
-    return mLoop.Ask([aJoiner](auto& aControl, auto aNow, auto& aEffects) {
+    return mLoop.Ask([&aJoiner](auto& aControl, auto aNow, auto& aEffects) {
       static_cast<void>(aNow);
       static_cast<void>(aEffects);
       return entry::OnCopyPromises(aControl, aJoiner);
     });
   };
   handlers.mBeat = [this](const core::heartbeat& aBeat) {
-    return mLoop.Ask([aBeat](auto& aControl, auto aNow, auto& aEffects) {
+    return mLoop.Ask([&aBeat](auto& aControl, auto aNow, auto& aEffects) {
       return entry::OnHeartbeat(aControl, aBeat, aNow, aEffects);
     });
   };
   handlers.mDeliver = [this](const core::deliver_request& aRequest) {
-    mLoop.Ask([aRequest](auto& aControl, auto aNow, auto& aEffects) {
+    mLoop.Ask([&aRequest](auto& aControl, auto aNow, auto& aEffects) {
       entry::OnDeliver(aControl, aRequest, aNow, aEffects);
       return true;
     });
