Heartbeats under leases name no agents; fewer replies name entries

Cause: each heartbeat between entries carried the names of all agents, some 2 KB for 80, though they only keep agents' rows, of which there are none under leases; and each reply to a periodic report, 260 a second at an entry, all entries: the list's interval (250 ms) was below that of the reports (300 ms). Now no agents, and the list in every second reply.

Tests that failed before: heartbeats_under_leases_do_not_grow_with_the_agents, half_of_the_replies_to_periodic_reports_name_no_entries (10 of 10 did).

--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -337,7 +337,7 @@
   std::uint32_t mMillicores = 0;
   /**
    * Agents that the sender was in contact with within the freshness bound, with
-   * the generation that each reported.
+   * the generation that each reported. Empty under leases.
    */
   std::map<std::string, generation> mAgents;
 };
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -37,6 +37,19 @@
   }
 }
 
+/** Returns the agents in contact, with the generation that each reported. */
+std::map<std::string, core::generation>
+AgentsInContact(const entry_control& aControl, core::instant aNow)
+{
+  std::map<std::string, core::generation> agents;
+  for (const auto& [name, view] : aControl.mMembers.mAgents) {
+    if (aNow - view.mLastSeen <= aControl.mOptions.mAgentLost) {
+      agents.emplace(name, view.mState.mGeneration);
+    }
+  }
+  return agents;
+}
+
 /** Returns the current configuration if it is newer than the peer's. */
 std::optional<core::versioned_configuration>
 NewerThan(const entry_control& aControl, core::generation aGeneration)
@@ -67,10 +80,9 @@
   beat.mBusy = quota::IsBusy(aControl.mQueueDelay, aNow);
   beat.mFailureDomain = aControl.mOptions.mFailureDomain;
   beat.mMillicores = aControl.mOptions.mMillicores;
-  for (const auto& [name, view] : aControl.mMembers.mAgents) {
-    if (aNow - view.mLastSeen <= aControl.mOptions.mAgentLost) {
-      beat.mAgents.emplace(name, view.mState.mGeneration);
-    }
+  // Under leases, agents have no rows that contact with them could keep.
+  if (!aControl.mOptions.mLeasedRuns) {
+    beat.mAgents = AgentsInContact(aControl, aNow);
   }
   return beat;
 }
@@ -167,7 +179,7 @@
                      const core::peer_ref& aAgent,
                      core::instant aNow)
 {
-  constexpr core::duration kEntryListInterval = std::chrono::milliseconds(250);
+  constexpr core::duration kEntryListInterval = std::chrono::milliseconds(450);
   const auto agent = aControl.mMembers.mAgents.find(aAgent.mName);
   if (agent == aControl.mMembers.mAgents.end()) {
     return true;
--- a/tests/libgooseberry/test_entry_replies.cpp
+++ b/tests/libgooseberry/test_entry_replies.cpp
@@ -27,6 +27,14 @@
     return entry::OnFinish(mControl, { mAgent, {} }, mNow, mEffects)
       .mEntries.size();
   }
+
+  std::size_t AgentsInHeartbeat()
+  {
+    core::heartbeat beat;
+    beat.mEntry = { "b", 1 };
+    beat.mAddress = "b:1";
+    return entry::OnHeartbeat(mControl, beat, mNow, mEffects).mAgents.size();
+  }
 };
 
 } // namespace
@@ -58,6 +66,28 @@
   BOOST_TEST(EntriesInNextReply() == 2U);
 }
 
+BOOST_FIXTURE_TEST_CASE(half_of_the_replies_to_periodic_reports_name_no_entries,
+                        reply_fixture)
+{
+  constexpr auto kReportInterval = 300ms;
+  std::size_t named = 0;
+  for (int i = 0; i < 10; ++i) {
+    mNow += kReportInterval;
+    named += EntriesInNextReply() > 0 ? 1 : 0;
+  }
+  BOOST_TEST(named == 5U);
+}
+
+BOOST_FIXTURE_TEST_CASE(heartbeats_under_leases_do_not_grow_with_the_agents,
+                        reply_fixture)
+{
+  EntriesInNextReply();
+  BOOST_TEST(mControl.mMembers.mAgents.size() == 1U);
+  BOOST_TEST(AgentsInHeartbeat() == 0U);
+  mControl.mOptions.mLeasedRuns = false;
+  BOOST_TEST(AgentsInHeartbeat() == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_restarted_agent_gets_the_entries_at_once,
                         reply_fixture)
 {
