Peer server: reads do not poll for its stop

The library polls two descriptors before each read, so that a stop can end it: a system call for each message. The server now shuts its connections down when it stops, also those accepted after that.

--- a/src/libgooseberryio/peer_server.cpp
+++ b/src/libgooseberryio/peer_server.cpp
@@ -6,12 +6,18 @@
 #include "libgooseberryio/protocol/generated/AgentService.h"
 #include "libgooseberryio/protocol/generated/EntryService.h"
 
+#include <sys/socket.h>
+
 #include <future>
+#include <memory>
+#include <mutex>
 #include <thread>
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
+#include <thrift/transport/TSocket.h>
+#include <vector>
 
 namespace gooseberry::io {
 
@@ -114,14 +120,57 @@
   const entry_handlers mHandlers;
 };
 
-class framed_factory : public thrift::transport::TTransportFactory
+/**
+ * Frames the server's connections, and ends them when it stops. The library
+ * would have each read poll for the stop as well, a system call for each
+ * message.
+ */
+class connection_factory : public thrift::transport::TTransportFactory
 {
 public:
   std::shared_ptr<thrift::transport::TTransport> getTransport(
     std::shared_ptr<thrift::transport::TTransport> aTransport) override
   {
+    if (const auto socket =
+          std::dynamic_pointer_cast<thrift::transport::TSocket>(aTransport)) {
+      Add(socket);
+    }
     return FramedTransport(std::move(aTransport));
   }
+
+  /** Ends all connections, also those that are accepted later. */
+  void EndAll()
+  {
+    const std::lock_guard lock(mMutex);
+    mIsStopping = true;
+    for (const auto& weak : mSockets) {
+      if (const auto socket = weak.lock()) {
+        End(*socket);
+      }
+    }
+  }
+
+private:
+  using socket_pointer = std::shared_ptr<thrift::transport::TSocket>;
+
+  void Add(const socket_pointer& aSocket)
+  {
+    const std::lock_guard lock(mMutex);
+    std::erase_if(mSockets, [](const auto& aWeak) { return aWeak.expired(); });
+    mSockets.push_back(aSocket);
+    if (mIsStopping) {
+      End(*aSocket);
+    }
+  }
+
+  static void End(thrift::transport::TSocket& aSocket)
+  {
+    shutdown(aSocket.getSocketFD(), SHUT_RDWR);
+  }
+
+  std::mutex mMutex;
+  std::vector<std::weak_ptr<thrift::transport::TSocket>> mSockets;
+  bool mIsStopping = false;
 };
 
 /** Tells once whether the server listens. */
@@ -163,6 +212,7 @@
   std::string mAddress;
   std::shared_ptr<thrift::TProcessor> mProcessor;
   std::shared_ptr<thrift::transport::TServerSocket> mSocket;
+  std::shared_ptr<connection_factory> mConnections;
   std::unique_ptr<thrift::server::TThreadedServer> mServer;
   std::thread mThread;
   std::uint16_t mPort = 0;
@@ -202,10 +252,12 @@
   socket->setRecvTimeout(static_cast<int>(kIdleConnection.count()));
   socket->setSendTimeout(static_cast<int>(kSendTimeout.count()));
   socket->setKeepAlive(true);
+  socket->setInterruptableChildren(false);
+  auto connections = std::make_shared<connection_factory>();
   auto server = std::make_unique<thrift::server::TThreadedServer>(
     mState->mProcessor,
     socket,
-    std::make_shared<framed_factory>(),
+    connections,
     std::make_shared<thrift::protocol::TCompactProtocolFactory>());
   server->setConcurrentClientLimit(kMaxConnections);
   auto event = std::make_shared<listen_event>();
@@ -224,6 +276,7 @@
     return ListenError(mState->mAddress, failure.what());
   }
   mState->mSocket = std::move(socket);
+  mState->mConnections = std::move(connections);
   mState->mServer = std::move(server);
   mState->mPort = static_cast<std::uint16_t>(mState->mSocket->getPort());
   return std::nullopt;
@@ -236,6 +289,7 @@
     return;
   }
   mState->mServer->stop();
+  mState->mConnections->EndAll();
   mState->mThread.join();
 }
 
