--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -8,7 +8,7 @@
 
 namespace gooseberry::entry_program {
 
-/** What the control thread hands out to be published. */
+/** Copies of the control state to be published. */
 struct measurements
 {
   entry::entry_counters mCounters;           ///< Since the start.
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -33,7 +33,7 @@
 process_options
 MakeProcessOptions(const io::entry_settings& aSettings);
 
-/** One running entry: servers, clients and the control thread. */
+/** One running entry: servers, clients and the control loop. */
 class entry_process
 {
 public:
--- a/src/entry/waiting_callers.h
+++ b/src/entry/waiting_callers.h
@@ -10,7 +10,7 @@
 
 namespace gooseberry::entry_program {
 
-/** Threads that wait for an answer of the control thread, by token. */
+/** Threads that wait for an answer of the control loop, by token. */
 template<typename Answer>
 class waiting_callers
 {
--- a/src/libgooseberryio/event_queue.h
+++ b/src/libgooseberryio/event_queue.h
@@ -12,7 +12,7 @@
 namespace gooseberry::io {
 
 /**
- * Bounded queue from many threads to the control thread, in order of arrival.
+ * Bounded queue between threads, in order of arrival.
  */
 template<typename Event>
 class event_queue
--- a/tests/libgooseberry/test_unequal_entries.cpp
+++ b/tests/libgooseberry/test_unequal_entries.cpp
@@ -16,8 +16,8 @@
 
 /** Processor time of one job on a full core. */
 constexpr core::duration kJobCost = 1ms;
-/** Longest part of a job's wait that the control thread measures: most of the
- * wait is in other threads. */
+/** Longest part of a job's wait that ticks measure: most of the wait is in
+ * other threads. */
 constexpr core::duration kMaxControlDelay = 15ms;
 /** Wait after which a job is too late. */
 constexpr core::duration kMaxWait = 300ms;
