Entry: a stall without submissions refuses no callers

Cause: since inputs run on the threads that receive them, the delay that sheds is that of ticks alone, five in a window, so that one late tick makes a window long; before, inputs that had not waited made up for it.

Change: a late tick counts only where callers have submitted jobs since the last one. Test that failed before: a_stall_without_submissions_refuses_no_callers.

--- a/src/entry/control_loop.cpp
+++ b/src/entry/control_loop.cpp
@@ -3,6 +3,7 @@
 #include "libgooseberryio/clock.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace gooseberry::entry_program {
 
@@ -82,14 +83,29 @@
   RecordInput(mLoad, io::Now() - now);
 }
 
-/** The delay of ticks shows how long threads of this process wait for its
- * processor; an input that runs at once does not. */
+/**
+ * Records the delay of a tick, which shows how long threads of this process
+ * wait for its processor; an input that runs at once does not. A tick that is
+ * late without any submission since the last one is no overload by callers: the
+ * host has stalled, and to refuse callers would not help.
+ */
+void
+control_loop::RecordTickDelay(core::duration aDelay, core::instant aNow)
+{
+  const std::uint64_t submissions = mControl.mCounters.mSubmissions;
+  const bool hasSubmissions =
+    std::exchange(mSubmissionsAtTick, submissions) != submissions;
+  quota::RecordDelay(mControl.mQueueDelay,
+                     hasSubmissions ? aDelay : core::duration::zero(),
+                     aNow);
+  RecordTick(mLoad, aDelay);
+}
+
 void
 control_loop::RunTick(core::instant aDue)
 {
   const core::instant now = io::Now();
-  quota::RecordDelay(mControl.mQueueDelay, now - aDue, now);
-  RecordTick(mLoad, now - aDue);
+  RecordTickDelay(now - aDue, now);
   RunInput(
     [](entry::entry_control& aControl,
        core::instant aNow,
--- a/src/entry/control_loop.h
+++ b/src/entry/control_loop.h
@@ -5,6 +5,7 @@
 #include "libgooseberryio/strand.h"
 
 #include <atomic>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <future>
@@ -71,10 +72,12 @@
   void RunAll(const std::deque<input>& aInputs);
   void RunInput(const input& aInput);
   void RunTick(core::instant aDue);
+  void RecordTickDelay(core::duration aDelay, core::instant aNow);
 
   entry::entry_control mControl;
   effect_runner mRunner;
   load_meter mLoad;
+  std::uint64_t mSubmissionsAtTick = 0; ///< Counted until the last tick.
   io::strand<input> mInputs;
   std::atomic<bool> mStopping{ false };
   std::thread mThread;
--- a/tests/entry/test_control_loop.cpp
+++ b/tests/entry/test_control_loop.cpp
@@ -116,6 +116,36 @@
   BOOST_TEST((ticks() - before > 100ms));
 }
 
+/** Soak, seed 2 at a load above 20: an entry without work was not ready for 15
+ * s after its host had stalled it twice. */
+BOOST_AUTO_TEST_CASE(a_stall_without_submissions_refuses_no_callers)
+{
+  for (int i = 0; i < 5; ++i) {
+    static_cast<void>(mLoop.Post(
+      [](auto&, auto, auto&) { std::this_thread::sleep_for(150ms); }));
+    std::this_thread::sleep_for(30ms);
+  }
+  const int share = mLoop.Ask([](auto& aControl, auto, auto&) {
+    return quota::SharePercent(aControl.mQueueDelay);
+  });
+  BOOST_TEST(share == 100);
+}
+
+BOOST_AUTO_TEST_CASE(a_stall_with_submissions_refuses_callers)
+{
+  for (int i = 0; i < 5; ++i) {
+    static_cast<void>(mLoop.Post([](auto& aControl, auto, auto&) {
+      ++aControl.mCounters.mSubmissions;
+      std::this_thread::sleep_for(150ms);
+    }));
+    std::this_thread::sleep_for(30ms);
+  }
+  const int share = mLoop.Ask([](auto& aControl, auto, auto&) {
+    return quota::SharePercent(aControl.mQueueDelay);
+  });
+  BOOST_TEST(share < 100);
+}
+
 BOOST_AUTO_TEST_CASE(who_waits_when_the_loop_stops_gets_an_answer)
 {
   std::atomic<bool> isBusy = false;
