--- a/review/6/case.py
+++ b/review/6/case.py
@@ -16,7 +16,7 @@
 CPU = 1600
 TASKS = 4
 RUN_SECONDS = 0.9
-DEADLINE_MS = 6000
+DEADLINE_MS = 1500
 
 
 class Worker(Target):
--- a/review/common2/bed.py
+++ b/review/common2/bed.py
@@ -26,6 +26,7 @@
 HELD, BROKEN, NOT_RUN = 0, 11, 2  # As `run.sh` of a case expects.
 HEARTBEAT_SECONDS = 1.5
 SETTINGS_VARIABLE = "GOOSEBERRYWING_BOOT"
+SITE_TIMEOUT_MS = 1500  # Of the site's routes.
 
 
 def with_trouble():
@@ -75,8 +76,10 @@
 class Bed(soak_cluster.Cluster):
     """Programs as the deploy file says, in a temporary folder."""
 
-    def __init__(self, folder, entries, agents, seed, make_target=Target):
+    def __init__(self, folder, entries, agents, seed, make_target=Target,
+                 timeout_ms=SITE_TIMEOUT_MS):
         self.record = Record(folder)
+        self._timeout_ms = timeout_ms
         self.checks = RecordedChecks(self.record)
         self._temporary = tempfile.TemporaryDirectory()
         with open(os.path.join(ROOT, "deploy/system.toml"), "rb") as file:
@@ -92,13 +95,12 @@
             for i, agent in enumerate(self.agents)]
 
     def configure(self, version, routes):
-        """Writes a config as the operator does; values are of the site, but
-        for the time-out, which is that of the largest jobs."""
+        """Writes a config as the operator does, with values of the site."""
         self.store.put("op", "config", {
             "version": version,
             "routes": [{"name": f"route-{path.strip('/')}", "host": host,
                         "pathPrefix": path, "type": "unsafe",
-                        "timeoutMs": 30_000, "targetLatencyMs": 60,
+                        "timeoutMs": self._timeout_ms, "targetLatencyMs": 60,
                         "priority": 1, "service": soak_cluster.SERVICE,
                         "attempts": 4, "slackFactor": 1.6}
                        for host, path in routes],
