--- a/review/common2/bed.py
+++ b/review/common2/bed.py
@@ -94,12 +94,14 @@
                         self.checks, seed * 1000 + i)
             for i, agent in enumerate(self.agents)]
 
-    def configure(self, version, routes):
-        """Writes a config as the operator does, with values of the site."""
+    def configure(self, version, routes, names=None):
+        """Writes a config as the operator does, with values of the site.
+        `names` gives names to routes, by their paths."""
+        names = names or {}
         self.store.put("op", "config", {
             "version": version,
-            "routes": [{"name": f"route-{path.strip('/')}", "host": host,
-                        "pathPrefix": path, "type": "unsafe",
+            "routes": [{"name": names.get(path, f"route-{path.strip('/')}"),
+                        "host": host, "pathPrefix": path, "type": "unsafe",
                         "timeoutMs": self._timeout_ms, "targetLatencyMs": 60,
                         "priority": 1, "service": soak_cluster.SERVICE,
                         "attempts": 4, "slackFactor": 1.6}
