--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,5 +1,5 @@
-"""A worker restarts under its id as a smaller kind; its first status report
-comes one heartbeat later."""
+"""A worker at work is cut off, its connections are reset and refused, and it
+runs on."""
 
 import asyncio
 import os
@@ -9,35 +9,41 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "common2"))
 
-from bed import (Bed, HEARTBEAT_SECONDS, Target, http,  # noqa: E402
-                 run_case, with_trouble)
+from bed import Bed, Target, http, run_case, with_trouble  # noqa: E402
 
-LARGE, SMALL = 24000, 16000  # Sizes 1.5 and 1 of the site's kinds of worker.
 CPU = 1600
 TASKS = 4
 RUN_SECONDS = 0.9
 DEADLINE_MS = 1500
+CUT_AFTER = 0.2
+CUT_SECONDS = 2.0
 
 
 class Worker(Target):
-    """The harness's worker; a life may be of another kind."""
+    """The harness's worker, which can be cut off. What runs there runs on
+    until it is done or its lease lapses."""
 
     def __init__(self, *words):
         super().__init__(*words)
-        self.capacity = LARGE
-        self.first_report_after = 0.0
+        self._is_cut = False
 
-    async def _beat_always(self):
-        await asyncio.sleep(self.first_report_after)
-        while True:
-            await self._beat()
-            await asyncio.sleep(HEARTBEAT_SECONDS)
+    async def _say(self, method, body):
+        if not self._is_cut:
+            await super()._say(method, body)
+
+    async def cut(self, seconds):
+        self._is_cut = True
+        self._server.stop()
+        await asyncio.sleep(seconds)
+        self._server = http.Server(self._serve)
+        await self._server.start(*self._address)
+        self._is_cut = False
 
 
 class Play:
     @staticmethod
     async def make(folder):
-        return Bed(folder, 3, 3, 6, Worker)
+        return Bed(folder, 3, 6, 6, Worker)
 
     @staticmethod
     async def run(bed):
@@ -52,19 +58,14 @@
         await asyncio.sleep(2)
         await burst(9)  # What targets run is known from here on.
         await asyncio.sleep(1)
-        worker = bed.targets[0]
+        jobs = asyncio.create_task(burst(9))
+        await asyncio.sleep(CUT_AFTER)
         if with_trouble():
-            bed.record.note("worker-1 crashes; it is idle")
-            worker.crash()
-            await asyncio.sleep(0.3)
-            worker.capacity = SMALL
-            worker.first_report_after = HEARTBEAT_SECONDS
-            bed.record.note(f"worker-1 starts again, with {SMALL}")
-            await worker.start()
-        await asyncio.sleep(0.4)
-        await burst(18)
-        await asyncio.sleep(3)
-        await burst(18)
-
-
-sys.exit(run_case(HERE, "LIMIT", Play))
+            bed.record.note("worker-1 is cut off, and runs on")
+            await bed.targets[0].cut(CUT_SECONDS)
+            bed.record.note("the cut of worker-1 heals")
+        await jobs
+        await asyncio.sleep(1)
+
+
+sys.exit(run_case(HERE, "TWICE", Play))
