Lease: a refused connection does not end the runs of a target

Cause: OnRenewalFailed took a refused connection for proof that no process of the target is left, and ended its runs at once. A target that is cut off runs on. Evidence: in the record the second starts come 2 ms after the cut, before any lease can have lapsed; the entry logs why=run_lost with the agent in contact.

Now the runs end with their lease, with a report of another process, or with the answer of another target at the address. A renewal after a failed one extends nothing; it would have kept the lease alive in the agent's books for as long as connections are refused. The target is offered for no start meanwhile.

Tests: a_refused_connection_ends_no_run_before_its_lease and the_first_call_after_a_refused_one_fences_earlier_starts failed before. The case a_refused_connection_does_not_end_a_start_in_flight demanded the end of an answered run at a refused connection, which is the fault; the first of the new ones takes its place and keeps the check of the unsent start. the_first_call_after_a_refused_one... demanded the end of an unanswered run; it now demands that the run stays, and the same of the token.

--- a/src/libgooseberry/agent/leased_runs.cpp
+++ b/src/libgooseberry/agent/leased_runs.cpp
@@ -55,8 +55,8 @@
 
 /**
  * Returns whether the registration is of an earlier incarnation, or older than
- * the last one. After a whole lease without a newer registration, the newer
- * values are taken as wrong.
+ * the last one. After a whole lease without a newer registration, and while the
+ * target refuses connections, the newer values are taken as wrong.
  */
 bool
 IsOutdated(const agent_target& aTarget,
@@ -64,7 +64,7 @@
            core::instant aNow)
 {
   if (!aTarget.mLeased || aRegistration.mTargetIncarnation == 0 ||
-      aTarget.mLeaseEnd <= aNow) {
+      aTarget.mLeaseEnd <= aNow || aTarget.mLeased->mIsRefusing) {
     return false;
   }
   return aRegistration.mTargetIncarnation <
--- a/src/libgooseberry/lease/call.h
+++ b/src/libgooseberry/lease/call.h
@@ -130,7 +130,7 @@
 {
   Fenced,
   OtherTarget,
-  Refused,  ///< Connection refused: the target has no process.
+  Refused,  ///< Connection refused: no process, or the target is cut off.
   NoAnswer, ///< Also if the connection timed out.
 };
 inline constexpr core::enum_names<renewal_failure, 4> kRenewalFailureNames{
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -46,9 +46,10 @@
   const auto wait =
     isFirst ? core::duration::zero() : aTarget.mSettings.mRenewWait;
   target_time until{};
-  // A renewal that replaces a lost one does not extend the lease: if the target
-  // answers none, the lease expires and the runs can be started elsewhere.
-  if (aTarget.mClock && !aTarget.mRenewing) {
+  // A renewal that follows a lost or failed one does not extend the lease: if
+  // the target answers none, the lease expires and the runs can be started
+  // elsewhere.
+  if (aTarget.mClock && !aTarget.mRenewing && aTarget.mFailures == 0) {
     until = ExtendLease(aTarget, aTarget.mSettings.mLease, aNow);
   }
   aTarget.mRenewing = true;
@@ -112,7 +113,7 @@
 IsReady(const leased_target& aTarget, core::instant aNow)
 {
   return aTarget.mNoForeignRuns && !aTarget.mPendingRegistration &&
-         aTarget.mReportAskedAt &&
+         !aTarget.mIsRefusing && aTarget.mReportAskedAt &&
          aNow - *aTarget.mReportAskedAt < aTarget.mSettings.mLease;
 }
 
@@ -291,9 +292,13 @@
     ReadClock(aTarget, *aClock, aAskedAt, aNow);
     OutrankToken(aTarget, *aClock, aNow);
     aTarget.mNextRenewal = aNow;
-  } else if (aFailure == renewal_failure::Refused ||
-             aFailure == renewal_failure::OtherTarget) {
-    // No process of that incarnation listens, so none of its runs is left.
+  } else if (aFailure == renewal_failure::Refused) {
+    // The process may be cut off and run on, so its runs keep their leases.
+    aTarget.mIsRefusing = true;
+    // If another one is next, it rejects earlier starts from the first call on.
+    RaiseToken(aTarget, target_time::zero(), aNow);
+  } else if (aFailure == renewal_failure::OtherTarget) {
+    // Another process has the address, so that one and its runs are gone.
     EndRuns(aTarget, "target is gone", aNow, aOut, [&](const run& aRun) {
       return aRun.mIsConfirmed ||
              (aRun.mCallSentBy && *aRun.mCallSentBy <= aAskedAt);
--- a/src/libgooseberry/lease/leased_target.h
+++ b/src/libgooseberry/lease/leased_target.h
@@ -126,6 +126,7 @@
   core::instant mNextRenewal{};
   std::optional<core::instant> mReportAskedAt; ///< Of the latest report.
   std::uint32_t mFailures = 0; ///< Consecutive renewals without a report.
+  bool mIsRefusing = false; ///< A connection was refused since the last report.
 };
 
 /** Returns whether runs may be started at the target now. */
--- a/src/libgooseberry/lease/report.cpp
+++ b/src/libgooseberry/lease/report.cpp
@@ -211,6 +211,7 @@
   aTarget.mRenewing = false;
   aTarget.mNextRenewal = aNow;
   ApplyIncarnation(aTarget, aReport.mTargetIncarnation, aAskedAt, aNow, aOut);
+  aTarget.mIsRefusing = false;
   if (std::exchange(aTarget.mFailures, 0U) > 0) {
     aOut.emplace_back(target_change{ "target_answers", aTarget.mName });
   }
