Lease: an unanswered start does not end with a lapsed lease

Cause: an unanswered run counted as over when the lease had lapsed that the target's last process was granted. A start that nobody has answered may be carried out by the next process, which has another clock, no lease and no token. The same held for a run that a process had accepted which the agent did not know yet, and for unanswered runs when another target answers at the address.

Now a lapsed lease ends only runs that are known to be at the target. Till then the task starts nowhere else.

The soak recuts one target at a time in each of its runs.

--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -96,15 +96,13 @@
 }
 
 /**
- * Returns whether the lease that the run's start call requested is counted in
- * the target's latest. A call in flight may reach the next incarnation, which
- * counts its lease by another clock.
+ * Returns whether no process of the target can carry out the run's start call
+ * any more, nor still have what it has carried out.
  */
 bool
-IsLeaseKnown(const leased_target& aTarget, const run& aRun)
+IsCallOver(const leased_target& aTarget, const run& aRun, core::instant aNow)
 {
-  return aRun.mCallSentBy &&
-         aRun.mCalledIncarnation == aTarget.mTargetIncarnation;
+  return aNow - aRun.mSentAt > kCallLifetime + aTarget.mSettings.mLongestLease;
 }
 
 } // namespace
@@ -299,9 +297,8 @@
     RaiseToken(aTarget, target_time::zero(), aNow);
   } else if (aFailure == renewal_failure::OtherTarget) {
     // Another process has the address, so that one and its runs are gone.
-    EndRuns(aTarget, "target is gone", aNow, aOut, [&](const run& aRun) {
-      return aRun.mIsConfirmed ||
-             (aRun.mCallSentBy && *aRun.mCallSentBy <= aAskedAt);
+    EndRuns(aTarget, "target is gone", aNow, aOut, [](const run& aRun) {
+      return aRun.mIsConfirmed;
     });
     // Any incarnation may register next, even a lower one; a report requested
     // before may be late and of the one that is gone.
@@ -320,10 +317,13 @@
     return;
   }
   if (!aTarget.mRuns.empty() && HasExpired(aTarget, aNow)) {
-    EndRuns(aTarget, "lease lapsed", aNow, aOut, [&](const run& aRun) {
-      return aRun.mIsConfirmed || IsLeaseKnown(aTarget, aRun);
+    EndRuns(aTarget, "lease lapsed", aNow, aOut, [](const run& aRun) {
+      return aRun.mIsConfirmed;
     });
   }
+  EndRuns(aTarget, "call expired", aNow, aOut, [&](const run& aRun) {
+    return !aRun.mIsConfirmed && IsCallOver(aTarget, aRun, aNow);
+  });
   if (aTarget.mRuns.empty()) {
     AdoptPendingRegistration(aTarget, aNow, aOut);
   }
--- a/src/libgooseberry/lease/leased_target.h
+++ b/src/libgooseberry/lease/leased_target.h
@@ -15,9 +15,11 @@
 
 /**
  * Runs of tasks at one target, which ends them when their lease expires. A
- * start may be carried out late or without an answer. A run has ended only when
- * the target lists its end, when the target does not list it and will reject it
- * from now on, or when its lease has certainly expired.
+ * start may be carried out late or without an answer, also by the target's next
+ * process. A run has ended only when the target lists its end, when the target
+ * does not list it and will reject it from now on, or when its lease has
+ * certainly expired. The last holds only for a run that is known to be at the
+ * target: a start that may yet be carried out gets a lease when it is.
  */
 namespace gooseberry::lease {
 
--- a/tests/libgooseberry/leased_world.cpp
+++ b/tests/libgooseberry/leased_world.cpp
@@ -59,6 +59,7 @@
   , mCalls(aOptions.mAgents)
   , mTargets(aOptions.mAgents)
   , mTargetFaults(aOptions.mAgents)
+  , mTargetCuts(aOptions.mAgents)
   , mScheduledChange(aOptions.mAgents)
 {
   mStored = { { 1, kConfiguration }, "", "", 1 };
--- a/tests/libgooseberry/leased_world.h
+++ b/tests/libgooseberry/leased_world.h
@@ -52,6 +52,14 @@
   bool mIsDropped = false; ///< Unanswered calls are not carried out.
 };
 
+/** A time in which a target, running or not, cannot be reached. */
+struct target_cut
+{
+  instant mUntil{};
+  /** Connections are refused; else calls wait and are carried out after it. */
+  bool mRefuses = false;
+};
+
 /** A network cut: messages of some directions do not arrive for a time. */
 struct cut
 {
@@ -139,6 +147,10 @@
   void KillAgent(std::size_t aIndex, duration aDownFor);
   void CrashTarget(std::size_t aIndex, duration aDownFor);
   void HangTarget(std::size_t aIndex, const target_fault& aFault);
+  /** Cuts a target off; what runs there runs on. */
+  void CutTarget(std::size_t aIndex, duration aTime, bool aRefuses);
+  /** Restarts a target, silent meanwhile, and cuts it off soon after. */
+  void RestartAndCutTarget(std::size_t aIndex, bool aRefuses);
   /** Schedules overlapping series of random faults until `aEnd`. */
   void DrawFaults(instant aEnd);
 
@@ -211,6 +223,9 @@
     bool mIsAnswered = true;
   };
   call_outcome DrawCallOutcome(std::size_t aTarget, std::size_t aKind);
+  bool IsCutOff(std::size_t aTarget) const;
+  /** Returns whether a connection to the target is refused. */
+  bool IsRefused(std::size_t aTarget) const;
   template<typename Wire>
   void CallTarget(agent_process& aAgent, const Wire& aCall);
   void StartNextCall(agent_process& aAgent, std::uint64_t aIncarnation);
@@ -273,6 +288,7 @@
   std::vector<target_calls> mCalls; ///< By agent.
   std::vector<fake_target> mTargets;
   std::vector<target_fault> mTargetFaults;
+  std::vector<target_cut> mTargetCuts;
   /** By target: the time of its next scheduled change. */
   std::vector<instant> mScheduledChange;
   std::vector<cut> mCuts;
--- a/tests/libgooseberry/leased_world_runs.cpp
+++ b/tests/libgooseberry/leased_world_runs.cpp
@@ -49,7 +49,9 @@
   agent_process& agent = mAgents[aIndex];
   // A few registrations arrive after later ones.
   const duration late = Chance(0.03) ? Milliseconds(0, 4'000) : Latency();
-  At(mNow + late, [=, this, &agent, incarnation = agent.mIncarnation] {
+  const instant sentAt =
+    IsCutOff(aIndex) ? mTargetCuts[aIndex].mUntil : mNow;
+  At(sentAt + late, [=, this, &agent, incarnation = agent.mIncarnation] {
     Arrive(agent, incarnation, [=, this, &agent] {
       WithAgent(agent, [&](agent::effects& aEffects) {
         agent::OnLeasedTargetRegistered(*agent.mControl,
@@ -90,6 +92,26 @@
   mTargetFaults[aIndex] = aFault;
 }
 
+void
+world::CutTarget(std::size_t aIndex, duration aTime, bool aRefuses)
+{
+  RecordFault(mTargets[aIndex].mName + " is cut off" +
+              (aRefuses ? ", connections are refused" : ""));
+  mTargetCuts[aIndex] = { mNow + aTime, aRefuses };
+}
+
+void
+world::RestartAndCutTarget(std::size_t aIndex, bool aRefuses)
+{
+  const duration down = Milliseconds(300, 1'800);
+  const duration up = Milliseconds(200, 2'200);
+  CutTarget(aIndex, down, false);
+  CrashTarget(aIndex, down);
+  At(mNow + down + up, [this, aIndex, aRefuses] {
+    CutTarget(aIndex, Milliseconds(2'000, 4'000), aRefuses);
+  });
+}
+
 void
 world::Do(agent_process& aFrom, const agent::call_target& aEffect)
 {
--- a/tests/libgooseberry/leased_world_target_calls.cpp
+++ b/tests/libgooseberry/leased_world_target_calls.cpp
@@ -62,9 +62,25 @@
   };
 }
 
+bool
+world::IsCutOff(std::size_t aTarget) const
+{
+  return mTargetCuts[aTarget].mUntil > mNow;
+}
+
+bool
+world::IsRefused(std::size_t aTarget) const
+{
+  return IsCutOff(aTarget) ? mTargetCuts[aTarget].mRefuses
+                           : !mTargets[aTarget].mAlive;
+}
+
 world::call_outcome
 world::DrawCallOutcome(std::size_t aTarget, std::size_t aKind)
 {
+  if (IsCutOff(aTarget)) {
+    return { mTargetCuts[aTarget].mUntil + Latency(), false };
+  }
   const target_fault& fault = mTargetFaults[aTarget];
   const bool hangs = fault.mUntil > mNow &&
                      fault.mOnlyKind.value_or(aKind) == aKind &&
@@ -99,7 +115,7 @@
   const auto fail = [=, this, &aAgent](bool aDelivered) {
     settle([=, this, &aAgent] { Fail(aAgent, aCall, aDelivered, sentAt); });
   };
-  if (!mTargets[index].mAlive) {
+  if (IsRefused(index)) {
     At(mNow + Latency(), [fail] { fail(false); });
     return;
   }
@@ -109,8 +125,8 @@
   if (!outcome.mArrivesAt) {
     return;
   }
-  const auto reply = [this, settle, outcome](const action& aReply) {
-    if (outcome.mIsAnswered) {
+  const auto reply = [this, settle, outcome, index](const action& aReply) {
+    if (outcome.mIsAnswered && !IsCutOff(index)) {
       At(mNow + Latency(), [=] { settle(aReply); });
     }
   };
--- a/tests/libgooseberry/test_lease_lives.cpp
+++ b/tests/libgooseberry/test_lease_lives.cpp
@@ -308,16 +308,66 @@
   BOOST_TEST(Count<lease::stop_call>() == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(a_lapse_does_not_end_a_start_in_flight)
+// Double run: a target that was gone was replaced by a new one at its address,
+// and an unanswered start by one of its former name.
+BOOST_AUTO_TEST_CASE(another_target_ends_only_the_runs_that_were_there)
+{
+  const auto unanswered = Start(0);
+  Answer(Start(1), lease::start_answer::Accepted);
+  Report({ { { "job", 1 }, 1 } });
+  Answer(unanswered, lease::start_answer::NoAnswer);
+  Pass(1ms);
+  lease::OnRenewalFailed(mTarget,
+                         lease::renewal_failure::OtherTarget,
+                         std::nullopt,
+                         mNow,
+                         mNow,
+                         mEffects);
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  BOOST_TEST(Ends().front().mTask.mIndex == 1U);
+}
+
+// Double run: a start was sent to a target that had ended. Its lease counted as
+// lapsed by the clock of that process, and the next one carried the start out.
+BOOST_AUTO_TEST_CASE(a_lapse_does_not_end_a_start_without_an_answer)
 {
   const auto start = Start();
   Pass(mTarget.mSettings.mLease + 60ms);
   BOOST_TEST(Ends().empty());
   Answer(start, lease::start_answer::NoAnswer);
   Pass(mTarget.mSettings.mLease + 60ms);
+  Pass(5s);
+  BOOST_TEST(Ends().empty());
+  // The next process has carried it out, and lists it.
+  ReportRestart(10ms, { { kTask, 1 } });
+  ReportRestart(10ms, { { kTask, 1 } });
+  BOOST_TEST(Ends().empty());
+  mNow += 10ms;
+  ReportRestart(20ms, {}, { { 1, kTask, 1, core::task_end::Lost, "stopped" } });
   BOOST_TEST(Ends().size() == 1U);
 }
 
+// The same, with an answer of a process that the agent does not know yet.
+BOOST_AUTO_TEST_CASE(a_lapse_does_not_end_a_run_of_an_unknown_process)
+{
+  const auto start = Start();
+  mNow += 50ms;
+  lease::OnStartAnswer(
+    mTarget, start, lease::start_answer::Accepted, 20ms, mNow, mEffects);
+  Pass(mTarget.mSettings.mLease + 60ms);
+  BOOST_TEST(Ends().empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_start_without_an_answer_ends_once_it_cannot_be_carried_out)
+{
+  Answer(Start(), lease::start_answer::NoAnswer);
+  Pass(lease::kCallLifetime);
+  BOOST_TEST(Ends().empty());
+  Pass(mTarget.mSettings.mLongestLease + 1ms);
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  BOOST_TEST((Ends().front().mEnd == core::task_end::Lost));
+}
+
 // Double run: a start for the last incarnation, whose clock was far ahead, had
 // extended the lease of the next one beyond what this agent had asked of it.
 BOOST_AUTO_TEST_CASE(a_lease_granted_before_the_token_was_seen_is_waited_out)
--- a/tests/libgooseberry/test_leased_world.cpp
+++ b/tests/libgooseberry/test_leased_world.cpp
@@ -377,6 +377,48 @@
   });
 }
 
+// Guards against two concurrent runs of a task: a target that is cut off runs
+// on, and its agent's connections are refused.
+BOOST_AUTO_TEST_CASE(a_target_that_refuses_connections_runs_on)
+{
+  ForSeeds([](world& aWorld) {
+    for (std::size_t i = 0; i < 4; ++i) {
+      aWorld.Submit(0, std::vector(8, 2s + 0us), 20s);
+      aWorld.RunFor(200ms);
+      aWorld.CutTarget(i, 2s, true);
+      aWorld.CutTarget((i + 1) % 5, aWorld.Milliseconds(50, 900), true);
+      aWorld.RunFor(4s);
+    }
+  });
+}
+
+namespace {
+
+/** Jobs come while three targets at a time start again and are cut off. */
+void
+RestartAndCutTargets(world& aWorld)
+{
+  const auto end = aWorld.Now() + 20s;
+  aWorld.SubmitUntil(end, 60ms);
+  while (aWorld.Now() < end && aWorld.Violation().empty()) {
+    const std::size_t first = aWorld.Draw(0, 4);
+    for (std::size_t i = first; i < first + 3; ++i) {
+      aWorld.RestartAndCutTarget(i % 5, aWorld.Chance(0.2));
+    }
+    aWorld.RunFor(6s);
+  }
+}
+
+} // namespace
+
+// Guards against two concurrent runs of a task: a start that was sent to a
+// target without power is carried out by its next process, and the task was
+// started elsewhere when the lease by the last one's clock had lapsed.
+BOOST_AUTO_TEST_CASE(targets_start_again_and_are_cut_off_soon_after)
+{
+  ForSeeds([](world& aWorld) { RestartAndCutTargets(aWorld); });
+}
+
 // An agent that is silent, or slow to report, for less than the entry contact
 // timeout keeps its runs.
 BOOST_AUTO_TEST_CASE(a_short_silence_starts_nothing_again)
--- a/tests/platform/soak/harness/faults.py
+++ b/tests/platform/soak/harness/faults.py
@@ -13,6 +13,11 @@
     "terminate_entry": 1, "terminate_agent": 1, "hang_up": 1,
     "crash_target": 4, "fault_target": 6, "drain_target": 1, "fail_store": 2,
 }
+#: What else happens to a target that starts again and is then cut off.
+RECUTS = ("silent", "refused", "agent_killed")
+RECUT_DARK_SECONDS = (0.3, 0.9)
+RECUT_UP_SECONDS = (0.2, 2.2)
+RECUT_CUT_SECONDS = (2.0, 4.0)
 TARGET_FAULTS = ("late", "lost", "dropped", "reset", "busy")
 
 
@@ -20,12 +25,15 @@
     def __init__(self, cluster, seed, log):
         self._cluster = cluster
         self._random = random.Random(seed)
+        self._recut_random = random.Random(f"recuts of {seed}")
         self._log = log
         self._tasks = set()
 
-    async def run(self, until, series):
+    async def run(self, until, series, recuts, recut_kinds):
         """Runs several series at once; returns when their effects end."""
-        await asyncio.gather(*[self._series(until) for _ in range(series)])
+        await asyncio.gather(
+            *[self._series(until) for _ in range(series)],
+            self._recut_rounds(until, recuts, recut_kinds))
         if self._tasks:
             await asyncio.wait(self._tasks)
 
@@ -121,6 +129,44 @@
         if not target.is_up:
             await target.start()
 
+    async def _recut_rounds(self, until, count, kinds):
+        """Recuts several targets at a time, again and again."""
+        draw = self._recut_random
+        held_share = draw.choice([0.5, 1.0])
+        for target in self._cluster.targets:
+            target.held_share = held_share
+        while count and time.monotonic() < until:
+            await asyncio.sleep(draw.uniform(0.5, 2))
+            chosen = draw.sample(range(len(self._cluster.targets)), count)
+            await asyncio.gather(*[
+                self._recut(index, draw.choice(kinds)) for index in chosen])
+
+    async def _recut(self, index, kind):
+        """A target starts again under its name and is soon cut off."""
+        draw = self._recut_random
+        target = self._cluster.targets[index]
+        self._note(f"{target.name} is dark, then cut off, {kind}")
+        target.go_dark()
+        if kind == "agent_killed":
+            self._start("kill", self._kill_after(
+                self._cluster.agents[index], draw.uniform(0, 2)))
+        await asyncio.sleep(draw.uniform(*RECUT_DARK_SECONDS))
+        await self._start_target(target)
+        self._note(f"{target.name} is back")
+        await asyncio.sleep(draw.uniform(*RECUT_UP_SECONDS))
+        target.cut_off(kind == "refused")
+        self._note(f"{target.name} is cut off")
+        await asyncio.sleep(draw.uniform(*RECUT_CUT_SECONDS))
+        if target.is_up:
+            await target.reconnect()
+        self._note(f"{target.name} is reconnected")
+
+    async def _kill_after(self, process, seconds):
+        await asyncio.sleep(seconds)
+        down = self._recut_random.choice([0.02, 0.3, 1.0, 2.5])
+        self._note(f"kill {process.name}, down for {down}")
+        await self._cluster.kill(process, down)
+
     async def _fail_store(self):
         store = self._cluster.store
         mode = self._random.choice(store.MODES)
--- a/tests/platform/soak/harness/soak.py
+++ b/tests/platform/soak/harness/soak.py
@@ -10,7 +10,7 @@
 from .callers import Caller
 from .checks import Checks
 from .cluster import HOST, PATH, ZONES, Cluster
-from .faults import Faults
+from .faults import RECUTS, Faults
 
 RECOVERY_SECONDS = 12.0
 CONFIGURATION_SECONDS = 2.0
@@ -34,6 +34,8 @@
     agents: int = 6
     callers: int = 24
     series: int = 3
+    recuts: int = 1  # Targets that are recut at a time.
+    recut_kind: str = "any"
 
 
 class Soak:
@@ -77,7 +79,11 @@
                         lambda line: print(line, file=self._fault_log))
         callers = [caller.run(until)
                    for caller in self._callers(options.callers)]
-        await asyncio.gather(faults.run(until, options.series), *callers)
+        kinds = RECUTS if options.recut_kind == "any" \
+            else (options.recut_kind,)
+        await asyncio.gather(
+            faults.run(until, options.series, options.recuts, kinds),
+            *callers)
 
     async def _submit_at_each(self, queue):
         """Submits a job at each entry; returns those not completed."""
--- a/tests/platform/soak/harness/target.py
+++ b/tests/platform/soak/harness/target.py
@@ -50,6 +50,12 @@
         self._checks = checks
         self._random = random.Random(seed)
         self._server = None
+        self._is_alive = False
+        self._reachable = asyncio.Event()
+        self._reachable.set()
+        #: Of the calls that come while it is silent, those carried out later;
+        #: the others are reset.
+        self.held_share = 1.0
         self._beats = None
         self._state = "ready"
         self._clear()
@@ -68,28 +74,59 @@
 
     @property
     def is_up(self):
-        return self._server is not None
+        return self._is_alive
 
     async def start(self):
         """Starts a new life: nothing runs, and the clock is zero."""
         self._clear()
         self._state = "ready"
-        self._server = http.Server(self._serve)
-        await self._server.start(*self._address)
+        self._is_alive = True
+        await self.reconnect()
         self._beats = asyncio.create_task(self._beat_always())
 
     def crash(self):
-        """Ends the process and all that it runs."""
-        if not self.is_up:
+        """Ends the process and all that it runs; its port refuses."""
+        self._end_life()
+        self._stop_listening()
+
+    def go_dark(self):
+        """Ends the process and all that it runs; its port is silent."""
+        self._reachable.clear()
+        self._end_life()
+
+    def cut_off(self, refuses):
+        """Cuts the process off, which runs on. Calls to it are refused, or
+        wait without an answer."""
+        self._reachable.clear()
+        if refuses:
+            self._stop_listening()
+
+    async def reconnect(self):
+        """Ends a cut. Calls that have waited are carried out, also those
+        whose sender has given up."""
+        if self._server is None:
+            server = http.Server(self._serve)
+            self._server = server
+            await server.start(*self._address)
+        self._reachable.set()
+
+    def _end_life(self):
+        if not self._is_alive:
             return
-        now = time.monotonic()
-        self.settle(now)
+        self.settle(time.monotonic())
+        self._is_alive = False
         self._beats.cancel()
-        self._server.stop()
-        self._server = None
         for task, run in list(self._runs):
             self._remove(task, run, "lost")
 
+    def _is_silent(self):
+        return self._server is not None and not self._reachable.is_set()
+
+    def _stop_listening(self):
+        if self._server is not None:
+            self._server.stop()
+            self._server = None
+
     async def drain(self):
         """Announces its end, serves on for a while, then ends."""
         self._state = "draining"
@@ -153,6 +190,8 @@
             "seq": self._sequence})
 
     async def _say(self, method, body):
+        if not self._reachable.is_set():
+            return
         connection = http.Connection(*self._control)
         try:
             await asyncio.wait_for(
@@ -165,6 +204,8 @@
     # Calls.
 
     async def _serve(self, request):
+        if not self._reachable.is_set():
+            return await self._serve_held(request)
         if not self.is_up:
             raise http.Reset  # Read before the crash.
         if request.headers.get("gooseberrywing-expect-instance",
@@ -178,6 +219,13 @@
             self._misbehave(fault, request)
         return await self._carry_out(request, False)
 
+    async def _serve_held(self, request):
+        """Carries out, or resets, a call that came while cut off or dark."""
+        await self._reachable.wait()
+        if not self.is_up or self._random.random() >= self.held_share:
+            raise http.Reset
+        return await self._carry_out(request, True)
+
     def _misbehave(self, fault, request):
         if fault.kind == "reset":
             raise http.Reset
@@ -260,9 +308,11 @@
         born = self._born
         while not self._ends and time.monotonic() < until:
             await asyncio.sleep(POLL_SECONDS)
-            if not self.is_up or self._born != born:
+            if self._born != born or not (self.is_up or self._is_silent()):
                 raise http.Reset
             self.settle(time.monotonic())
+        if not self._reachable.is_set():
+            raise http.NoAnswer
         return http.Response(200, {
             "clockMs": self._clock_ms(time.monotonic()), "born": self._born,
             "running": [[task, run, "", 0] for task, run in self._runs],
