Entry: unanswered starts of a lost agent are not sent elsewhere

Callers would see: a task runs at two targets at once, where an agent dies after a start call that its target, which has no power, carries out later.

Cause: TickLostAgents started all tasks of an agent again that had been silent for longer than any lease. A lease bounds what runs, and no start that may yet be carried out.

Now an agent names in each message the jobs with a start that is not known to be carried out. A lost agent's task of such a job is left to its deadline, or until the agent or its next process is heard (log: task_in_doubt).

--- a/src/libgooseberry/agent/agent_control.cpp
+++ b/src/libgooseberry/agent/agent_control.cpp
@@ -174,6 +174,7 @@
   state.mReadsConfiguration =
     settings.mLeasedRuns && (asked.empty() || aReceiver != asked);
   state.mTimestamp = aNow;
+  state.mJobsInDoubt = JobsInDoubt(aControl);
   state.mOpen = aControl.mJoin.mPhase == join_phase::Open;
   state.mLeaving = aControl.mLeaving;
   state.mTargets.reserve(aControl.mTargets.size());
--- a/src/libgooseberry/agent/leased_runs.cpp
+++ b/src/libgooseberry/agent/leased_runs.cpp
@@ -267,6 +267,24 @@
   }
 }
 
+std::vector<std::string>
+JobsInDoubt(const agent_control& aControl)
+{
+  std::vector<std::string> jobs;
+  for (const auto& [name, target] : aControl.mTargets) {
+    if (!target.mLeased) {
+      continue;
+    }
+    for (const auto& [task, run] : target.mLeased->mRuns) {
+      // Runs are in the order of their jobs.
+      if (!run.mIsConfirmed && (jobs.empty() || jobs.back() != task.mJob)) {
+        jobs.push_back(task.mJob);
+      }
+    }
+  }
+  return jobs;
+}
+
 void
 StartLeased(agent_control& aControl,
             const core::task_start& aStart,
--- a/src/libgooseberry/agent/leased_runs.h
+++ b/src/libgooseberry/agent/leased_runs.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 /** Targets that run tasks under leases. Separate calls start, renew and stop
  * their runs, and the runs end by themselves when no agent renews them. */
@@ -69,6 +70,11 @@
                 core::instant aNow,
                 effects& aOut);
 
+/** Returns the jobs with a run that is not known to be at its target, each
+ * once. */
+std::vector<std::string>
+JobsInDoubt(const agent_control& aControl);
+
 /** Starts the run of an admitted and recorded task. */
 void
 StartLeased(agent_control& aControl,
--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -54,6 +54,9 @@
    * ones. */
   bool mReadsConfiguration = false;
   std::uint64_t mDigest = 0; ///< Of its configuration; 0: unknown.
+  /** Jobs with a start that its target has not answered: it may yet be carried
+   * out, also by the target's next process and without this agent. */
+  std::vector<std::string> mJobsInDoubt;
 };
 
 /** Text of an accepted configuration, with its generation. */
--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -2,6 +2,8 @@
 #include "libgooseberry/entry/entry_control.h"
 #include "libgooseberry/entry/internal.h"
 
+#include <utility>
+
 namespace gooseberry::entry {
 
 std::uint32_t
@@ -82,6 +84,7 @@
   }
   // A start without an answer may have been executed.
   task.mEverStarted = true;
+  task.mIsInDoubt = false;
   ReturnTask(aControl, aJob, aIndex);
   ++task.mTry;
   ++aControl.mCounters.mRetries;
@@ -284,6 +287,47 @@
   return MakeReply(aControl, aBatch.mState, aNow);
 }
 
+namespace {
+
+/**
+ * Returns whether the target of a task may yet carry its start out: its agent
+ * is lost, and its last message had no answer to a start of the job. A next
+ * process of the agent offers the target only when that is over.
+ */
+bool
+IsInDoubt(const entry_control& aControl,
+          const job::job& aJob,
+          std::uint32_t aIndex)
+{
+  const core::peer_ref& agent = aJob.mTasks[aIndex].mAgent;
+  const auto view = aControl.mMembers.mAgents.find(agent.mName);
+  return view != aControl.mMembers.mAgents.end() &&
+         view->second.mState.mAgent == agent &&
+         membership::NamesInDoubt(view->second, aJob.mSubmission.mKey);
+}
+
+/** Leaves a task in doubt to its deadline, or until its agent is heard. */
+void
+LeaveInDoubt(entry_control& aControl,
+             job::job& aJob,
+             std::uint32_t aIndex,
+             effects& aEffects)
+{
+  job::task& task = aJob.mTasks[aIndex];
+  if (std::exchange(task.mIsInDoubt, true)) {
+    return;
+  }
+  Log(aEffects,
+      "task_in_doubt",
+      { { "job", aJob.mSubmission.mKey },
+        { "task", std::to_string(aIndex) },
+        { "try", std::to_string(task.mTry) },
+        { "target", aControl.mTargets.mTargets[*task.mTarget].mName },
+        { "agent", ToString(task.mAgent) } });
+}
+
+} // namespace
+
 void
 OnAgentEnded(entry_control& aControl,
              const std::string& aAgent,
@@ -302,6 +346,10 @@
         found->mTasks[ref.mIndex].mAgent != aRun) {
       continue;
     }
+    if (aControl.mOptions.mLeasedRuns && IsInDoubt(aControl, *found, ref.mIndex)) {
+      LeaveInDoubt(aControl, *found, ref.mIndex, aEffects);
+      continue;
+    }
     if (aControl.mOptions.mLeasedRuns) {
       RestartTask(
         aControl, *found, ref.mIndex, retry_reason::AgentLost, aNow, aEffects);
--- a/src/libgooseberry/membership/members.cpp
+++ b/src/libgooseberry/membership/members.cpp
@@ -6,6 +6,13 @@
 
 namespace gooseberry::membership {
 
+bool
+NamesInDoubt(const agent_view& aAgent, const std::string& aJob)
+{
+  const auto& jobs = aAgent.mState.mJobsInDoubt;
+  return std::find(jobs.begin(), jobs.end(), aJob) != jobs.end();
+}
+
 std::vector<member_row>
 OtherRows(const members& aMembers, role aRole)
 {
--- a/src/libgooseberry/membership/members.h
+++ b/src/libgooseberry/membership/members.h
@@ -58,6 +58,11 @@
   std::optional<core::instant> mEntriesSentAt;
 };
 
+/** Returns whether the agent's last message named the job among those in
+ * doubt. */
+bool
+NamesInDoubt(const agent_view& aAgent, const std::string& aJob);
+
 /** What one process knows about the others. */
 struct members
 {
--- a/src/libgooseberryio/protocol/from_wire.cpp
+++ b/src/libgooseberryio/protocol/from_wire.cpp
@@ -113,7 +113,8 @@
            .mLeaving = aState.leaving,
            .mTargets = ListFromWire(aState.targets),
            .mReadsConfiguration = aState.readsConfiguration,
-           .mDigest = static_cast<std::uint64_t>(aState.configurationDigest) };
+           .mDigest = static_cast<std::uint64_t>(aState.configurationDigest),
+           .mJobsInDoubt = aState.jobsInDoubt };
 }
 
 core::versioned_configuration
--- a/src/libgooseberryio/protocol/gooseberry.thrift
+++ b/src/libgooseberryio/protocol/gooseberry.thrift
@@ -20,7 +20,8 @@
   1: PeerRef agent; 2: string address; 3: string failureDomain;
   4: string rack; 5: i64 generation; 6: i64 stamp; 7: bool open;
   8: bool leaving; 9: list<TargetLoad> targets;
-  10: bool readsConfiguration; 11: i64 configurationDigest
+  10: bool readsConfiguration; 11: i64 configurationDigest;
+  12: list<string> jobsInDoubt
 }
 struct VersionedConfiguration { 1: i64 generation; 2: string text }
 
--- a/src/libgooseberryio/protocol/to_wire.cpp
+++ b/src/libgooseberryio/protocol/to_wire.cpp
@@ -97,6 +97,7 @@
   state.targets = ListToWire(aState.mTargets);
   state.readsConfiguration = aState.mReadsConfiguration;
   state.configurationDigest = Bits(aState.mDigest);
+  state.jobsInDoubt = aState.mJobsInDoubt;
   return state;
 }
 
--- a/tests/libgooseberry/test_agent_leased.cpp
+++ b/tests/libgooseberry/test_agent_leased.cpp
@@ -140,6 +140,22 @@
   BOOST_TEST(Count<lease::stop_call>() == 0U);
 }
 
+// Double run: an agent was killed after its start call, and its entry did not
+// know that the call had no answer.
+BOOST_AUTO_TEST_CASE(an_agent_names_the_jobs_with_an_unanswered_start)
+{
+  const auto call = StartCallOf("a");
+  const auto jobsInDoubt = [this] {
+    return agent::StateOf(mControl, kFirstEntry, mNow).mJobsInDoubt;
+  };
+  BOOST_TEST(jobsInDoubt() == std::vector<std::string>{ "a" });
+  AnswerStart(call, lease::start_answer::NoAnswer);
+  BOOST_TEST(jobsInDoubt() == std::vector<std::string>{ "a" });
+  mNow += 1ms;
+  Report({ { { "a", 0 }, 1 } });
+  BOOST_TEST(jobsInDoubt().empty());
+}
+
 // Double run: a cancellation was lost while replies still arrived.
 BOOST_AUTO_TEST_CASE(cancellations_in_a_reply_stop_runs)
 {
--- a/tests/libgooseberry/test_entry_resubmission.cpp
+++ b/tests/libgooseberry/test_entry_resubmission.cpp
@@ -118,6 +118,42 @@
   BOOST_TEST((Answers().front().mOutcome == core::job_outcome::NotRun));
 }
 
+// Double run: a lost agent had sent a start that its target carried out later.
+BOOST_AUTO_TEST_CASE(an_unanswered_start_of_a_lost_agent_is_not_repeated)
+{
+  const auto start = Submit(1, "job");
+  mAgent.mJobsInDoubt = { "job" };
+  mAgent.mTimestamp = mNow;
+  entry::OnStartReply(mControl,
+                      start.mCall,
+                      { mAgent, { core::start_verdict::Accepted } },
+                      mNow,
+                      mEffects);
+  Advance(kAgentLost + 500ms);
+  BOOST_TEST(mControl.mCounters.mRetries == 0U);
+  mAgent.mAgent.mIncarnation = 2; // Its next process offers the target.
+  mAgent.mJobsInDoubt.clear();
+  ReportLoad();
+  BOOST_TEST(mControl.mCounters.mRetries == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_answered_start_of_a_lost_agent_is_repeated)
+{
+  const auto start = Submit(1, "job");
+  mAgent.mJobsInDoubt = { "job" };
+  mAgent.mTimestamp = mNow;
+  entry::OnStartReply(mControl,
+                      start.mCall,
+                      { mAgent, { core::start_verdict::Accepted } },
+                      mNow,
+                      mEffects);
+  mNow += 10ms;
+  mAgent.mJobsInDoubt.clear();
+  ReportLoad();
+  Advance(kAgentLost + 500ms);
+  BOOST_TEST(mControl.mCounters.mRetries > 0U);
+}
+
 // Double run: a cancellation was lost while replies still reached the agent.
 BOOST_AUTO_TEST_CASE(replies_name_a_cancelled_job_until_it_is_confirmed)
 {
--- a/tests/libgooseberry/test_leased_world.cpp
+++ b/tests/libgooseberry/test_leased_world.cpp
@@ -396,7 +396,7 @@
 
 /** Jobs come while three targets at a time start again and are cut off. */
 void
-RestartAndCutTargets(world& aWorld)
+RestartAndCutTargets(world& aWorld, bool aKillsAgents)
 {
   const auto end = aWorld.Now() + 20s;
   aWorld.SubmitUntil(end, 60ms);
@@ -404,6 +404,11 @@
     const std::size_t first = aWorld.Draw(0, 4);
     for (std::size_t i = first; i < first + 3; ++i) {
       aWorld.RestartAndCutTarget(i % 5, aWorld.Chance(0.2));
+      if (aKillsAgents && aWorld.Chance(0.5)) {
+        aWorld.At(aWorld.Now() + aWorld.Milliseconds(0, 2'000), [&aWorld, i] {
+          aWorld.KillAgent(i % 5, aWorld.Milliseconds(20, 2'500));
+        });
+      }
     }
     aWorld.RunFor(6s);
   }
@@ -416,7 +421,13 @@
 // started elsewhere when the lease by the last one's clock had lapsed.
 BOOST_AUTO_TEST_CASE(targets_start_again_and_are_cut_off_soon_after)
 {
-  ForSeeds([](world& aWorld) { RestartAndCutTargets(aWorld); });
+  ForSeeds([](world& aWorld) { RestartAndCutTargets(aWorld, false); });
+}
+
+// Guards against the same where the agent that sent the start is lost as well.
+BOOST_AUTO_TEST_CASE(targets_start_again_and_their_agents_are_killed)
+{
+  ForSeeds([](world& aWorld) { RestartAndCutTargets(aWorld, true); });
 }
 
 // An agent that is silent, or slow to report, for less than the entry contact
--- a/tests/libgooseberryio/test_convert.cpp
+++ b/tests/libgooseberryio/test_convert.cpp
@@ -38,6 +38,7 @@
                        .mQueued = 2,
                        .mConsecutiveFailures = 1,
                        .mLeaving = true } };
+  state.mJobsInDoubt = { "team/job", "team/other" };
   return state;
 }
 
