Entry: a job with a start in doubt is not started again

Callers would see: a job that is sent again after a broken connection starts at another entry, and the start of its first submission is carried out beside it. Found by reading, on the paths related to the unanswered starts; not seen with processes.

Cause: "nothing of the first submission runs after 1.3 s" holds for runs, whose leases end by then, and not for a start that no process of the target has answered yet.

Now an entry refuses a job (503, Retry-After) that an agent's last message names among those in doubt; "not run" is true of this submission.

Test: a_job_with_a_start_in_doubt_is_not_started_again failed before (no answer: the job was started).

--- a/src/libgooseberry/entry/submit.cpp
+++ b/src/libgooseberry/entry/submit.cpp
@@ -1,6 +1,7 @@
 #include "libgooseberry/core/decimal.h"
 #include "libgooseberry/entry/entry_control.h"
 #include "libgooseberry/entry/internal.h"
+#include "libgooseberry/lease/settings.h"
 
 namespace gooseberry::entry {
 
@@ -54,9 +55,11 @@
   aJob.mWaiters.push_back(aToken);
 }
 
-/** Returns why this entry refuses all new jobs now; empty if it does not. */
+/** Returns why this entry refuses the new job now; empty if it does not. */
 std::string
-ReasonToRefuse(const entry_control& aControl, core::instant aNow)
+ReasonToRefuse(const entry_control& aControl,
+               const std::string& aKey,
+               core::instant aNow)
 {
   if (aControl.mLeaving) {
     return "entry is leaving";
@@ -67,6 +70,10 @@
   if (!IsFresh(aControl, aNow)) {
     return "entry is out of touch with the store and all peers";
   }
+  if (membership::IsInDoubt(
+        aControl.mMembers, aKey, aNow, lease::kCallLifetime)) {
+    return "a start of an earlier submission may yet be carried out";
+  }
   return {};
 }
 
@@ -105,7 +112,7 @@
     return;
   }
   const bool first = IsTrustedFirst(aControl, aSubmission, aNow);
-  if (const std::string reason = ReasonToRefuse(aControl, aNow);
+  if (const std::string reason = ReasonToRefuse(aControl, aSubmission.mKey, aNow);
       !reason.empty()) {
     // Only a first attempt is known not to have run: an earlier one may have
     // run elsewhere.
--- a/src/libgooseberry/membership/members.cpp
+++ b/src/libgooseberry/membership/members.cpp
@@ -13,6 +13,19 @@
   return std::find(jobs.begin(), jobs.end(), aJob) != jobs.end();
 }
 
+bool
+IsInDoubt(const members& aMembers,
+          const std::string& aJob,
+          core::instant aNow,
+          core::duration aWithin)
+{
+  return std::any_of(
+    aMembers.mAgents.begin(), aMembers.mAgents.end(), [&](const auto& aAgent) {
+      return aNow - aAgent.second.mLastSeen <= aWithin &&
+             NamesInDoubt(aAgent.second, aJob);
+    });
+}
+
 std::vector<member_row>
 OtherRows(const members& aMembers, role aRole)
 {
--- a/src/libgooseberry/membership/members.h
+++ b/src/libgooseberry/membership/members.h
@@ -75,6 +75,14 @@
   std::map<core::peer_ref, core::instant> mUnseenSince;
 };
 
+/** Returns whether a start of the job may yet be carried out at some agent's
+ * target, as far as the agents' last messages of the last `aWithin` show. */
+bool
+IsInDoubt(const members& aMembers,
+          const std::string& aJob,
+          core::instant aNow,
+          core::duration aWithin);
+
 /** Returns the rows of a role, except that of the process itself. */
 std::vector<member_row>
 OtherRows(const members& aMembers, role aRole);
--- a/tests/libgooseberry/test_entry_resubmission.cpp
+++ b/tests/libgooseberry/test_entry_resubmission.cpp
@@ -1,4 +1,5 @@
 #include "entry_fixture.h"
+#include "libgooseberry/entry/status.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -154,6 +155,25 @@
   BOOST_TEST(mControl.mCounters.mRetries > 0U);
 }
 
+// Double run: a caller sent a job again while a start of its first submission
+// could yet be carried out.
+BOOST_AUTO_TEST_CASE(a_job_with_a_start_in_doubt_is_not_started_again)
+{
+  mAgent.mJobsInDoubt = { "job" };
+  ReportLoad();
+  mEffects.clear();
+  auto submission = entry::test::MakeSubmission("job", 500ms);
+  submission.mAttempt = job::kAttemptUnknown;
+  entry::OnSubmit(mControl, 1, std::move(submission), mNow, mEffects);
+  BOOST_REQUIRE_EQUAL(Answers().size(), 1U);
+  BOOST_TEST(Answers().front().mStatus == entry::kStatusUnavailable);
+  BOOST_TEST(Answers().front().mRetryAfter.has_value());
+  mNow += 10ms;
+  mAgent.mJobsInDoubt.clear();
+  ReportLoad();
+  Submit(2, "job");
+}
+
 // Double run: a cancellation was lost while replies still reached the agent.
 BOOST_AUTO_TEST_CASE(replies_name_a_cancelled_job_until_it_is_confirmed)
 {
