--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -346,7 +346,8 @@
         found->mTasks[ref.mIndex].mAgent != aRun) {
       continue;
     }
-    if (aControl.mOptions.mLeasedRuns && IsInDoubt(aControl, *found, ref.mIndex)) {
+    if (aControl.mOptions.mLeasedRuns &&
+        IsInDoubt(aControl, *found, ref.mIndex)) {
       LeaveInDoubt(aControl, *found, ref.mIndex, aEffects);
       continue;
     }
--- a/src/libgooseberry/entry/submit.cpp
+++ b/src/libgooseberry/entry/submit.cpp
@@ -58,7 +58,7 @@
 /** Returns why this entry refuses the new job now; empty if it does not. */
 std::string
 ReasonToRefuse(const entry_control& aControl,
-               const std::string& aKey,
+               const job::submission& aSubmission,
                core::instant aNow)
 {
   if (aControl.mLeaving) {
@@ -71,7 +71,7 @@
     return "entry is out of touch with the store and all peers";
   }
   if (membership::IsInDoubt(
-        aControl.mMembers, aKey, aNow, lease::kCallLifetime)) {
+        aControl.mMembers, aSubmission.mKey, aNow, lease::kCallLifetime)) {
     return "a start of an earlier submission may yet be carried out";
   }
   return {};
@@ -112,7 +112,7 @@
     return;
   }
   const bool first = IsTrustedFirst(aControl, aSubmission, aNow);
-  if (const std::string reason = ReasonToRefuse(aControl, aSubmission.mKey, aNow);
+  if (const std::string reason = ReasonToRefuse(aControl, aSubmission, aNow);
       !reason.empty()) {
     // Only a first attempt is known not to have run: an earlier one may have
     // run elsewhere.
--- a/src/libgooseberry/lease/settings.h
+++ b/src/libgooseberry/lease/settings.h
@@ -6,8 +6,8 @@
 
 using namespace std::chrono_literals;
 
-/** Longest time after which a call without an answer may be carried out, also by
- * a later process of the target. */
+/** Longest time after which a call without an answer may be carried out, also
+ * by a later process of the target. */
 inline constexpr core::duration kCallLifetime = 30s;
 
 /** Time limits of the leases under which a target runs tasks. */
--- a/tests/libgooseberry/leased_world_runs.cpp
+++ b/tests/libgooseberry/leased_world_runs.cpp
@@ -49,8 +49,7 @@
   agent_process& agent = mAgents[aIndex];
   // A few registrations arrive after later ones.
   const duration late = Chance(0.03) ? Milliseconds(0, 4'000) : Latency();
-  const instant sentAt =
-    IsCutOff(aIndex) ? mTargetCuts[aIndex].mUntil : mNow;
+  const instant sentAt = IsCutOff(aIndex) ? mTargetCuts[aIndex].mUntil : mNow;
   At(sentAt + late, [=, this, &agent, incarnation = agent.mIncarnation] {
     Arrive(agent, incarnation, [=, this, &agent] {
       WithAgent(agent, [&](agent::effects& aEffects) {
--- a/tests/libgooseberry/test_lease_lives.cpp
+++ b/tests/libgooseberry/test_lease_lives.cpp
@@ -358,7 +358,8 @@
   BOOST_TEST(Ends().empty());
 }
 
-BOOST_AUTO_TEST_CASE(a_start_without_an_answer_ends_once_it_cannot_be_carried_out)
+BOOST_AUTO_TEST_CASE(
+  a_start_without_an_answer_ends_once_it_cannot_be_carried_out)
 {
   Answer(Start(), lease::start_answer::NoAnswer);
   Pass(lease::kCallLifetime);
--- a/tests/platform/soak/test_harness.py
+++ b/tests/platform/soak/test_harness.py
@@ -96,6 +96,38 @@
         fields = {"zones": {"x": 1, "y": 1}, "a": [3]}
         self.assertEqual(render(text, fields), "x, y 3-")
 
+    def test_a_held_start_is_carried_out_by_the_next_life(self):
+        asyncio.run(self.hold_a_start())
+        self.assertEqual(self.checks.counts["starts"], 1)
+        self.assertEqual(self.rules(), [])
+
+    async def hold_a_start(self):
+        target = make_target("a", self.checks)
+        await target.start()
+        target.go_dark()
+        body = (f'{{"task":"{TASK}","run":1,"spec":"work",'
+                f'"fencingToken":9,"deadlineMs":60000}}')
+        held = asyncio.create_task(target._serve(
+            Request("POST", "/run-start", {}, {}, body.encode())))
+        await asyncio.sleep(0.02)
+        self.assertFalse(held.done())
+        await target.start()
+        self.assertEqual((await held).status, 200)
+        target.crash()
+
+    def test_runs_go_on_while_a_target_is_cut_off(self):
+        asyncio.run(self.cut_off_a_run())
+        self.assertEqual(self.rules(), ["TWICE:"])
+
+    async def cut_off_a_run(self):
+        target = make_target("a", self.checks)
+        await target.start()
+        start(target, time.monotonic())
+        target.cut_off(refuses=True)
+        self.assertTrue(target.is_up)
+        start(make_target("b", self.checks), time.monotonic())
+        target.crash()
+
 
 if __name__ == "__main__":
     unittest.main()
