Soak: late calls outlive a target's process; a share of all calls is late

Cause: the stand-in dropped a late call that fell due while its target was down, so no run of the soak met a late start, a restart and a killed agent together. The platform lets the next process carry such a call out.

--- a/tests/platform/soak/harness/soak.py
+++ b/tests/platform/soak/harness/soak.py
@@ -36,6 +36,7 @@
     series: int = 3
     recuts: int = 1  # Targets that are recut at a time.
     recut_kind: str = "any"
+    late_share: float = 0.0  # Of starts and stops, at all targets.
 
 
 class Soak:
@@ -79,6 +80,8 @@
                         lambda line: print(line, file=self._fault_log))
         callers = [caller.run(until)
                    for caller in self._callers(options.callers)]
+        for target in self.cluster.targets:
+            target.late_share = options.late_share
         kinds = RECUTS if options.recut_kind == "any" \
             else (options.recut_kind,)
         await asyncio.gather(
@@ -99,6 +102,7 @@
     async def _check_recovery(self):
         for target in self.cluster.targets:
             target.fault = None
+            target.late_share = 0.0
         await self.cluster.wait_ready(RECOVERY_SECONDS)
         until = time.monotonic() + RECOVERY_SECONDS
         left = await self._submit_at_each(Queue())
--- a/tests/platform/soak/harness/target.py
+++ b/tests/platform/soak/harness/target.py
@@ -13,6 +13,8 @@
 BEAT_SECONDS = 1.5
 DRAIN_SECONDS = 2.0
 LATE_SECONDS = (2.0, 12.0)
+#: Of calls that are late all the time, at any target.
+LATE_ALWAYS_SECONDS = (1.0, 4.0)
 MAX_LISTED_ENDS = 500
 FAILED_SHARE = 0.005
 
@@ -56,6 +58,10 @@
         #: Of the calls that come while it is silent, those carried out later;
         #: the others are reset.
         self.held_share = 1.0
+        #: Of all starts and stops, those left unanswered and executed late.
+        self.late_share = 0.0
+        #: Late calls that fell due while no process was up.
+        self._due = []
         self._beats = None
         self._state = "ready"
         self._clear()
@@ -81,6 +87,9 @@
         self._clear()
         self._state = "ready"
         self._is_alive = True
+        for request in self._due:
+            self._carry_out_late(request)
+        self._due.clear()
         await self.reconnect()
         self._beats = asyncio.create_task(self._beat_always())
 
@@ -217,6 +226,10 @@
             if fault.kind == "busy" and request.path != "/hold":
                 return http.Response(503)
             self._misbehave(fault, request)
+        if request.path != "/hold" and \
+                self._random.random() < self.late_share:
+            self._defer(request, LATE_ALWAYS_SECONDS)
+            raise http.NoAnswer
         return await self._carry_out(request, False)
 
     async def _serve_held(self, request):
@@ -230,19 +243,24 @@
         if fault.kind == "reset":
             raise http.Reset
         if fault.kind == "late":
-            asyncio.get_running_loop().call_later(
-                self._random.uniform(*LATE_SECONDS), self._carry_out_late,
-                request)
+            self._defer(request, LATE_SECONDS)
         elif fault.kind == "lost":
             self._carry_out_late(request)
         raise http.NoAnswer
 
+    def _defer(self, request, seconds):
+        asyncio.get_running_loop().call_later(
+            self._random.uniform(*seconds), self._carry_out_late, request)
+
     def _carry_out_late(self, request):
-        """Carries a call out unanswered, in whatever life there is now."""
+        """Carries a call out unanswered, in whatever life there is now. One
+        that falls due while none is up is carried out by the next."""
         if self.is_up:
             now = time.monotonic()
             self.settle(now)
             self._apply(request, now, True)
+        else:
+            self._due.append(request)
 
     async def _carry_out(self, request, is_late):
         now = time.monotonic()
--- a/tests/platform/soak/test_harness.py
+++ b/tests/platform/soak/test_harness.py
@@ -115,6 +115,23 @@
         self.assertEqual((await held).status, 200)
         target.crash()
 
+    def test_a_late_start_that_falls_due_while_down_is_carried_out(self):
+        asyncio.run(self.defer_a_start())
+        self.assertEqual(self.checks.counts["starts"], 1)
+
+    async def defer_a_start(self):
+        target = make_target("a", self.checks)
+        await target.start()
+        body = (f'{{"task":"{TASK}","run":1,"spec":"work",'
+                f'"fencingToken":9,"deadlineMs":60000}}')
+        target.crash()
+        target._defer(Request("POST", "/run-start", {}, {}, body.encode()),
+                      (0.0, 0.0))
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.checks.counts["starts"], 0)
+        await target.start()
+        target.crash()
+
     def test_runs_go_on_while_a_target_is_cut_off(self):
         asyncio.run(self.cut_off_a_run())
         self.assertEqual(self.rules(), ["TWICE:"])
