--- a/src/libgooseberry/entry/admit.cpp
+++ b/src/libgooseberry/entry/admit.cpp
@@ -1,6 +1,7 @@
 #include "libgooseberry/core/decimal.h"
 #include "libgooseberry/entry/entry_control.h"
 #include "libgooseberry/entry/internal.h"
+#include "libgooseberry/quota/headroom.h"
 
 #include <algorithm>
 #include <limits>
@@ -190,6 +191,20 @@
 
 } // namespace
 
+std::uint32_t
+HeadroomFor(const entry_control& aControl,
+            const job::job& aJob,
+            core::instant aNow)
+{
+  if (aControl.mOptions.mOrder.mPolicy != job::order_policy::Objective) {
+    return 0;
+  }
+  return quota::HeadroomSlots(
+    { quota::HigherPriorityLoad(
+        aControl.mOfferedLoad, aJob.mSubmission.mPriority, aNow),
+      SlotShare(aControl, aJob.mSubmission.mService, aNow) });
+}
+
 std::optional<core::job_answer>
 Reject(entry_control& aControl,
        const job::submission& aSubmission,
--- a/src/libgooseberry/entry/dispatch.cpp
+++ b/src/libgooseberry/entry/dispatch.cpp
@@ -148,6 +148,7 @@
 {
   std::optional<target::target_index> last;
   std::uint32_t consecutive = 0;
+  const std::uint32_t headroom = HeadroomFor(aControl, aJob, aNow);
   while (!aJob.mWaiting.empty() &&
          !IsTeamFull(aControl, aJob.mSubmission.mTeam)) {
     const std::uint32_t index = aJob.mWaiting.back();
@@ -158,6 +159,7 @@
     request.mDeclared = aJob.mSubmission.mTasks[index].mDeclared;
     request.mIdempotent = aJob.mSubmission.mIdempotent;
     request.mNeeds = aJob.mSubmission.mTasks[index].mNeeds;
+    request.mHeadroom = headroom;
     request.mAvoid = task.mAvoid.empty() ? nullptr : &task.mAvoid;
     request.mPreferredTarget =
       consecutive < kMaxConsecutive ? last : std::nullopt;
--- a/src/libgooseberry/entry/internal.h
+++ b/src/libgooseberry/entry/internal.h
@@ -105,6 +105,12 @@
        core::instant aNow,
        effects& aEffects);
 
+/** Returns the slots that a task of the job must leave free at its target. */
+std::uint32_t
+HeadroomFor(const entry_control& aControl,
+            const job::job& aJob,
+            core::instant aNow);
+
 /** Calls BecomeHome for a job without any start, or refuses the job if the
  * current load or the configuration requires it. */
 void
--- /dev/null
+++ b/src/libgooseberry/quota/headroom.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstdint>
+
+/**
+ * Load pattern: for some seconds, targets are full of long tasks of low
+ * urgency. Each slot that becomes free is taken by another of them, and the
+ * tasks of urgent short jobs wait until they are late.
+ */
+namespace gooseberry::quota {
+
+/** Input of one decision about headroom, as known to this entry. */
+struct headroom_request
+{
+  double mHigherPriorityLoad = 0; ///< Slots kept busy by more urgent arrivals.
+  std::uint32_t mSlots = 0;       ///< Slots that this entry can count on.
+};
+
+/**
+ * Returns how many slots a task must leave free at its target for more urgent
+ * arrivals. Zero where few or no more urgent jobs arrive.
+ */
+std::uint32_t
+HeadroomSlots(const headroom_request& aRequest);
+
+} // namespace gooseberry::quota
--- a/src/libgooseberry/target/placement.cpp
+++ b/src/libgooseberry/target/placement.cpp
@@ -76,6 +76,24 @@
                      });
 }
 
+/** Returns whether as many more tasks like this one fit as the request asks to
+ * leave room for. */
+bool
+LeavesHeadroom(const target_view& aTarget, const placement_request& aRequest)
+{
+  if (aRequest.mHeadroom == 0) {
+    return true;
+  }
+  if (aTarget.mLoad.mCapacity == core::resources{}) {
+    return aTarget.mFree > aRequest.mHeadroom;
+  }
+  core::resources needs = aRequest.mNeeds;
+  for (std::uint32_t i = 0; i < aRequest.mHeadroom; ++i) {
+    needs += aRequest.mNeeds;
+  }
+  return core::Fits(needs, FreeResources(aTarget));
+}
+
 /** Returns whether the target may be chosen now. Removes it from the sets if
  * its last report is stale. */
 bool
@@ -88,6 +106,7 @@
   }
   return HasCapacityFor(aSearch.mTable.mTargets[aTarget],
                         aSearch.mRequest.mNeeds) &&
+         LeavesHeadroom(aSearch.mTable.mTargets[aTarget], aSearch.mRequest) &&
          (!aSearch.mAvoids || !IsAvoided(aSearch.mRequest, aTarget));
 }
 
--- a/src/libgooseberry/target/placement.h
+++ b/src/libgooseberry/target/placement.h
@@ -48,6 +48,8 @@
   core::duration mDeclared{};
   bool mIdempotent = false;
   core::resources mNeeds;
+  /** Slots that the task must leave free at its target. */
+  std::uint32_t mHeadroom = 0;
   /** Targets where earlier tries of the task failed; avoided if possible. */
   const std::vector<target_index>* mAvoid = nullptr;
   /** Target of another task of the job in the same message, if any. */
