Lease: a start without an answer is sent again to the same target

Change: each start call without an answer stays open for its lifetime. A run with an open call is neither returned nor lost: its start is sent again to the same target under the same run number. Jobs of stopped runs with an open call stay named as in doubt.

--- a/src/libgooseberry/agent/leased_runs.cpp
+++ b/src/libgooseberry/agent/leased_runs.cpp
@@ -277,7 +277,13 @@
     }
     for (const auto& [task, run] : target.mLeased->mRuns) {
       // Runs are in the order of their jobs.
-      if (!run.mIsConfirmed && (jobs.empty() || jobs.back() != task.mJob)) {
+      if (!lease::IsKnownToBeThere(run) &&
+          (jobs.empty() || jobs.back() != task.mJob)) {
+        jobs.push_back(task.mJob);
+      }
+    }
+    for (const auto& [task, until] : target.mLeased->mLateStarts) {
+      if (jobs.empty() || jobs.back() != task.mJob) {
         jobs.push_back(task.mJob);
       }
     }
--- a/src/libgooseberry/lease/internal.h
+++ b/src/libgooseberry/lease/internal.h
@@ -29,7 +29,8 @@
        core::instant aNow,
        effects& aOut);
 
-/** Ends a run that never started and never will. */
+/** Ends a run that will not start; it counts as lost if it has started at an
+ * earlier process of the target. */
 void
 ReturnRun(leased_target& aTarget,
           const core::task_ref& aTask,
@@ -38,6 +39,20 @@
           core::instant aNow,
           effects& aOut);
 
+/** Returns since when no process of the target can carry out the call any more,
+ * nor still have what it has carried out. */
+core::instant
+CallExpiry(const leased_target& aTarget, const open_call& aCall);
+
+/** Returns the pause after a send of the run's start; it doubles with each. */
+core::duration
+PauseBeforeResend(const lease_settings& aSettings, const run& aRun);
+
+/** Keeps a run of which a start call may yet be carried out at its target; its
+ * start is sent again after a pause. */
+void
+KeepForResend(const leased_target& aTarget, run& aRun, core::instant aNow);
+
 using run_predicate = std::function<bool(const run& aRun)>;
 
 /** Ends the runs that the predicate selects, as lost. */
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -23,7 +23,9 @@
   aRun.mSentAt = aNow;
   aRun.mAnsweredAt.reset();
   aRun.mCall = ++aTarget.mLastCall;
-  aRun.mCalledIncarnation = aTarget.mTargetIncarnation;
+  ++aRun.mCallsMade;
+  aRun.mOpenCalls.push_back({ aRun.mCall, aNow });
+  aRun.mNextResend = aNow + PauseBeforeResend(aTarget.mSettings, aRun);
   aRun.mCallSentBy.reset();
   aRun.mIsConfirmed = false;
   aRun.mValidUntil =
@@ -66,8 +68,13 @@
              core::instant aNow)
 {
   aRun.mState = run_state::Running;
+  aRun.mHasStarted = true;
   aRun.mAnsweredAt = aNow;
-  aRun.mIsConfirmed |= aClock && IsOfKnownProcess(aTarget, *aClock, aNow);
+  if (aClock && IsOfKnownProcess(aTarget, *aClock, aNow)) {
+    aRun.mIsConfirmed = true;
+  } else {
+    aRun.mMayBeAtNextProcess = true;
+  }
 }
 
 /** Starts a superseded run again under a higher number. Returns false if it was
@@ -96,17 +103,70 @@
 }
 
 /**
- * Returns whether no process of the target can carry out the run's start call
- * any more, nor still have what it has carried out.
+ * Sends a start without an answer again, under the same run number. The target
+ * starts the run once at most, however many of the calls reach it.
+ *
+ * Load pattern: a target leaves a few starts unanswered while it answers other
+ * calls. A job ends with its last task, so each such start would delay a job by
+ * the whole deadline of the call.
  */
+void
+Resend(leased_target& aTarget, run& aRun, core::instant aNow, effects& aOut)
+{
+  aOut.emplace_back(call(withdraw_call{ aTarget.mName, aRun.mCall }));
+  ++aRun.mResends;
+  SendStart(aTarget, aRun, aNow, aOut);
+}
+
+/** Returns whether the run's entry is known to have required it so lately that
+ * another start call may be sent. */
+bool
+IsStillRequired(const leased_target& aTarget,
+                const run& aRun,
+                core::instant aNow)
+{
+  const lease_settings& settings = aTarget.mSettings;
+  return !aRun.mStopRequested && aNow + settings.mStartValidity <=
+                                   aRun.mConfirmedAt + settings.mRunHold;
+}
+
 bool
-IsCallOver(const leased_target& aTarget, const run& aRun, core::instant aNow)
+IsResendDue(const leased_target& aTarget, const run& aRun, core::instant aNow)
 {
-  return aNow - aRun.mSentAt > kCallLifetime + aTarget.mSettings.mLongestLease;
+  return aRun.mState != run_state::Running && aRun.mNextResend <= aNow &&
+         !aRun.mIsOverAtProcess && !aTarget.mIsRefusing && aTarget.mClock &&
+         IsStillRequired(aTarget, aRun, aNow);
+}
+
+/** Removes the calls that no process of the target can carry out any more, nor
+ * still have what it has carried out. */
+void
+DropExpiredCalls(leased_target& aTarget, core::instant aNow)
+{
+  for (auto& [task, run] : aTarget.mRuns) {
+    std::erase_if(run.mOpenCalls, [&](const open_call& aCall) {
+      return CallExpiry(aTarget, aCall) < aNow;
+    });
+  }
+  std::erase_if(aTarget.mLateStarts,
+                [&](const auto& aLate) { return aLate.second < aNow; });
+}
+
+void
+RemoveOpenCall(run& aRun, std::uint64_t aCall)
+{
+  std::erase_if(aRun.mOpenCalls,
+                [aCall](const open_call& aOpen) { return aOpen.mId == aCall; });
 }
 
 } // namespace
 
+bool
+HasOpenCalls(const run& aRun)
+{
+  return !aRun.mOpenCalls.empty();
+}
+
 bool
 IsReady(const leased_target& aTarget, core::instant aNow)
 {
@@ -182,6 +242,7 @@
   }
   run& stopped = found->second;
   stopped.mStopRequested = true;
+  stopped.mStopAnsweredAt.reset();
   // If the stop overtakes the start, the target rejects the run.
   stopped.mNextStop = aNow + aTarget.mSettings.mStopRetry;
   SendStop(aTarget, aTask, stopped.mRun, aOut);
@@ -200,19 +261,37 @@
     OutrankToken(aTarget, *aClock, aNow);
   }
   run* const found = FindRun(aTarget, aCall.mTask, aCall.mRun);
-  if (found == nullptr || found->mCall != aCall.mId) {
+  if (found == nullptr) {
+    return;
+  }
+  if (aAnswer != start_answer::NoAnswer) {
+    RemoveOpenCall(*found, aCall.mId);
+  }
+  const bool isAccepted = aAnswer == start_answer::Accepted;
+  const bool isAcceptedBefore = found->mState == run_state::Running;
+  if (!isAccepted && (found->mCall != aCall.mId || isAcceptedBefore)) {
     return;
   }
   found->mCallSentBy = found->mCallSentBy.value_or(aNow);
   const std::string detail(kStartAnswerNames.NameOf(aAnswer));
   const auto returnRun = [&](start_verdict aVerdict) {
-    ReturnRun(aTarget, aCall.mTask, aVerdict, detail, aNow, aOut);
+    if (HasOpenCalls(*found)) {
+      KeepForResend(aTarget, *found, aNow);
+    } else {
+      ReturnRun(aTarget, aCall.mTask, aVerdict, detail, aNow, aOut);
+    }
   };
   switch (aAnswer) {
     case start_answer::Accepted:
       MarkAccepted(aTarget, *found, isCurrent ? aClock : std::nullopt, aNow);
       break;
     case start_answer::Superseded:
+      if (HasOpenCalls(*found)) {
+        // An earlier call was carried out, and reports list how it ended.
+        KeepForResend(aTarget, *found, aNow);
+        found->mIsOverAtProcess = isCurrent;
+        break;
+      }
       if (!isCurrent || !StartRenumbered(aTarget, *found, aNow, aOut)) {
         return returnRun(start_verdict::Cancelled);
       }
@@ -220,7 +299,6 @@
     case start_answer::NoAnswer:
       if (found->mState == run_state::Starting) {
         found->mState = run_state::InDoubt;
-        found->mNextStop = aNow;
       }
       break;
     case start_answer::Invalid:
@@ -297,9 +375,7 @@
     RaiseToken(aTarget, target_time::zero(), aNow);
   } else if (aFailure == renewal_failure::OtherTarget) {
     // Another process has the address, so that one and its runs are gone.
-    EndRuns(aTarget, "target is gone", aNow, aOut, [](const run& aRun) {
-      return aRun.mIsConfirmed;
-    });
+    EndRuns(aTarget, "target is gone", aNow, aOut, IsKnownToBeThere);
     // Any incarnation may register next, even a lower one; a report requested
     // before may be late and of the one that is gone.
     aTarget.mTargetIncarnation = 0;
@@ -317,22 +393,24 @@
     return;
   }
   if (!aTarget.mRuns.empty() && HasExpired(aTarget, aNow)) {
-    EndRuns(aTarget, "lease lapsed", aNow, aOut, [](const run& aRun) {
-      return aRun.mIsConfirmed;
-    });
+    EndRuns(aTarget, "lease lapsed", aNow, aOut, IsKnownToBeThere);
   }
+  DropExpiredCalls(aTarget, aNow);
   EndRuns(aTarget, "call expired", aNow, aOut, [&](const run& aRun) {
-    return !aRun.mIsConfirmed && IsCallOver(aTarget, aRun, aNow);
+    return !aRun.mIsConfirmed && !HasOpenCalls(aRun) &&
+           CallExpiry(aTarget, { aRun.mCall, aRun.mSentAt }) < aNow;
   });
   if (aTarget.mRuns.empty()) {
     AdoptPendingRegistration(aTarget, aNow, aOut);
   }
   for (auto& [task, run] : aTarget.mRuns) {
-    const bool isDue = run.mStopRequested || run.mState == run_state::InDoubt;
-    if (isDue && !run.mStopAnsweredAt && run.mNextStop <= aNow) {
+    if (run.mStopRequested && !run.mStopAnsweredAt && run.mNextStop <= aNow) {
       run.mNextStop = aNow + aTarget.mSettings.mStopRetry;
       SendStop(aTarget, task, run.mRun, aOut);
     }
+    if (IsResendDue(aTarget, run, aNow)) {
+      Resend(aTarget, run, aNow, aOut);
+    }
   }
   if (IsRenewalOverdue(aTarget, aNow) ||
       (!aTarget.mRenewing && aTarget.mNextRenewal <= aNow)) {
--- a/src/libgooseberry/lease/leased_target.h
+++ b/src/libgooseberry/lease/leased_target.h
@@ -16,20 +16,28 @@
 /**
  * Runs of tasks at one target, which ends them when their lease expires. A
  * start may be carried out late or without an answer, also by the target's next
- * process. A run has ended only when the target lists its end, when the target
- * does not list it and will reject it from now on, or when its lease has
- * certainly expired. The last holds only for a run that is known to be at the
- * target: a start that may yet be carried out gets a lease when it is.
+ * process, whatever an earlier one has answered. So a start without an answer
+ * is sent again to the same target under the same run number, which has no
+ * effect where the run is there or has ended, and its task is started nowhere
+ * else. Any other run has ended when the target lists its end, when the target
+ * does not list it, or when its lease has certainly expired.
  */
 namespace gooseberry::lease {
 
 enum class run_state : std::uint8_t
 {
-  Starting, ///< The start call is in flight.
+  Starting, ///< A start call is in flight.
   InDoubt,  ///< No answer; the run may have started or may yet start.
   Running,
 };
 
+/** A start call that has had no answer. */
+struct open_call
+{
+  std::uint64_t mId = 0;
+  core::instant mSentAt{};
+};
+
 /** One run that this agent requested and that is not known to have ended. */
 struct run
 {
@@ -39,14 +47,26 @@
   std::string mPayload;
   run_state mState = run_state::Starting;
   std::uint64_t mCall = 0; ///< Id of the latest start call.
-  /** Incarnation of the target for which the latest start call was made. */
-  std::uint64_t mCalledIncarnation = 0;
+  /**
+   * Start calls without an answer. Each may be carried out until its lifetime
+   * is over, by whatever process the target then has, so the task is started
+   * nowhere else until then.
+   */
+  std::vector<open_call> mOpenCalls;
+  std::uint32_t mCallsMade = 0;
+  bool mHasStarted = false;   ///< At any process of the target.
+  std::uint32_t mResends = 0; ///< Since the target last listed the run.
+  core::instant mNextResend{};
+  /** The target's process will not start it again: it has ended there. */
+  bool mIsOverAtProcess = false;
   /** Since when that call is known to be sent or to have ended. Before, it may
    * reach the process that listens when it is sent. */
   std::optional<core::instant> mCallSentBy;
   /** The run is known to be at the current incarnation. Any other run may have
    * been started by the next one, which a start call may have reached. */
   bool mIsConfirmed = false;
+  /** A process that no report has shown yet has accepted one of the calls. */
+  bool mMayBeAtNextProcess = false;
   /** Latest time at which its entry is known to have required the run. */
   core::instant mConfirmedAt{};
   core::instant mSentAt{};
@@ -120,6 +140,9 @@
   target_time mLeaseUntil{}; ///< Latest end of a lease that may be granted.
   std::uint64_t mLastEnd = 0;
   std::map<core::task_ref, run> mRuns;
+  /** Tasks of ended runs of which a start call may yet be carried out, and
+   * until when. */
+  std::map<core::task_ref, core::instant> mLateStarts;
   std::uint64_t mLastCall = 0; ///< Id of the latest start call.
   /** The last report listed no runs that this agent did not start. */
   bool mNoForeignRuns = false;
@@ -131,6 +154,15 @@
   bool mIsRefusing = false; ///< A connection was refused since the last report.
 };
 
+/** Returns whether a start call of the run may yet be carried out. */
+bool
+HasOpenCalls(const run& aRun);
+
+/** Returns whether the run is known to be at the target's present process, and
+ * no start call of it may reach the next one. */
+bool
+IsKnownToBeThere(const run& aRun);
+
 /** Returns whether runs may be started at the target now. */
 bool
 IsReady(const leased_target& aTarget, core::instant aNow);
--- a/src/libgooseberry/lease/report.cpp
+++ b/src/libgooseberry/lease/report.cpp
@@ -12,6 +12,25 @@
 using core::start_verdict;
 using core::task_end;
 
+/** Closes the call of a listed run that only one start call was made for: it
+ * has been carried out. Of several, it is not known which one was. */
+void
+CloseOnlyCall(run& aRun)
+{
+  if (aRun.mCallsMade == 1) {
+    aRun.mOpenCalls.clear();
+  }
+}
+
+/** Returns whether a run that ended without a result is to stay at the target,
+ * as the next process may still carry out a start call of it. */
+bool
+MayRunAgain(const run& aRun, task_end aEnd)
+{
+  return !aRun.mStopRequested && HasOpenCalls(aRun) &&
+         aEnd != task_end::Succeeded && aEnd != task_end::Failed;
+}
+
 void
 ApplyEnds(leased_target& aTarget,
           const std::vector<listed_end>& aEnds,
@@ -23,7 +42,15 @@
       continue;
     }
     aTarget.mLastEnd = end.mNumber;
-    if (FindRun(aTarget, end.mTask, end.mRun) != nullptr) {
+    run* const ended = FindRun(aTarget, end.mTask, end.mRun);
+    if (ended == nullptr) {
+      continue;
+    }
+    CloseOnlyCall(*ended);
+    if (MayRunAgain(*ended, end.mEnd)) {
+      KeepForResend(aTarget, *ended, aNow);
+      ended->mIsOverAtProcess = true;
+    } else {
       EndRun(aTarget,
              end.mTask,
              end.mEnd,
@@ -53,6 +80,9 @@
       continue;
     }
     known->mIsConfirmed = true;
+    known->mHasStarted = true;
+    known->mResends = 0;
+    CloseOnlyCall(*known);
     if (known->mState != run_state::Running) {
       known->mState = run_state::Running;
       known->mAnsweredAt = aNow;
@@ -71,7 +101,8 @@
 
 /**
  * Ends runs that a report does not list, if the target must have known them
- * when the report was requested.
+ * when the report was requested. Runs that are not to be stopped stay while one
+ * of their start calls may yet be carried out.
  */
 void
 SettleUnlisted(leased_target& aTarget,
@@ -82,15 +113,19 @@
 {
   std::vector<core::task_ref> gone;
   std::vector<core::task_ref> neverStarted;
-  for (const auto& [task, run] : aTarget.mRuns) {
+  for (auto& [task, run] : aTarget.mRuns) {
     if (IsListed(aReport.mRunning, run)) {
       continue;
     }
     if (run.mState == run_state::Running && run.mAnsweredAt &&
         *run.mAnsweredAt <= aAskedAt) {
-      gone.push_back(task);
-    } else if (run.mState == run_state::InDoubt && run.mCallSentBy &&
-               *run.mCallSentBy <= aAskedAt &&
+      if (HasOpenCalls(run) && !run.mStopRequested) {
+        KeepForResend(aTarget, run, aNow);
+      } else {
+        gone.push_back(task);
+      }
+    } else if (run.mState == run_state::InDoubt && run.mStopRequested &&
+               run.mCallSentBy && *run.mCallSentBy <= aAskedAt &&
                ((run.mStopAnsweredAt && *run.mStopAnsweredAt <= aAskedAt) ||
                 aReport.mClock >= run.mValidUntil + Margin(aTarget))) {
       neverStarted.push_back(task);
@@ -106,44 +141,36 @@
            aOut);
   }
   for (const auto& task : neverStarted) {
-    if (aTarget.mRuns.at(task).mCalledIncarnation !=
-        aTarget.mTargetIncarnation) {
-      // The last incarnation may have started it.
+    // With a call open, the next process may yet start it: not "not run".
+    if (HasOpenCalls(aTarget.mRuns.at(task))) {
       EndRun(aTarget,
              task,
              task_end::Lost,
              start_verdict::Accepted,
-             "target restarted",
+             "stopped without an answer",
              aNow,
              aOut);
-      continue;
+    } else {
+      ReturnRun(aTarget,
+                task,
+                start_verdict::Stale,
+                "start was not carried out",
+                aNow,
+                aOut);
     }
-    ReturnRun(aTarget,
-              task,
-              start_verdict::Stale,
-              "start was not carried out",
-              aNow,
-              aOut);
   }
 }
 
-/**
- * Takes back the starts that the report should list if the target had carried
- * them out. They may be carried out late, so they count as not started only
- * once their stop is answered.
- *
- * Load pattern: a target leaves a few starts unanswered while it answers other
- * calls. A job ends with its last task, so each such start would delay a job by
- * the whole deadline of the call.
- */
+/** Withdraws starts without an answer of runs that are to be stopped, if their
+ * calls have not been sent yet. */
 void
-TakeBackOverdue(leased_target& aTarget,
+WithdrawStopped(leased_target& aTarget,
                 core::instant aAskedAt,
                 core::instant aNow,
                 effects& aOut)
 {
   for (auto& [task, run] : aTarget.mRuns) {
-    if (run.mState == run_state::Starting &&
+    if (run.mStopRequested && run.mState == run_state::Starting &&
         aAskedAt - run.mSentAt >= aTarget.mSettings.mStartOverdue) {
       run.mState = run_state::InDoubt;
       run.mNextStop = aNow + aTarget.mSettings.mStopRetry;
@@ -230,7 +257,7 @@
   ApplyEnds(aTarget, aReport.mEnded, aNow, aOut);
   ApplyRunning(aTarget, aReport.mRunning, aAskedAt, aNow, aOut);
   SettleUnlisted(aTarget, aReport, aAskedAt, aNow, aOut);
-  TakeBackOverdue(aTarget, aAskedAt, aNow, aOut);
+  WithdrawStopped(aTarget, aAskedAt, aNow, aOut);
 }
 
 } // namespace gooseberry::lease
--- a/src/libgooseberry/lease/run_end.cpp
+++ b/src/libgooseberry/lease/run_end.cpp
@@ -1,4 +1,5 @@
 #include "libgooseberry/lease/internal.h"
+#include "libgooseberry/lease/settings.h"
 
 #include <algorithm>
 #include <utility>
@@ -38,6 +39,10 @@
   const auto found = aTarget.mRuns.find(aTask);
   const run ended = std::move(found->second);
   aTarget.mRuns.erase(found);
+  if (HasOpenCalls(ended) && aEnd != core::task_end::Succeeded) {
+    aTarget.mLateStarts[ended.mTask] =
+      CallExpiry(aTarget, ended.mOpenCalls.back());
+  }
   aOut.emplace_back(run_end{ ended.mTask,
                              ended.mTry,
                              aEnd,
@@ -46,6 +51,35 @@
                              std::move(aDetail) });
 }
 
+core::instant
+CallExpiry(const leased_target& aTarget, const open_call& aCall)
+{
+  return aCall.mSentAt + kCallLifetime + aTarget.mSettings.mLongestLease;
+}
+
+bool
+IsKnownToBeThere(const run& aRun)
+{
+  return aRun.mIsConfirmed && !aRun.mMayBeAtNextProcess && !HasOpenCalls(aRun);
+}
+
+core::duration
+PauseBeforeResend(const lease_settings& aSettings, const run& aRun)
+{
+  constexpr std::uint32_t kMaxDoublings = 8;
+  const auto doublings = std::min(aRun.mResends, kMaxDoublings);
+  return std::min(aSettings.mStartOverdue * (std::int64_t(1) << doublings),
+                  aSettings.mMaxResendPause);
+}
+
+void
+KeepForResend(const leased_target& aTarget, run& aRun, core::instant aNow)
+{
+  aRun.mState = run_state::InDoubt;
+  aRun.mIsConfirmed = false;
+  aRun.mNextResend = aNow + PauseBeforeResend(aTarget.mSettings, aRun);
+}
+
 void
 ReturnRun(leased_target& aTarget,
           const core::task_ref& aTask,
@@ -54,10 +88,11 @@
           core::instant aNow,
           effects& aOut)
 {
+  const bool hasStarted = aTarget.mRuns.at(aTask).mHasStarted;
   EndRun(aTarget,
          aTask,
-         core::task_end::Returned,
-         aVerdict,
+         hasStarted ? core::task_end::Lost : core::task_end::Returned,
+         hasStarted ? core::start_verdict::Accepted : aVerdict,
          std::move(aDetail),
          aNow,
          aOut);
@@ -114,20 +149,20 @@
 namespace {
 
 /**
- * Takes runs that are not known to be at the last incarnation along to the new
- * one, which a start call may have reached. Its reports tell what became of
- * them.
+ * Takes runs along to the new incarnation of which a start call may reach it.
+ * Their starts are sent again there, as they may be started nowhere else.
  */
 void
 CarryOverRuns(leased_target& aTarget, core::instant aNow, effects& aOut)
 {
-  EndRuns(aTarget, "target restarted", aNow, aOut, [](const run& aRun) {
-    return aRun.mIsConfirmed;
-  });
+  EndRuns(aTarget, "target restarted", aNow, aOut, IsKnownToBeThere);
   for (auto& [task, run] : aTarget.mRuns) {
-    if (run.mState == run_state::Running) {
-      run.mState = run_state::InDoubt;
-    }
+    run.mState = run_state::InDoubt;
+    run.mIsConfirmed = false;
+    run.mMayBeAtNextProcess = false;
+    run.mIsOverAtProcess = false;
+    run.mResends = 0;
+    run.mNextResend = aNow;
     run.mStopAnsweredAt.reset();
     run.mNextStop = aNow;
   }
--- a/src/libgooseberry/lease/settings.h
+++ b/src/libgooseberry/lease/settings.h
@@ -31,11 +31,10 @@
   core::duration mRenewRetry = 50ms;
   /** The target rejects a start that reaches it later than this. */
   core::duration mStartValidity = 400ms;
-  /**
-   * A start that the target has had for this time, and neither answered nor
-   * listed as running, is taken back.
-   */
+  /** A start without an answer for this time is sent again. */
   core::duration mStartOverdue = 40ms;
+  /** Longest pause between two sends of a start; it doubles with each. */
+  core::duration mMaxResendPause = 320ms;
   /** Deadline of a call; a renewal adds its wait. */
   core::duration mCallDeadline = 250ms;
   /** Pause between two stop calls for the same run. */
