--- a/src/libgooseberry/entry/admit.cpp
+++ b/src/libgooseberry/entry/admit.cpp
@@ -24,11 +24,10 @@
   return tasks;
 }
 
-/**
- * Returns this entry's share of the service's slots. It is in proportion to its
- * share of all entries' tasks, as callers are spread unevenly, but at least
- * half of an equal share.
- */
+} // namespace
+
+/** In proportion to the entry's share of all entries' tasks, as callers are
+ * spread unevenly, but at least half of an equal share. */
 std::uint32_t
 SlotShare(const entry_control& aControl,
           const std::string& aService,
@@ -48,6 +47,8 @@
   return std::max({ 1U, slots / entries / 2, byDemand });
 }
 
+namespace {
+
 /** Returns the expected work of the service's waiting tasks whose priority
  * value is at most `aUpTo`. */
 core::duration
--- a/src/libgooseberry/entry/counters.h
+++ b/src/libgooseberry/entry/counters.h
@@ -26,6 +26,7 @@
   std::uint64_t mFences = 0;
   std::uint64_t mCancels = 0;
   std::uint64_t mDelivers = 0;
+  std::uint64_t mShed = 0; ///< Waiting jobs refused before their time was up.
   std::array<std::uint64_t, 10> mRefusals{}; ///< By start_verdict.
   std::array<std::uint64_t, 3> mOutcomes{};  ///< By job_outcome.
 };
--- a/src/libgooseberry/entry/entry_control.cpp
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -236,6 +236,7 @@
   TickInquiries(aControl, aNow, aEffects);
   TickDeadlines(aControl, aNow, aEffects);
   TickLateRefusals(aControl, aNow, aEffects);
+  ShedWaiting(aControl, aNow, aEffects);
   TickApplies(aControl, aNow, aEffects);
   TickTrafficState(aControl, aNow, aEffects);
   job::Expire(aControl.mLedger, aNow);
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -142,6 +142,7 @@
   std::map<core::peer_ref, std::vector<core::locate_request>> mLocateOutbox;
   std::map<std::string, std::vector<core::job_answer>> mDeliverOutbox;
   std::set<core::peer_ref> mEndedRuns; ///< Ended incarnations of agents.
+  core::instant mNextShed{}; ///< Next check for jobs that cannot be in time.
   /** Time of the last check for tasks to place. */
   core::instant mLastDispatch{};
   /** Start of dispatching after a stall of the process: callers that
--- a/src/libgooseberry/entry/internal.h
+++ b/src/libgooseberry/entry/internal.h
@@ -49,7 +49,19 @@
           const core::error& aError,
           std::uint32_t aStatus,
           core::instant aNow,
-          effects& aEffects);
+          effects& aEffects,
+          std::optional<core::duration> aRetryAfter = std::nullopt);
+
+/** Refuses waiting jobs that cannot end in useful time any more. */
+void
+ShedWaiting(entry_control& aControl, core::instant aNow, effects& aEffects);
+
+/** Returns this entry's share of the service's slots, by its share of all
+ * entries' tasks. */
+std::uint32_t
+SlotShare(const entry_control& aControl,
+          const std::string& aService,
+          core::instant aNow);
 
 /** Answers that the outcome is in doubt, and removes the job. Only a ballot
  * promise is kept, so that a later attempt can ask again. */
--- a/src/libgooseberry/entry/job_end.cpp
+++ b/src/libgooseberry/entry/job_end.cpp
@@ -142,11 +142,13 @@
           const core::error& aError,
           std::uint32_t aStatus,
           core::instant aNow,
-          effects& aEffects)
+          effects& aEffects,
+          std::optional<core::duration> aRetryAfter)
 {
   const std::string key = aJob.mSubmission.mKey;
-  const core::job_answer answer =
+  core::job_answer answer =
     ErrorAnswer(key, core::job_outcome::NotRun, aError, aStatus);
+  answer.mRetryAfter = aRetryAfter;
   StopJob(aControl, aJob, aNow);
   ++aControl.mCounters
       .mOutcomes[static_cast<std::size_t>(core::job_outcome::NotRun)];
