--- a/src/entry/load_line.cpp
+++ b/src/entry/load_line.cpp
@@ -45,6 +45,7 @@
     .Add("finishes", now.mFinishBatches - before.mFinishBatches)
     .Add("announces", now.mAnnounces - before.mAnnounces)
     .Add("heartbeats", now.mHeartbeats - before.mHeartbeats)
+    .Add("shed", now.mShed - before.mShed)
     .Add("open_jobs", aControl.mOpenJobs)
     .Add("share_percent", quota::SharePercent(aControl.mQueueDelay));
   aMeter = { aNow, {}, {}, 0, 0, now };
