Lease: start calls without an answer in a file of their own

Change: open calls and their pauses are in lease/open_calls.cpp; ApplyRefusal handles the answers that are not an acceptance. An answer to a call does not reset that the run has ended at the target's process. Result: the tests of the lease pass as before.

--- a/src/libgooseberry/lease/internal.h
+++ b/src/libgooseberry/lease/internal.h
@@ -53,6 +53,19 @@
 void
 KeepForResend(const leased_target& aTarget, run& aRun, core::instant aNow);
 
+/** Returns whether the start of a run without an answer is to be sent again. */
+bool
+IsResendDue(const leased_target& aTarget, const run& aRun, core::instant aNow);
+
+/** Records that a start call has been answered or was not sent. */
+void
+RemoveOpenCall(run& aRun, std::uint64_t aCall);
+
+/** Removes the calls that no process of the target can carry out any more, nor
+ * still have what it has carried out. */
+void
+DropExpiredCalls(leased_target& aTarget, core::instant aNow);
+
 using run_predicate = std::function<bool(const run& aRun)>;
 
 /** Ends the runs that the predicate selects, as lost. */
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -118,55 +118,55 @@
   SendStart(aTarget, aRun, aNow, aOut);
 }
 
-/** Returns whether the run's entry is known to have required it so lately that
- * another start call may be sent. */
-bool
-IsStillRequired(const leased_target& aTarget,
-                const run& aRun,
-                core::instant aNow)
+/** Returns the verdict on a run whose start call was refused. */
+start_verdict
+VerdictOf(start_answer aRefusal)
 {
-  const lease_settings& settings = aTarget.mSettings;
-  return !aRun.mStopRequested && aNow + settings.mStartValidity <=
-                                   aRun.mConfirmedAt + settings.mRunHold;
-}
-
-bool
-IsResendDue(const leased_target& aTarget, const run& aRun, core::instant aNow)
-{
-  return aRun.mState != run_state::Running && aRun.mNextResend <= aNow &&
-         !aRun.mIsOverAtProcess && !aTarget.mIsRefusing && aTarget.mClock &&
-         IsStillRequired(aTarget, aRun, aNow);
-}
-
-/** Removes the calls that no process of the target can carry out any more, nor
- * still have what it has carried out. */
-void
-DropExpiredCalls(leased_target& aTarget, core::instant aNow)
-{
-  for (auto& [task, run] : aTarget.mRuns) {
-    std::erase_if(run.mOpenCalls, [&](const open_call& aCall) {
-      return CallExpiry(aTarget, aCall) < aNow;
-    });
+  switch (aRefusal) {
+    case start_answer::NoRoom:
+      return start_verdict::Busy;
+    case start_answer::Fenced:
+    case start_answer::Late:
+    case start_answer::Withdrawn:
+      return start_verdict::Stale;
+    case start_answer::Superseded:
+      return start_verdict::Cancelled;
+    default:
+      return start_verdict::NoTarget;
   }
-  std::erase_if(aTarget.mLateStarts,
-                [&](const auto& aLate) { return aLate.second < aNow; });
 }
 
+/** Handles that the latest start call of a run was not accepted; `aIsCurrent`
+ * says that it was made for the current incarnation. */
 void
-RemoveOpenCall(run& aRun, std::uint64_t aCall)
+ApplyRefusal(leased_target& aTarget,
+             run& aRun,
+             start_answer aAnswer,
+             bool aIsCurrent,
+             core::instant aNow,
+             effects& aOut)
 {
-  std::erase_if(aRun.mOpenCalls,
-                [aCall](const open_call& aOpen) { return aOpen.mId == aCall; });
+  const core::task_ref task = aRun.mTask;
+  const std::string detail(kStartAnswerNames.NameOf(aAnswer));
+  if (aAnswer == start_answer::NoAnswer) {
+    aRun.mState = run_state::InDoubt;
+  } else if (aAnswer == start_answer::Invalid) {
+    const auto verdict = start_verdict::Accepted;
+    EndRun(aTarget, task, task_end::Failed, verdict, detail, aNow, aOut);
+  } else if (HasOpenCalls(aRun)) {
+    KeepForResend(aTarget, aRun, aNow);
+    if (aAnswer == start_answer::Superseded) {
+      // An earlier call was carried out; reports list how it ended.
+      aRun.mIsOverAtProcess |= aIsCurrent;
+    }
+  } else if (aAnswer != start_answer::Superseded || !aIsCurrent ||
+             !StartRenumbered(aTarget, aRun, aNow, aOut)) {
+    ReturnRun(aTarget, task, VerdictOf(aAnswer), detail, aNow, aOut);
+  }
 }
 
 } // namespace
 
-bool
-HasOpenCalls(const run& aRun)
-{
-  return !aRun.mOpenCalls.empty();
-}
-
 bool
 IsReady(const leased_target& aTarget, core::instant aNow)
 {
@@ -267,59 +267,12 @@
   if (aAnswer != start_answer::NoAnswer) {
     RemoveOpenCall(*found, aCall.mId);
   }
-  const bool isAccepted = aAnswer == start_answer::Accepted;
-  const bool isAcceptedBefore = found->mState == run_state::Running;
-  if (!isAccepted && (found->mCall != aCall.mId || isAcceptedBefore)) {
-    return;
-  }
-  found->mCallSentBy = found->mCallSentBy.value_or(aNow);
-  const std::string detail(kStartAnswerNames.NameOf(aAnswer));
-  const auto returnRun = [&](start_verdict aVerdict) {
-    if (HasOpenCalls(*found)) {
-      KeepForResend(aTarget, *found, aNow);
-    } else {
-      ReturnRun(aTarget, aCall.mTask, aVerdict, detail, aNow, aOut);
-    }
-  };
-  switch (aAnswer) {
-    case start_answer::Accepted:
-      MarkAccepted(aTarget, *found, isCurrent ? aClock : std::nullopt, aNow);
-      break;
-    case start_answer::Superseded:
-      if (HasOpenCalls(*found)) {
-        // An earlier call was carried out, and reports list how it ended.
-        KeepForResend(aTarget, *found, aNow);
-        found->mIsOverAtProcess = isCurrent;
-        break;
-      }
-      if (!isCurrent || !StartRenumbered(aTarget, *found, aNow, aOut)) {
-        return returnRun(start_verdict::Cancelled);
-      }
-      break;
-    case start_answer::NoAnswer:
-      if (found->mState == run_state::Starting) {
-        found->mState = run_state::InDoubt;
-      }
-      break;
-    case start_answer::Invalid:
-      EndRun(aTarget,
-             aCall.mTask,
-             task_end::Failed,
-             start_verdict::Accepted,
-             detail,
-             aNow,
-             aOut);
-      break;
-    case start_answer::NoRoom:
-      return returnRun(start_verdict::Busy);
-    case start_answer::Fenced:
-    case start_answer::Late:
-    case start_answer::Withdrawn:
-      return returnRun(start_verdict::Stale);
-    case start_answer::Unhealthy:
-    case start_answer::OtherTarget:
-    case start_answer::NotSent:
-      return returnRun(start_verdict::NoTarget);
+  if (aAnswer == start_answer::Accepted) {
+    found->mCallSentBy = found->mCallSentBy.value_or(aNow);
+    MarkAccepted(aTarget, *found, isCurrent ? aClock : std::nullopt, aNow);
+  } else if (found->mCall == aCall.mId && found->mState != run_state::Running) {
+    found->mCallSentBy = found->mCallSentBy.value_or(aNow);
+    ApplyRefusal(aTarget, *found, aAnswer, isCurrent, aNow, aOut);
   }
 }
 
--- a/src/libgooseberry/lease/run_end.cpp
+++ b/src/libgooseberry/lease/run_end.cpp
@@ -1,5 +1,4 @@
 #include "libgooseberry/lease/internal.h"
-#include "libgooseberry/lease/settings.h"
 
 #include <algorithm>
 #include <utility>
@@ -51,35 +50,6 @@
                              std::move(aDetail) });
 }
 
-core::instant
-CallExpiry(const leased_target& aTarget, const open_call& aCall)
-{
-  return aCall.mSentAt + kCallLifetime + aTarget.mSettings.mLongestLease;
-}
-
-bool
-IsKnownToBeThere(const run& aRun)
-{
-  return aRun.mIsConfirmed && !aRun.mMayBeAtNextProcess && !HasOpenCalls(aRun);
-}
-
-core::duration
-PauseBeforeResend(const lease_settings& aSettings, const run& aRun)
-{
-  constexpr std::uint32_t kMaxDoublings = 8;
-  const auto doublings = std::min(aRun.mResends, kMaxDoublings);
-  return std::min(aSettings.mStartOverdue * (std::int64_t(1) << doublings),
-                  aSettings.mMaxResendPause);
-}
-
-void
-KeepForResend(const leased_target& aTarget, run& aRun, core::instant aNow)
-{
-  aRun.mState = run_state::InDoubt;
-  aRun.mIsConfirmed = false;
-  aRun.mNextResend = aNow + PauseBeforeResend(aTarget.mSettings, aRun);
-}
-
 void
 ReturnRun(leased_target& aTarget,
           const core::task_ref& aTask,
