Lease: a stopped run with an open call ends as unknown

Cause: a run that its agent stopped as its entry was silent ended as lost while a start call of it was open. The entry, heard again before the job's deadline, placed the task elsewhere, and the target's next process could carry the call out beside it. Change: such a run ends as unknown. Under leases, an entry ends its job at once with 504.

--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -225,12 +225,14 @@
                   aEffects);
       break;
     case core::task_end::Unknown:
+      // Under leases, the target may yet carry the start out. The job has not
+      // failed by its own fault, and its caller is told at once.
       FailJob(aControl,
               *found,
               { "run task " + std::to_string(aResult.mTask.mIndex),
                 aResult.mTarget,
                 "outcome unknown: " + aResult.mPayload },
-              kStatusFailed,
+              aControl.mOptions.mLeasedRuns ? kStatusDeadline : kStatusFailed,
               aNow,
               aEffects);
       break;
--- a/src/libgooseberry/lease/internal.h
+++ b/src/libgooseberry/lease/internal.h
@@ -19,7 +19,8 @@
          std::uint32_t aRun,
          effects& aOut);
 
-/** Removes a run and reports how it ended. */
+/** Removes a run and reports how it ended. A run without a result of which a
+ * start call may yet be carried out ends as unknown. */
 void
 EndRun(leased_target& aTarget,
        const core::task_ref& aTask,
--- a/src/libgooseberry/lease/report.cpp
+++ b/src/libgooseberry/lease/report.cpp
@@ -141,23 +141,12 @@
            aOut);
   }
   for (const auto& task : neverStarted) {
-    // With a call open, the next process may yet start it: not "not run".
-    if (HasOpenCalls(aTarget.mRuns.at(task))) {
-      EndRun(aTarget,
-             task,
-             task_end::Lost,
-             start_verdict::Accepted,
-             "stopped without an answer",
-             aNow,
-             aOut);
-    } else {
-      ReturnRun(aTarget,
-                task,
-                start_verdict::Stale,
-                "start was not carried out",
-                aNow,
-                aOut);
-    }
+    ReturnRun(aTarget,
+              task,
+              start_verdict::Stale,
+              "start was not carried out",
+              aNow,
+              aOut);
   }
 }
 
--- a/src/libgooseberry/lease/run_end.cpp
+++ b/src/libgooseberry/lease/run_end.cpp
@@ -41,6 +41,8 @@
   if (HasOpenCalls(ended) && aEnd != core::task_end::Succeeded) {
     aTarget.mLateStarts[ended.mTask] =
       CallExpiry(aTarget, ended.mOpenCalls.back());
+    // The task may yet be started here, so its entry must not place it again.
+    aEnd = aEnd == core::task_end::Failed ? aEnd : core::task_end::Unknown;
   }
   aOut.emplace_back(run_end{ ended.mTask,
                              ended.mTry,
--- a/tests/libgooseberry/test_entry_resubmission.cpp
+++ b/tests/libgooseberry/test_entry_resubmission.cpp
@@ -319,6 +319,18 @@
   BOOST_TEST(mControl.mCounters.mRetries == retries + 1);
 }
 
+// Double run: an agent stopped a run while its entry was silent, with a start
+// call that the target's next process could carry out.
+BOOST_AUTO_TEST_CASE(a_run_that_may_yet_start_is_not_placed_again)
+{
+  const auto start = StartOf(Submit(1, "job"));
+  const auto retries = mControl.mCounters.mRetries;
+  Finish(start.mBallot, start.mPlacement, core::task_end::Unknown);
+  BOOST_TEST(mControl.mCounters.mRetries == retries);
+  BOOST_REQUIRE_EQUAL(Answers().size(), 1U);
+  BOOST_TEST(Answers().front().mStatus == entry::kStatusDeadline);
+}
+
 // Placements of a restarted entry are numbered from the beginning.
 BOOST_AUTO_TEST_CASE(a_result_for_another_process_of_the_entry_is_ignored)
 {
