Lease: a run that ended at its target ends with its last open call

Cause: a run that its target listed as lost, or had superseded, stayed until its deadline after its last open call had been answered. Such a run did not count as started either, so that a refusal could end it as "not run". Change: it ends as lost once no call is open, unless a later process has accepted it. It counts as started. Result: a_run_that_ended_there_ends_with_its_last_open_call and a_run_accepted_after_its_end_is_not_over pass.

--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -89,6 +89,7 @@
     return false;
   }
   aRun.mRun += aRun.mRenumberings;
+  aRun.mIsOverAtProcess = false;
   SendStart(aTarget, aRun, aNow, aOut);
   return true;
 }
@@ -157,6 +158,7 @@
     KeepForResend(aTarget, aRun, aNow);
     if (aAnswer == start_answer::Superseded) {
       // An earlier call was carried out; reports list how it ended.
+      aRun.mHasStarted = true;
       aRun.mIsOverAtProcess |= aIsCurrent;
     }
   } else if (aAnswer != start_answer::Superseded || !aIsCurrent ||
@@ -349,6 +351,10 @@
     EndRuns(aTarget, "lease lapsed", aNow, aOut, IsKnownToBeThere);
   }
   DropExpiredCalls(aTarget, aNow);
+  EndRuns(aTarget, "ended at its target", aNow, aOut, [](const run& aRun) {
+    return aRun.mIsOverAtProcess && !HasOpenCalls(aRun) &&
+           aRun.mState != run_state::Running;
+  });
   EndRuns(aTarget, "call expired", aNow, aOut, [&](const run& aRun) {
     return !aRun.mIsConfirmed && !HasOpenCalls(aRun) &&
            CallExpiry(aTarget, { aRun.mCall, aRun.mSentAt }) < aNow;
--- a/src/libgooseberry/lease/report.cpp
+++ b/src/libgooseberry/lease/report.cpp
@@ -47,6 +47,7 @@
       continue;
     }
     CloseOnlyCall(*ended);
+    ended->mHasStarted = true;
     if (MayRunAgain(*ended, end.mEnd)) {
       KeepForResend(aTarget, *ended, aNow);
       ended->mIsOverAtProcess = true;
--- a/tests/libgooseberry/test_lease.cpp
+++ b/tests/libgooseberry/test_lease.cpp
@@ -248,6 +248,40 @@
   BOOST_TEST((mNow - sentAt < mTarget.mSettings.mCallDeadline / 4));
 }
 
+// A run that had ended without a result at its target, and whose calls were all
+// answered afterwards, held its task until its deadline.
+BOOST_AUTO_TEST_CASE(a_run_that_ended_there_ends_with_its_last_open_call)
+{
+  const auto first = Start();
+  Pass(mTarget.mSettings.mStartOverdue);
+  const auto second = Last<lease::start_call>();
+  Report({}, { { 1, kTask, 1, core::task_end::Lost, "lapsed" } });
+  BOOST_TEST(Ends().empty());
+  Answer(second, lease::start_answer::Superseded);
+  Pass(1ms);
+  BOOST_TEST(Ends().empty());
+  Answer(first, lease::start_answer::Superseded);
+  Pass(1ms);
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  // It has run: not "not run".
+  BOOST_TEST((Ends().front().mEnd == core::task_end::Lost));
+}
+
+// Double run: a run that had ended at its target's process was carried out by
+// the next one, which answered before it had reported.
+BOOST_AUTO_TEST_CASE(a_run_accepted_after_its_end_is_not_over)
+{
+  const auto first = Start();
+  Pass(mTarget.mSettings.mStartOverdue);
+  const auto second = Last<lease::start_call>();
+  Report({}, { { 1, kTask, 1, core::task_end::Lost, "lapsed" } });
+  Answer(second, lease::start_answer::Superseded);
+  lease::OnStartAnswer(
+    mTarget, first, lease::start_answer::Accepted, 1ms, mNow, mEffects);
+  Pass(1ms);
+  BOOST_TEST(Ends().empty());
+}
+
 // A target that hangs had each of its starts sent again without end.
 BOOST_AUTO_TEST_CASE(the_pause_between_two_sends_grows)
 {
