Lease: a run listed by its process ends with its lease

Cause: a run accepted by a process that the agent did not know yet stayed marked as possibly at the next process, also when a report asked for later listed it. When its target fell silent for good, nothing ended it, and its task waited for the caller's deadline. Change: a report asked for after the acceptance that lists the run clears the mark; a run that still has it ends when its call has expired. Result: a_run_listed_by_its_process_ends_with_its_lease passes.

--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -356,7 +356,7 @@
            aRun.mState != run_state::Running;
   });
   EndRuns(aTarget, "call expired", aNow, aOut, [&](const run& aRun) {
-    return !aRun.mIsConfirmed && !HasOpenCalls(aRun) &&
+    return !IsKnownToBeThere(aRun) && !HasOpenCalls(aRun) &&
            CallExpiry(aTarget, { aRun.mCall, aRun.mSentAt }) < aNow;
   });
   if (aTarget.mRuns.empty()) {
--- a/src/libgooseberry/lease/report.cpp
+++ b/src/libgooseberry/lease/report.cpp
@@ -87,6 +87,8 @@
     if (known->mState != run_state::Running) {
       known->mState = run_state::Running;
       known->mAnsweredAt = aNow;
+    } else if (known->mAnsweredAt && *known->mAnsweredAt <= aAskedAt) {
+      known->mMayBeAtNextProcess = false;
     }
   }
 }
--- a/tests/libgooseberry/test_lease_lives.cpp
+++ b/tests/libgooseberry/test_lease_lives.cpp
@@ -250,6 +250,23 @@
   BOOST_TEST(Last<lease::start_call>().mHeader.mTargetIncarnation == 8U);
 }
 
+// A run accepted by a process not known then was held after that process had
+// listed it and fallen silent for good: its lease ended nothing.
+BOOST_AUTO_TEST_CASE(a_run_listed_by_its_process_ends_with_its_lease)
+{
+  const auto start = Start();
+  mNow += 1ms;
+  ReportRestart(10ms);
+  ReportRestart(10ms);
+  Answer(start, lease::start_answer::Accepted);
+  mNow += 1ms;
+  ReportRestart(12ms, { { kTask, 1 } });
+  BOOST_TEST(lease::IsKnownToBeThere(mTarget.mRuns.at(kTask)));
+  Pass(2s);
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  BOOST_TEST((Ends().front().mEnd == core::task_end::Lost));
+}
+
 BOOST_AUTO_TEST_CASE(a_start_that_an_incarnation_took_over_runs_on_there)
 {
   const auto start = Start();
