Lease: a late start of an earlier run closes no call of the next

Cause: a task that had been stopped with a start call open was started again at the same target under the same run number. A report that listed the earlier call's run counted as the answer to the later call, which could still be carried out by the target's next process. Change: calls of earlier runs that may yet be carried out count as calls of the run, so that a listed run closes none of them. Result: a_late_start_of_an_earlier_run_closes_no_call passes.

--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -221,6 +221,8 @@
   added.mTry = aStart.mTry;
   added.mRun = aStart.mTry;
   added.mPayload = aStart.mPayload;
+  // A call of an earlier run of the task may be carried out as this one.
+  added.mCallsMade = aTarget.mLateStarts.contains(aStart.mTask) ? 1 : 0;
   SendStart(aTarget, added, aNow, aOut);
 }
 
--- a/tests/libgooseberry/test_lease.cpp
+++ b/tests/libgooseberry/test_lease.cpp
@@ -282,6 +282,20 @@
   BOOST_TEST(Ends().empty());
 }
 
+// Double run: a call of the task's last run at the target was carried out, and
+// closed the call of its next one.
+BOOST_AUTO_TEST_CASE(a_late_start_of_an_earlier_run_closes_no_call)
+{
+  Answer(Start(), lease::start_answer::NoAnswer);
+  lease::StopRun(mTarget, kTask, mNow, mEffects);
+  lease::OnStopAnswer(mTarget, Last<lease::stop_call>(), mNow);
+  Report({});
+  BOOST_REQUIRE(mTarget.mRuns.empty());
+  Start();
+  Report({ { kTask, 1 } });
+  BOOST_TEST(lease::HasOpenCalls(mTarget.mRuns.at(kTask)));
+}
+
 // A target that hangs had each of its starts sent again without end.
 BOOST_AUTO_TEST_CASE(the_pause_between_two_sends_grows)
 {
