Agent: late starts of a forgotten target stay named

Cause: with a target that had not registered for its lease, the agent forgot which stopped starts could yet be carried out there, and no longer named their jobs as in doubt. A job with runs at two targets was named twice. Change: they are kept for as long as their calls live; each job is named once. Result: an_agent_names_the_late_starts_of_a_forgotten_target passes.

--- a/src/libgooseberry/agent/agent_control.h
+++ b/src/libgooseberry/agent/agent_control.h
@@ -79,6 +79,9 @@
   std::uint64_t mLastForgottenCall = 0;
   /** Highest token of calls to such a target, which may yet be carried out. */
   std::uint64_t mLastForgottenToken = 0;
+  /** Tasks of ended runs there of which a start call may yet be carried out,
+   * and until when. */
+  std::map<core::task_ref, core::instant> mLateStarts;
   /** The target at which each queued task waits. */
   std::unordered_map<core::task_ref, std::string> mQueuedAt;
   delivery mDelivery;
--- a/src/libgooseberry/agent/leased_runs.cpp
+++ b/src/libgooseberry/agent/leased_runs.cpp
@@ -4,6 +4,7 @@
 #include "libgooseberry/agent/upkeep.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace gooseberry::agent {
@@ -270,25 +271,24 @@
 std::vector<std::string>
 JobsInDoubt(const agent_control& aControl)
 {
-  std::vector<std::string> jobs;
+  std::set<std::string> jobs;
   for (const auto& [name, target] : aControl.mTargets) {
     if (!target.mLeased) {
       continue;
     }
     for (const auto& [task, run] : target.mLeased->mRuns) {
-      // Runs are in the order of their jobs.
-      if (!lease::IsKnownToBeThere(run) &&
-          (jobs.empty() || jobs.back() != task.mJob)) {
-        jobs.push_back(task.mJob);
+      if (!lease::IsKnownToBeThere(run)) {
+        jobs.insert(task.mJob);
       }
     }
     for (const auto& [task, until] : target.mLeased->mLateStarts) {
-      if (jobs.empty() || jobs.back() != task.mJob) {
-        jobs.push_back(task.mJob);
-      }
+      jobs.insert(task.mJob);
     }
   }
-  return jobs;
+  for (const auto& [task, until] : aControl.mLateStarts) {
+    jobs.insert(task.mJob);
+  }
+  return { jobs.begin(), jobs.end() };
 }
 
 void
@@ -363,6 +363,8 @@
   const auto isOrphan = [&](const lease::run& aRun) {
     return aNow - aRun.mConfirmedAt > aControl.mSettings.mEntryContactTimeout;
   };
+  std::erase_if(aControl.mLateStarts,
+                [&](const auto& aLate) { return aLate.second < aNow; });
   for (auto& [name, target] : aControl.mTargets) {
     if (!target.mLeased) {
       continue;
--- a/src/libgooseberry/agent/upkeep.cpp
+++ b/src/libgooseberry/agent/upkeep.cpp
@@ -64,6 +64,10 @@
       std::max(aControl.mLastForgottenCall, aTarget.mLeased->mLastCall);
     aControl.mLastForgottenToken =
       std::max(aControl.mLastForgottenToken, aTarget.mLeased->mFencingToken);
+    for (const auto& [task, until] : aTarget.mLeased->mLateStarts) {
+      auto& known = aControl.mLateStarts[task];
+      known = std::max(known, until);
+    }
   }
 }
 
--- a/tests/libgooseberry/test_agent_leased.cpp
+++ b/tests/libgooseberry/test_agent_leased.cpp
@@ -156,6 +156,28 @@
   BOOST_TEST(jobsInDoubt().empty());
 }
 
+// Double run: the agent forgot with a target which stopped starts could yet be
+// carried out there.
+BOOST_AUTO_TEST_CASE(an_agent_names_the_late_starts_of_a_forgotten_target)
+{
+  Start("a", 1, kFirstEntry);
+  auto& target = mControl.mTargets.at("t-1");
+  target.mLeased->mLateStarts[{ "a", 1 }] = mNow + 9s;
+  target.mLeased->mLateStarts[{ "b", 0 }] = mNow + 9s;
+  const auto jobsInDoubt = [this] {
+    return agent::StateOf(mControl, kFirstEntry, mNow).mJobsInDoubt;
+  };
+  BOOST_TEST(jobsInDoubt() == std::vector<std::string>({ "a", "b" }));
+  target.mRunning = 0;
+  target.mLeaseEnd = mNow;
+  agent::Tick(mControl, mNow, mEffects);
+  BOOST_REQUIRE(!mControl.mTargets.contains("t-1"));
+  BOOST_TEST(jobsInDoubt() == std::vector<std::string>({ "a", "b" }));
+  mNow += 10s;
+  agent::Tick(mControl, mNow, mEffects);
+  BOOST_TEST(jobsInDoubt().empty());
+}
+
 // Double run: a cancellation was lost while replies still arrived.
 BOOST_AUTO_TEST_CASE(cancellations_in_a_reply_stop_runs)
 {
