Entry: jobs in doubt of a replaced agent stay in doubt

Cause: once an agent's successor offered its target, the entry forgot which jobs the process before had named as in doubt, and started their tasks elsewhere. The successor's token binds the target's present process only: the next one could carry a call of the ended agent out before it was called. Change: the names are kept for kCallLifetime from the agent's last message, 4,096 at most, the oldest dropped first (log jobs_in_doubt_kept). Their tasks are left to the deadline (504), a resubmission is refused (503).

--- a/src/libgooseberry/entry/finish.cpp
+++ b/src/libgooseberry/entry/finish.cpp
@@ -1,6 +1,7 @@
 #include "libgooseberry/core/decimal.h"
 #include "libgooseberry/entry/entry_control.h"
 #include "libgooseberry/entry/internal.h"
+#include "libgooseberry/lease/settings.h"
 
 #include <utility>
 
@@ -292,20 +293,22 @@
 namespace {
 
 /**
- * Returns whether the target of a task may yet carry its start out: its agent
- * is lost, and its last message had no answer to a start of the job. A next
- * process of the agent offers the target only when that is over.
+ * Returns whether the target of a task may yet carry its start out: its agent's
+ * process is lost or replaced, and its last message had no answer to a start of
+ * the job. The call may reach the next process of the target before the agent's
+ * successor has called that one.
  */
 bool
 IsInDoubt(const entry_control& aControl,
           const job::job& aJob,
-          std::uint32_t aIndex)
+          std::uint32_t aIndex,
+          core::instant aNow)
 {
-  const core::peer_ref& agent = aJob.mTasks[aIndex].mAgent;
-  const auto view = aControl.mMembers.mAgents.find(agent.mName);
-  return view != aControl.mMembers.mAgents.end() &&
-         view->second.mState.mAgent == agent &&
-         membership::NamesInDoubt(view->second, aJob.mSubmission.mKey);
+  return membership::NamesInDoubt(aControl.mMembers,
+                                  aJob.mTasks[aIndex].mAgent,
+                                  aJob.mSubmission.mKey,
+                                  aNow,
+                                  lease::kCallLifetime);
 }
 
 /** Leaves a task in doubt to its deadline, or until its agent is heard. */
@@ -349,7 +352,7 @@
       continue;
     }
     if (aControl.mOptions.mLeasedRuns &&
-        IsInDoubt(aControl, *found, ref.mIndex)) {
+        IsInDoubt(aControl, *found, ref.mIndex, aNow)) {
       LeaveInDoubt(aControl, *found, ref.mIndex, aEffects);
       continue;
     }
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -1,5 +1,6 @@
 #include "libgooseberry/entry/entry_control.h"
 #include "libgooseberry/entry/internal.h"
+#include "libgooseberry/lease/settings.h"
 #include "libgooseberry/quota/team_share.h"
 
 #include <algorithm>
@@ -234,6 +235,30 @@
          aNow - aView.mLastSeen <= aControl.mOptions.mAgentLost;
 }
 
+/**
+ * Keeps the jobs that a replaced process of an agent named as in doubt.
+ *
+ * Load pattern: agents and targets are restarted while targets leave starts
+ * unanswered; a target's next process carries out a start of the agent's
+ * process before.
+ */
+void
+KeepJobsInDoubt(entry_control& aControl,
+                const membership::agent_view& aEnded,
+                core::instant aNow,
+                effects& aEffects)
+{
+  const std::size_t dropped = membership::KeepJobsInDoubt(
+    aControl.mMembers, aEnded, aNow, lease::kCallLifetime);
+  if (!aEnded.mState.mJobsInDoubt.empty()) {
+    Log(aEffects,
+        "jobs_in_doubt_kept",
+        { { "agent", ToString(aEnded.mState.mAgent) },
+          { "jobs", std::to_string(aEnded.mState.mJobsInDoubt.size()) },
+          { "dropped", std::to_string(dropped) } });
+  }
+}
+
 } // namespace
 
 void
@@ -257,7 +282,9 @@
     Log(aEffects,
         "agent_replaced",
         { { "ended", ToString(ended) }, { "agent", ToString(aState.mAgent) } });
-    if (!aControl.mOptions.mLeasedRuns) {
+    if (aControl.mOptions.mLeasedRuns) {
+      KeepJobsInDoubt(aControl, view, aNow, aEffects);
+    } else {
       OnAgentEnded(aControl, ended.mName, ended, aNow, aEffects);
     }
   } else if (known && aState.mTimestamp < view.mState.mTimestamp) {
--- a/src/libgooseberry/job/job.h
+++ b/src/libgooseberry/job/job.h
@@ -35,7 +35,8 @@
   /** A send of the current placement got no answer. */
   bool mMaybeDelivered = false;
   bool mEverStarted = false; ///< Was started, or may have been.
-  /** Its agent is lost, and the target may yet carry its last start out. */
+  /** Its agent is lost or replaced, and the target may yet carry its last start
+   * out. */
   bool mIsInDoubt = false;
   core::duration mExpected{};
   std::vector<target::target_index> mAvoid; ///< Targets where it has failed.
--- a/src/libgooseberry/membership/members.cpp
+++ b/src/libgooseberry/membership/members.cpp
@@ -6,11 +6,68 @@
 
 namespace gooseberry::membership {
 
+namespace {
+
+bool
+Contains(const std::vector<std::string>& aJobs, const std::string& aJob)
+{
+  return std::find(aJobs.begin(), aJobs.end(), aJob) != aJobs.end();
+}
+
+} // namespace
+
+std::size_t
+KeepJobsInDoubt(members& aMembers,
+                const agent_view& aEnded,
+                core::instant aNow,
+                core::duration aWithin)
+{
+  auto& ended = aMembers.mEndedAgents;
+  std::erase_if(ended, [&](const ended_agent& aAgent) {
+    return aNow - aAgent.mLastSeen > aWithin;
+  });
+  const auto& jobs = aEnded.mState.mJobsInDoubt;
+  if (jobs.empty()) {
+    return 0;
+  }
+  ended.push_back({ aEnded.mState.mAgent, aEnded.mLastSeen, jobs });
+  std::size_t names = 0;
+  for (const ended_agent& agent : ended) {
+    names += agent.mJobsInDoubt.size();
+  }
+  std::size_t dropped = 0;
+  while (names - dropped > kMaxJobsOfEnded) {
+    auto& oldest = ended.front().mJobsInDoubt;
+    const std::size_t excess =
+      std::min(names - dropped - kMaxJobsOfEnded, oldest.size());
+    oldest.erase(oldest.begin(),
+                 oldest.begin() + static_cast<std::ptrdiff_t>(excess));
+    dropped += excess;
+    if (oldest.empty()) {
+      ended.erase(ended.begin());
+    }
+  }
+  return dropped;
+}
+
 bool
-NamesInDoubt(const agent_view& aAgent, const std::string& aJob)
+NamesInDoubt(const members& aMembers,
+             const core::peer_ref& aAgent,
+             const std::string& aJob,
+             core::instant aNow,
+             core::duration aWithin)
 {
-  const auto& jobs = aAgent.mState.mJobsInDoubt;
-  return std::find(jobs.begin(), jobs.end(), aJob) != jobs.end();
+  const auto view = aMembers.mAgents.find(aAgent.mName);
+  if (view != aMembers.mAgents.end() && view->second.mState.mAgent == aAgent) {
+    return Contains(view->second.mState.mJobsInDoubt, aJob);
+  }
+  return std::any_of(aMembers.mEndedAgents.begin(),
+                     aMembers.mEndedAgents.end(),
+                     [&](const ended_agent& aEnded) {
+                       return aEnded.mAgent == aAgent &&
+                              aNow - aEnded.mLastSeen <= aWithin &&
+                              Contains(aEnded.mJobsInDoubt, aJob);
+                     });
 }
 
 bool
@@ -19,11 +76,20 @@
           core::instant aNow,
           core::duration aWithin)
 {
-  return std::any_of(
-    aMembers.mAgents.begin(), aMembers.mAgents.end(), [&](const auto& aAgent) {
-      return aNow - aAgent.second.mLastSeen <= aWithin &&
-             NamesInDoubt(aAgent.second, aJob);
-    });
+  const auto names = [&](core::instant aLastSeen, const auto& aJobs) {
+    return aNow - aLastSeen <= aWithin && Contains(aJobs, aJob);
+  };
+  return std::any_of(aMembers.mAgents.begin(),
+                     aMembers.mAgents.end(),
+                     [&](const auto& aAgent) {
+                       return names(aAgent.second.mLastSeen,
+                                    aAgent.second.mState.mJobsInDoubt);
+                     }) ||
+         std::any_of(aMembers.mEndedAgents.begin(),
+                     aMembers.mEndedAgents.end(),
+                     [&](const ended_agent& aEnded) {
+                       return names(aEnded.mLastSeen, aEnded.mJobsInDoubt);
+                     });
 }
 
 std::vector<member_row>
--- a/src/libgooseberry/membership/members.h
+++ b/src/libgooseberry/membership/members.h
@@ -58,10 +58,19 @@
   std::optional<core::instant> mEntriesSentAt;
 };
 
-/** Returns whether the agent's last message named the job among those in
- * doubt. */
-bool
-NamesInDoubt(const agent_view& aAgent, const std::string& aJob);
+/** An ended process of an agent and the jobs that its last message named as in
+ * doubt. Its calls may reach the next process of a target before the agent's
+ * successor has called that one. */
+struct ended_agent
+{
+  core::peer_ref mAgent;
+  core::instant mLastSeen{};
+  std::vector<std::string> mJobsInDoubt;
+};
+
+/** Most names of jobs in doubt that are kept of ended processes: 31 s of starts
+ * without an answer at 100 targets, about 40 each. */
+inline constexpr std::size_t kMaxJobsOfEnded = 4'096;
 
 /** What one process knows about the others. */
 struct members
@@ -71,10 +80,31 @@
   std::optional<core::instant> mRowsReadAt;   ///< Send time of that read.
   std::map<std::string, entry_view> mEntries; ///< By name, without itself.
   std::map<std::string, agent_view> mAgents;  ///< By name.
+  std::vector<ended_agent> mEndedAgents;      ///< In the order of their ends.
   /** Time from which no entry has seen the process of a row. */
   std::map<core::peer_ref, core::instant> mUnseenSince;
 };
 
+/**
+ * Keeps the names of the jobs in doubt of an agent's process that has been
+ * replaced. Returns the number of names dropped, the oldest first, as there are
+ * more than `kMaxJobsOfEnded`; older than `aWithin` ones are not counted.
+ */
+std::size_t
+KeepJobsInDoubt(members& aMembers,
+                const agent_view& aEnded,
+                core::instant aNow,
+                core::duration aWithin);
+
+/** Returns whether this process of an agent, which may have been replaced
+ * within `aWithin`, named the job as in doubt in its last message. */
+bool
+NamesInDoubt(const members& aMembers,
+             const core::peer_ref& aAgent,
+             const std::string& aJob,
+             core::instant aNow,
+             core::duration aWithin);
+
 /** Returns whether a start of the job may yet be carried out at some agent's
  * target, as far as the agents' last messages of the last `aWithin` show. */
 bool
