--- a/src/libgooseberry/lease/report.cpp
+++ b/src/libgooseberry/lease/report.cpp
@@ -47,6 +47,7 @@
       continue;
     }
     CloseOnlyCall(*ended);
+    ended->mHasStarted = true;
     if (MayRunAgain(*ended, end.mEnd)) {
       KeepForResend(aTarget, *ended, aNow);
       ended->mIsOverAtProcess = true;
@@ -86,6 +87,8 @@
     if (known->mState != run_state::Running) {
       known->mState = run_state::Running;
       known->mAnsweredAt = aNow;
+    } else if (known->mAnsweredAt && *known->mAnsweredAt <= aAskedAt) {
+      known->mMayBeAtNextProcess = false;
     }
   }
 }
@@ -141,23 +144,12 @@
            aOut);
   }
   for (const auto& task : neverStarted) {
-    // With a call open, the next process may yet start it: not "not run".
-    if (HasOpenCalls(aTarget.mRuns.at(task))) {
-      EndRun(aTarget,
-             task,
-             task_end::Lost,
-             start_verdict::Accepted,
-             "stopped without an answer",
-             aNow,
-             aOut);
-    } else {
-      ReturnRun(aTarget,
-                task,
-                start_verdict::Stale,
-                "start was not carried out",
-                aNow,
-                aOut);
-    }
+    ReturnRun(aTarget,
+              task,
+              start_verdict::Stale,
+              "start was not carried out",
+              aNow,
+              aOut);
   }
 }
 
--- a/tests/libgooseberry/test_lease.cpp
+++ b/tests/libgooseberry/test_lease.cpp
@@ -96,8 +96,8 @@
   BOOST_TEST(Ends().empty());
   Report({}); // Requested after the stop: this process rejects the start.
   BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
-  // The next process may yet start it: not "not run".
-  BOOST_TEST((Ends().front().mEnd == core::task_end::Lost));
+  // The next process may yet start it: neither "not run" nor placed again.
+  BOOST_TEST((Ends().front().mEnd == core::task_end::Unknown));
   BOOST_TEST(mTarget.mLateStarts.contains(kTask));
   Pass(lease::kCallLifetime - 2ms);
   BOOST_TEST(mTarget.mLateStarts.contains(kTask));
@@ -248,6 +248,54 @@
   BOOST_TEST((mNow - sentAt < mTarget.mSettings.mCallDeadline / 4));
 }
 
+// A run that had ended without a result at its target, and whose calls were all
+// answered afterwards, held its task until its deadline.
+BOOST_AUTO_TEST_CASE(a_run_that_ended_there_ends_with_its_last_open_call)
+{
+  const auto first = Start();
+  Pass(mTarget.mSettings.mStartOverdue);
+  const auto second = Last<lease::start_call>();
+  Report({}, { { 1, kTask, 1, core::task_end::Lost, "lapsed" } });
+  BOOST_TEST(Ends().empty());
+  Answer(second, lease::start_answer::Superseded);
+  Pass(1ms);
+  BOOST_TEST(Ends().empty());
+  Answer(first, lease::start_answer::Superseded);
+  Pass(1ms);
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  // It has run: not "not run".
+  BOOST_TEST((Ends().front().mEnd == core::task_end::Lost));
+}
+
+// Double run: a run that had ended at its target's process was carried out by
+// the next one, which answered before it had reported.
+BOOST_AUTO_TEST_CASE(a_run_accepted_after_its_end_is_not_over)
+{
+  const auto first = Start();
+  Pass(mTarget.mSettings.mStartOverdue);
+  const auto second = Last<lease::start_call>();
+  Report({}, { { 1, kTask, 1, core::task_end::Lost, "lapsed" } });
+  Answer(second, lease::start_answer::Superseded);
+  lease::OnStartAnswer(
+    mTarget, first, lease::start_answer::Accepted, 1ms, mNow, mEffects);
+  Pass(1ms);
+  BOOST_TEST(Ends().empty());
+}
+
+// Double run: a call of the task's last run at the target was carried out, and
+// closed the call of its next one.
+BOOST_AUTO_TEST_CASE(a_late_start_of_an_earlier_run_closes_no_call)
+{
+  Answer(Start(), lease::start_answer::NoAnswer);
+  lease::StopRun(mTarget, kTask, mNow, mEffects);
+  lease::OnStopAnswer(mTarget, Last<lease::stop_call>(), mNow);
+  Report({});
+  BOOST_REQUIRE(mTarget.mRuns.empty());
+  Start();
+  Report({ { kTask, 1 } });
+  BOOST_TEST(lease::HasOpenCalls(mTarget.mRuns.at(kTask)));
+}
+
 // A target that hangs had each of its starts sent again without end.
 BOOST_AUTO_TEST_CASE(the_pause_between_two_sends_grows)
 {
