Lease: a target that loses calls is asked more often for a while

Cause: a renewal without an answer hides the ends of tasks for 140 ms; where a target leaves 6% of its calls unanswered, ends were seen late for much of the time, and most urgent jobs beside it were late. Change: for 3 s after a lost call, renewals wait for 20 ms, lost ones are replaced after 15 ms, and a start is first sent again after 15 ms.

--- a/src/libgooseberry/lease/internal.h
+++ b/src/libgooseberry/lease/internal.h
@@ -47,7 +47,13 @@
 
 /** Returns the pause after a send of the run's start; it doubles with each. */
 core::duration
-PauseBeforeResend(const lease_settings& aSettings, const run& aRun);
+PauseBeforeResend(const leased_target& aTarget,
+                  const run& aRun,
+                  core::instant aNow);
+
+/** Returns whether the target has left a call unanswered lately. */
+bool
+LosesCalls(const leased_target& aTarget, core::instant aNow);
 
 /** Keeps a run of which a start call may yet be carried out at its target; its
  * start is sent again after a pause. */
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -25,7 +25,7 @@
   aRun.mCall = ++aTarget.mLastCall;
   ++aRun.mCallsMade;
   aRun.mOpenCalls.push_back({ aRun.mCall, aNow });
-  aRun.mNextResend = aNow + PauseBeforeResend(aTarget.mSettings, aRun);
+  aRun.mNextResend = aNow + PauseBeforeResend(aTarget, aRun, aNow);
   aRun.mCallSentBy.reset();
   aRun.mIsConfirmed = false;
   aRun.mValidUntil =
@@ -40,13 +40,28 @@
                      aNow + aTarget.mSettings.mStartValidity }));
 }
 
+core::duration
+RenewWait(const leased_target& aTarget, core::instant aNow)
+{
+  const lease_settings& settings = aTarget.mSettings;
+  return LosesCalls(aTarget, aNow) ? settings.mShortRenewWait
+                                   : settings.mRenewWait;
+}
+
+core::duration
+RenewOverdue(const leased_target& aTarget, core::instant aNow)
+{
+  const lease_settings& settings = aTarget.mSettings;
+  return LosesCalls(aTarget, aNow) ? settings.mShortOverdue
+                                   : settings.mRenewOverdue;
+}
+
 void
 Renew(leased_target& aTarget, core::instant aNow, effects& aOut)
 {
   const bool isFirst =
     !aTarget.mReportAskedAt || aTarget.mFailures > 0 || aTarget.mRenewing;
-  const auto wait =
-    isFirst ? core::duration::zero() : aTarget.mSettings.mRenewWait;
+  const auto wait = isFirst ? core::duration::zero() : RenewWait(aTarget, aNow);
   target_time until{};
   // A renewal that follows a lost or failed one does not extend the lease: if
   // the target answers none, the lease expires and the runs can be started
@@ -56,6 +71,7 @@
   }
   aTarget.mRenewing = true;
   aTarget.mRenewalSentAt = aNow;
+  aTarget.mRenewalWait = wait;
   aOut.emplace_back(call(
     renew_call{ HeaderFor(aTarget, wait), until, aTarget.mLastEnd, wait }));
 }
@@ -98,9 +114,9 @@
 bool
 IsRenewalOverdue(const leased_target& aTarget, core::instant aNow)
 {
-  const lease_settings& settings = aTarget.mSettings;
-  return aTarget.mRenewing && aNow - aTarget.mRenewalSentAt >
-                                settings.mRenewWait + settings.mRenewOverdue;
+  return aTarget.mRenewing &&
+         aNow - aTarget.mRenewalSentAt >
+           aTarget.mRenewalWait + RenewOverdue(aTarget, aNow);
 }
 
 /**
@@ -116,6 +132,7 @@
 {
   aOut.emplace_back(call(withdraw_call{ aTarget.mName, aRun.mCall }));
   ++aRun.mResends;
+  aTarget.mLosesCallsUntil = aNow + aTarget.mSettings.mLossMemory;
   SendStart(aTarget, aRun, aNow, aOut);
 }
 
@@ -373,8 +390,11 @@
       Resend(aTarget, run, aNow, aOut);
     }
   }
-  if (IsRenewalOverdue(aTarget, aNow) ||
-      (!aTarget.mRenewing && aTarget.mNextRenewal <= aNow)) {
+  const bool isLost = IsRenewalOverdue(aTarget, aNow);
+  if (isLost) {
+    aTarget.mLosesCallsUntil = aNow + aTarget.mSettings.mLossMemory;
+  }
+  if (isLost || (!aTarget.mRenewing && aTarget.mNextRenewal <= aNow)) {
     Renew(aTarget, aNow, aOut);
   }
 }
--- a/src/libgooseberry/lease/leased_target.h
+++ b/src/libgooseberry/lease/leased_target.h
@@ -150,7 +150,10 @@
   core::instant mRenewalSentAt{}; ///< Of the latest renewal.
   core::instant mNextRenewal{};
   std::optional<core::instant> mReportAskedAt; ///< Of the latest report.
-  std::uint32_t mFailures = 0; ///< Consecutive renewals without a report.
+  std::uint32_t mFailures = 0;   ///< Consecutive renewals without a report.
+  core::duration mRenewalWait{}; ///< Of the latest renewal.
+  /** It has left a call unanswered; until then, it is taken to do so again. */
+  core::instant mLosesCallsUntil{};
   bool mIsRefusing = false; ///< A connection was refused since the last report.
 };
 
--- a/src/libgooseberry/lease/open_calls.cpp
+++ b/src/libgooseberry/lease/open_calls.cpp
@@ -40,13 +40,24 @@
   return aRun.mIsConfirmed && !aRun.mMayBeAtNextProcess && !HasOpenCalls(aRun);
 }
 
+bool
+LosesCalls(const leased_target& aTarget, core::instant aNow)
+{
+  return aNow < aTarget.mLosesCallsUntil;
+}
+
 core::duration
-PauseBeforeResend(const lease_settings& aSettings, const run& aRun)
+PauseBeforeResend(const leased_target& aTarget,
+                  const run& aRun,
+                  core::instant aNow)
 {
   constexpr std::uint32_t kMaxDoublings = 8;
+  const lease_settings& settings = aTarget.mSettings;
+  const core::duration first =
+    LosesCalls(aTarget, aNow) ? settings.mShortOverdue : settings.mStartOverdue;
   const auto doublings = std::min(aRun.mResends, kMaxDoublings);
-  return std::min(aSettings.mStartOverdue * (std::int64_t(1) << doublings),
-                  aSettings.mMaxResendPause);
+  return std::min(first * (std::int64_t(1) << doublings),
+                  settings.mMaxResendPause);
 }
 
 void
@@ -54,7 +65,7 @@
 {
   aRun.mState = run_state::InDoubt;
   aRun.mIsConfirmed = false;
-  aRun.mNextResend = aNow + PauseBeforeResend(aTarget.mSettings, aRun);
+  aRun.mNextResend = aNow + PauseBeforeResend(aTarget, aRun, aNow);
 }
 
 bool
--- a/src/libgooseberry/lease/settings.h
+++ b/src/libgooseberry/lease/settings.h
@@ -27,6 +27,14 @@
   /** A renewal unanswered for its wait plus this time counts as lost and is
    * replaced, as no end of a task is seen until one is answered. */
   core::duration mRenewOverdue = 40ms;
+  /**
+   * For this time after a lost call, the target is taken to leave more calls
+   * unanswered: renewals wait for `mShortRenewWait` only, and lost calls are
+   * replaced after `mShortOverdue`.
+   */
+  core::duration mLossMemory = 3'000ms;
+  core::duration mShortRenewWait = 20ms;
+  core::duration mShortOverdue = 15ms;
   /** Pause after a failed renewal. */
   core::duration mRenewRetry = 50ms;
   /** The target rejects a start that reaches it later than this. */
--- a/tests/libgooseberry/test_lease.cpp
+++ b/tests/libgooseberry/test_lease.cpp
@@ -232,6 +232,25 @@
   BOOST_TEST(mTarget.mRenewing);
 }
 
+// Load pattern: a target leaves some of all calls unanswered for seconds. Ends
+// of tasks stayed unseen for 140 ms with each lost renewal.
+BOOST_AUTO_TEST_CASE(a_target_that_loses_calls_is_asked_more_often)
+{
+  const auto& settings = mTarget.mSettings;
+  Pass(0ms);
+  Pass(settings.mRenewWait + settings.mRenewOverdue + 5ms); // Lost.
+  Report({});
+  Pass(0ms);
+  BOOST_TEST((Last<lease::renew_call>().mWait == settings.mShortRenewWait));
+  const auto count = Count<lease::renew_call>();
+  Pass(settings.mShortRenewWait + settings.mShortOverdue + 5ms);
+  BOOST_TEST(Count<lease::renew_call>() == count + 1);
+  mNow += settings.mLossMemory;
+  Report({});
+  Pass(0ms);
+  BOOST_TEST((Last<lease::renew_call>().mWait == settings.mRenewWait));
+}
+
 // Load pattern: a target leaves a few starts unanswered, some of which it
 // carries out late. A job with one of them waited for the call's deadline.
 BOOST_AUTO_TEST_CASE(a_start_is_sent_again_before_its_deadline)
