Heartbeats between entries: rate of submissions

Cause: an entry cannot tell calm from a peak, as it knows the rate of its own callers only.

Change: an optional field jobsPerSecond (8 bytes) in the heartbeat; absent from earlier versions. The conversion passes any value on: an implausible rate must not cost the rest of the heartbeat.

Result: test_libgooseberryio passes, with a round trip of the field.

--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -338,6 +338,9 @@
   std::string mFailureDomain;
   /** Processor time available to it, in thousandths of a core; 0: unknown. */
   std::uint32_t mMillicores = 0;
+  /** Submissions to the sender, as a moving average. None: from a version that
+   * does not tell it. */
+  std::optional<double> mJobsPerSecond;
   /**
    * Agents that the sender was in contact with within the freshness bound, with
    * the generation that each reported. Empty under leases.
--- a/src/libgooseberryio/protocol/from_wire.cpp
+++ b/src/libgooseberryio/protocol/from_wire.cpp
@@ -309,6 +309,11 @@
   beat.mMillicores = Count(aBeat.millicores, "millicores");
   beat.mReadsConfiguration = aBeat.readsConfiguration;
   beat.mDigest = static_cast<std::uint64_t>(aBeat.configurationDigest);
+  // Not checked here: an implausible rate must not cost the rest of the
+  // heartbeat (see membership::RecordHeartbeat).
+  if (aBeat.__isset.jobsPerSecond) {
+    beat.mJobsPerSecond = aBeat.jobsPerSecond;
+  }
   for (const auto& [name, generation] : aBeat.agents) {
     beat.mAgents[name] = GenerationFromWire(generation);
   }
--- a/src/libgooseberryio/protocol/gooseberry.thrift
+++ b/src/libgooseberryio/protocol/gooseberry.thrift
@@ -81,6 +81,7 @@
   5: optional VersionedConfiguration configuration; 6: bool leaving;
   7: map<string, i64> agents; 8: bool busy; 9: string failureDomain;
   10: i32 millicores; 11: bool readsConfiguration; 12: i64 configurationDigest
+  13: optional double jobsPerSecond
 }
 struct JobAnswer {
   1: string job; 2: i8 outcome; 3: list<binary> results; 4: string reason;
--- a/src/libgooseberryio/protocol/to_wire.cpp
+++ b/src/libgooseberryio/protocol/to_wire.cpp
@@ -310,6 +310,9 @@
   beat.millicores = Bits(aBeat.mMillicores);
   beat.readsConfiguration = aBeat.mReadsConfiguration;
   beat.configurationDigest = Bits(aBeat.mDigest);
+  if (aBeat.mJobsPerSecond) {
+    beat.__set_jobsPerSecond(*aBeat.mJobsPerSecond);
+  }
   for (const auto& [name, generation] : aBeat.mAgents) {
     beat.agents[name] = Bits(generation);
   }
--- a/tests/libgooseberryio/test_convert.cpp
+++ b/tests/libgooseberryio/test_convert.cpp
@@ -138,6 +138,8 @@
   beat.mFailureDomain = "cluj";
   beat.mMillicores = 120;
   CheckRoundTrip(beat);
+  beat.mJobsPerSecond = 51.5;
+  CheckRoundTrip(beat);
   core::job_answer answer;
   answer.mJob = "team/job";
   answer.mOutcome = core::job_outcome::NotRun;
