--- a/src/libgooseberry/quota/queue_delay.cpp
+++ b/src/libgooseberry/quota/queue_delay.cpp
@@ -12,6 +12,11 @@
  * threads and sockets.
  */
 constexpr core::duration kLongDelay = std::chrono::milliseconds(12);
+/** Mean delay of a second that callers should be moved for. It is below
+ * `kLongDelay`, as a balancer needs seconds to move them. */
+constexpr core::duration kNearLongDelay = std::chrono::milliseconds(8);
+/** Windows that the mean delay covers. */
+constexpr std::int64_t kMeanWindows = 10;
 /** Factor applied to the share after a window with a long delay. */
 constexpr double kDecrease = 0.8;
 /** Added to the share after any other window. */
@@ -35,7 +40,9 @@
   if (aNow < aDelay.mWindowEnd) {
     return;
   }
-  const bool isLong = aDelay.mSum / aDelay.mSamples > kLongDelay;
+  const core::duration windowMean = aDelay.mSum / aDelay.mSamples;
+  aDelay.mMean += (windowMean - aDelay.mMean) / kMeanWindows;
+  const bool isLong = windowMean > kLongDelay;
   aDelay.mShare = isLong ? std::max(kMinShare, aDelay.mShare * kDecrease)
                          : std::min(1.0, aDelay.mShare + kIncrease);
   if (aDelay.mShare < kBusyShare) {
@@ -52,6 +59,12 @@
   return aNow < aDelay.mBusyUntil;
 }
 
+bool
+IsNearLimit(const queue_delay& aDelay)
+{
+  return aDelay.mMean > kNearLongDelay;
+}
+
 int
 SharePercent(const queue_delay& aDelay)
 {
--- a/src/libgooseberry/quota/queue_delay.h
+++ b/src/libgooseberry/quota/queue_delay.h
@@ -20,6 +20,7 @@
   std::int64_t mSamples = 0;
   double mShare = 1.0; ///< Share of submissions admitted, at least `kMinShare`.
   core::instant mBusyUntil{};
+  core::duration mMean{}; ///< Moving average over about a second.
 };
 
 /**
@@ -39,6 +40,13 @@
 bool
 IsBusy(const queue_delay& aDelay, core::instant aNow);
 
+/**
+ * Returns whether the mean delay of the last second is near the limit from
+ * which submissions are refused.
+ */
+bool
+IsNearLimit(const queue_delay& aDelay);
+
 /** Returns the share of admitted submissions in percent, for logs. */
 int
 SharePercent(const queue_delay& aDelay);
--- a/src/libgooseberryio/clock.h
+++ b/src/libgooseberryio/clock.h
@@ -11,4 +11,8 @@
 core::instant
 Now();
 
+/** Returns the processor time that all threads of this process have used. */
+core::duration
+ProcessorTime();
+
 } // namespace gooseberry::io
