Standby: entries leave rotation only while the load calls for it

Cause: an entry with less than half of the processor time of the others was on standby permanently, also in calm, where it can serve its callers. In two deployments 5 of 11 and about 6 of 14 entries were never ready.

Change: standby also needs a high load. It is high when an even share of the domain's callers, the present use of the processor, or the delay of ticks is above its mark; low marks and minimum times keep callers from oscillating. Sizes of processors decide alone, as before, in the first 5 s and where an entry tells no rate. Implausible rates in heartbeats are dropped, counted and logged. caller_stance has the figures; metrics count changes and dropped rates.

--- a/src/entry/control_loop.cpp
+++ b/src/entry/control_loop.cpp
@@ -106,6 +106,7 @@
 {
   const core::instant now = io::Now();
   RecordTickDelay(now - aDue, now);
+  mControl.mJobMeter.mProcessorTime = io::ProcessorTime();
   RunInput(
     [](entry::entry_control& aControl,
        core::instant aNow,
--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -72,6 +72,9 @@
         core::kJobOutcomeNames.NameOf(static_cast<core::job_outcome>(i)));
     }
   }
+  aMetrics.CountTrafficStateChanges(now.mTrafficStateChanges -
+                                    before.mTrafficStateChanges);
+  aMetrics.CountRatesDropped(now.mRatesDropped - before.mRatesDropped);
   aMetrics.SetQueueLength(aTaken.mWaitingTasks);
   aMetrics.SetGeneration(aTaken.mGeneration);
   PublishSamples(aMetrics, aTaken.mSamples);
--- a/src/libgooseberry/entry/counters.h
+++ b/src/libgooseberry/entry/counters.h
@@ -26,6 +26,8 @@
   std::uint64_t mFences = 0;
   std::uint64_t mCancels = 0;
   std::uint64_t mDelivers = 0;
+  std::uint64_t mTrafficStateChanges = 0;
+  std::uint64_t mRatesDropped = 0; ///< Implausible rates in heartbeats.
   std::array<std::uint64_t, 10> mRefusals{}; ///< By start_verdict.
   std::array<std::uint64_t, 3> mOutcomes{};  ///< By job_outcome.
 };
--- a/src/libgooseberry/entry/entry_control.cpp
+++ b/src/libgooseberry/entry/entry_control.cpp
@@ -1,5 +1,6 @@
 #include "libgooseberry/entry/entry_control.h"
 
+#include "libgooseberry/core/decimal.h"
 #include "libgooseberry/entry/internal.h"
 #include "libgooseberry/membership/standby.h"
 
@@ -64,28 +65,38 @@
 {
   std::vector<membership::entry_capacity> others;
   for (const auto& [name, view] : aControl.mMembers.mEntries) {
+    const bool isRateFresh =
+      aNow - view.mRateAt <= aControl.mOptions.mPeerSuspect;
     others.push_back({ view.mFailureDomain,
                        view.mMillicores,
                        !view.mLeaving && IsEntryInContact(aControl, name, aNow),
-                       view.mBusy });
+                       view.mBusy,
+                       isRateFresh ? view.mJobsPerSecond : std::nullopt });
   }
   return others;
 }
 
+membership::entry_capacity
+OwnCapacity(const entry_control& aControl, core::instant aNow)
+{
+  return { aControl.mOptions.mFailureDomain,
+           aControl.mOptions.mMillicores,
+           true,
+           quota::IsBusy(aControl.mQueueDelay, aNow),
+           aControl.mJobMeter.mJobsPerSecond };
+}
+
 traffic_state
 CurrentTrafficState(const entry_control& aControl, core::instant aNow)
 {
   const auto others = OtherEntries(aControl, aNow);
-  const membership::entry_capacity self{ aControl.mOptions.mFailureDomain,
-                                         aControl.mOptions.mMillicores,
-                                         true,
-                                         quota::IsBusy(aControl.mQueueDelay,
-                                                       aNow) };
+  const auto self = OwnCapacity(aControl, aNow);
   if (self.mIsBusy && membership::HaveSpareCapacity(others)) {
     return traffic_state::Busy;
   }
-  return membership::IsStandby(self, others) ? traffic_state::Standby
-                                             : traffic_state::Accepting;
+  return aControl.mCallerLoad.mIsHigh && membership::IsStandby(self, others)
+           ? traffic_state::Standby
+           : traffic_state::Accepting;
 }
 
 } // namespace
@@ -209,17 +220,66 @@
   SendHeartbeats(aControl, aNow, aEffects);
 }
 
-/** Logs each change of the traffic state. */
+std::string
+FormatPercent(double aShare)
+{
+  constexpr double kPercent = 100;
+  return core::FormatDecimal(kPercent * aShare);
+}
+
+/** Logs a change of the traffic state with the values that it is based on. */
+void
+LogTrafficState(const entry_control& aControl,
+                std::optional<double> aExpectedRate,
+                const membership::caller_use& aUse,
+                effects& aEffects)
+{
+  const auto format = [](std::optional<double> aValue, const auto& aFormat) {
+    return aValue ? aFormat(*aValue) : std::string("unknown");
+  };
+  Log(aEffects,
+      "caller_stance",
+      { { "stance",
+          std::string(kTrafficStateNames.NameOf(aControl.mTrafficState)) },
+        { "share_percent",
+          std::to_string(quota::SharePercent(aControl.mQueueDelay)) },
+        { "jobs_per_second",
+          core::FormatDecimal(aControl.mJobMeter.mJobsPerSecond) },
+        { "expected_jobs_per_second",
+          format(aExpectedRate, core::FormatDecimal) },
+        { "job_cost_ms",
+          core::FormatMilliseconds(quota::JobCost(aControl.mJobMeter)) },
+        { "use_percent", FormatPercent(aUse.mCurrent) },
+        { "expected_use_percent", format(aUse.mExpected, FormatPercent) },
+        { "mean_delay_ms",
+          core::FormatMilliseconds(aControl.mQueueDelay.mMean) } });
+}
+
+/** Updates what the traffic state depends on, and logs each change of it. */
 void
 TickTrafficState(entry_control& aControl, core::instant aNow, effects& aEffects)
 {
+  const std::size_t agents = aControl.mMembers.mAgents.size();
+  const std::uint32_t millicores = aControl.mOptions.mMillicores;
+  const quota::job_meter& meter = aControl.mJobMeter;
+  quota::Sample(aControl.mJobMeter,
+                { aControl.mCounters.mSubmissions,
+                  agents,
+                  aControl.mQueueDelay.mShare < 1.0 },
+                aNow);
+  const auto expected = membership::ExpectedRate(OwnCapacity(aControl, aNow),
+                                                 OtherEntries(aControl, aNow));
+  membership::caller_use use;
+  if (expected && quota::HasMeasured(meter, aNow)) {
+    use.mExpected = quota::ExpectedUse(meter, *expected, agents, millicores);
+  }
+  use.mCurrent = quota::CurrentUse(meter, agents, millicores);
+  use.mIsDelayed = quota::IsNearLimit(aControl.mQueueDelay);
+  membership::Update(aControl.mCallerLoad, use, aNow);
   const traffic_state state = CurrentTrafficState(aControl, aNow);
   if (std::exchange(aControl.mTrafficState, state) != state) {
-    Log(aEffects,
-        "caller_stance",
-        { { "stance", std::string(kTrafficStateNames.NameOf(state)) },
-          { "share_percent",
-            std::to_string(quota::SharePercent(aControl.mQueueDelay)) } });
+    ++aControl.mCounters.mTrafficStateChanges;
+    LogTrafficState(aControl, expected, use, aEffects);
   }
 }
 
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -8,8 +8,10 @@
 #include "libgooseberry/entry/options.h"
 #include "libgooseberry/job/ledger.h"
 #include "libgooseberry/job/ready_queue.h"
+#include "libgooseberry/membership/caller_load.h"
 #include "libgooseberry/membership/members.h"
 #include "libgooseberry/quota/admission.h"
+#include "libgooseberry/quota/job_meter.h"
 #include "libgooseberry/quota/offered_load.h"
 #include "libgooseberry/quota/queue_delay.h"
 #include "libgooseberry/quota/retry_budget.h"
@@ -125,6 +127,8 @@
   quota::retry_budget mRetryBudget;
   quota::offered_load mOfferedLoad;
   quota::queue_delay mQueueDelay; ///< Of this entry's inputs.
+  quota::job_meter mJobMeter;
+  membership::caller_load mCallerLoad;
   traffic_state mTrafficState = traffic_state::Accepting; ///< As last logged.
 
   std::unordered_map<std::uint64_t, start_call> mCalls;
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -1,3 +1,4 @@
+#include "libgooseberry/core/decimal.h"
 #include "libgooseberry/entry/entry_control.h"
 #include "libgooseberry/entry/internal.h"
 #include "libgooseberry/quota/team_share.h"
@@ -80,6 +81,7 @@
   beat.mBusy = quota::IsBusy(aControl.mQueueDelay, aNow);
   beat.mFailureDomain = aControl.mOptions.mFailureDomain;
   beat.mMillicores = aControl.mOptions.mMillicores;
+  beat.mJobsPerSecond = aControl.mJobMeter.mJobsPerSecond;
   // Under leases, agents have no rows that contact with them could keep.
   if (!aControl.mOptions.mLeasedRuns) {
     beat.mAgents = AgentsInContact(aControl, aNow);
@@ -102,14 +104,42 @@
   }
 }
 
+namespace {
+
+/** Records a heartbeat or reply; logs the first of a row of implausible rates.
+ */
+void
+RecordPeer(entry_control& aControl,
+           const core::heartbeat& aBeat,
+           core::instant aNow,
+           effects& aEffects)
+{
+  ++aControl.mCounters.mHeartbeats;
+  membership::RecordHeartbeat(aControl.mMembers, aBeat, aNow);
+  const auto view = aControl.mMembers.mEntries.find(aBeat.mEntry.mName);
+  if (view == aControl.mMembers.mEntries.end() ||
+      view->second.mRatesDropped == 0) {
+    return;
+  }
+  ++aControl.mCounters.mRatesDropped;
+  if (view->second.mRatesDropped == 1) {
+    Log(aEffects,
+        "heartbeat_rate_dropped",
+        { { "entry", ToString(aBeat.mEntry) },
+          { "jobs_per_second",
+            core::FormatDecimal(aBeat.mJobsPerSecond.value_or(0)) } });
+  }
+}
+
+} // namespace
+
 core::heartbeat
 OnHeartbeat(entry_control& aControl,
             const core::heartbeat& aBeat,
             core::instant aNow,
             effects& aEffects)
 {
-  ++aControl.mCounters.mHeartbeats;
-  membership::RecordHeartbeat(aControl.mMembers, aBeat, aNow);
+  RecordPeer(aControl, aBeat, aNow, aEffects);
   if (aControl.mOptions.mLeasedRuns) {
     LearnOfConfiguration(aControl, aBeat, aNow, aEffects);
   } else if (aBeat.mGeneration > aControl.mRow.mConfiguration.mGeneration) {
@@ -131,8 +161,7 @@
                  core::instant aNow,
                  effects& aEffects)
 {
-  ++aControl.mCounters.mHeartbeats;
-  membership::RecordHeartbeat(aControl.mMembers, aReply, aNow);
+  RecordPeer(aControl, aReply, aNow, aEffects);
   const auto view = aControl.mMembers.mEntries.find(aReply.mEntry.mName);
   // A peer without a configuration cannot confirm that there is no newer one.
   if (view != aControl.mMembers.mEntries.end() &&
--- a/src/libgooseberry/membership/members.cpp
+++ b/src/libgooseberry/membership/members.cpp
@@ -38,6 +38,26 @@
   return rows;
 }
 
+namespace {
+
+/** Above any rate that one process can receive. */
+constexpr double kMaxJobsPerSecond = 100'000;
+
+void
+RecordRate(entry_view& aView, std::optional<double> aRate, core::instant aNow)
+{
+  // Written so that NaN is dropped too.
+  if (aRate && !(*aRate >= 0 && *aRate <= kMaxJobsPerSecond)) {
+    ++aView.mRatesDropped;
+    return;
+  }
+  aView.mJobsPerSecond = aRate;
+  aView.mRateAt = aNow;
+  aView.mRatesDropped = 0;
+}
+
+} // namespace
+
 void
 RecordHeartbeat(members& aMembers,
                 const core::heartbeat& aHeartbeat,
@@ -60,6 +80,7 @@
   view.mBusy = aHeartbeat.mBusy;
   view.mFailureDomain = aHeartbeat.mFailureDomain;
   view.mMillicores = aHeartbeat.mMillicores;
+  RecordRate(view, aHeartbeat.mJobsPerSecond, aNow);
 }
 
 bool
--- a/src/libgooseberry/membership/members.h
+++ b/src/libgooseberry/membership/members.h
@@ -45,6 +45,11 @@
   bool mBusy = false; ///< Its own processor is, or recently was, overloaded.
   std::string mFailureDomain;
   std::uint32_t mMillicores = 0; ///< Thousandths of a core; 0: unknown.
+  /** Last plausible rate of submissions to it, and when it came; none: it does
+   * not tell its rate. */
+  std::optional<double> mJobsPerSecond;
+  core::instant mRateAt{};
+  std::uint64_t mRatesDropped = 0; ///< Implausible rates since that one.
 };
 
 /** State of an agent as known to an entry. */
@@ -87,7 +92,8 @@
 std::vector<member_row>
 OtherRows(const members& aMembers, role aRole);
 
-/** Updates the view of an entry from a heartbeat or a heartbeat reply. */
+/** Updates the view of an entry from a heartbeat or a heartbeat reply. A rate
+ * that cannot be true is dropped, and the rest of the heartbeat is used. */
 void
 RecordHeartbeat(members& aMembers,
                 const core::heartbeat& aHeartbeat,
--- a/src/libgooseberry/membership/standby.h
+++ b/src/libgooseberry/membership/standby.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 /**
  * Load pattern: a balancer spreads callers evenly over entries with unequal
- * processors. The entries with the smallest processors are overloaded.
+ * processors. The entries with the smallest processors are overloaded at a
+ * peak.
  */
 namespace gooseberry::membership {
 
@@ -17,10 +19,12 @@
   std::uint32_t mMillicores = 0; ///< Thousandths of a core; 0: unknown.
   bool mIsAvailable = false;     ///< Seen recently, and not leaving.
   bool mIsBusy = false;          ///< Its own processor is overloaded.
+  /** Submissions to it; none: it does not tell them. */
+  std::optional<double> mJobsPerSecond{};
 };
 
 /**
- * Returns whether an entry should leave its callers to much larger entries. The
+ * Returns whether an entry can leave its callers to much larger entries. The
  * larger entries must not be busy, and must have twice the processor time of
  * all other entries together. An entry does not become standby where fewer than
  * half of its domain's entries would remain: balancers then use all entries of
--- a/src/libgooseberryio/metrics.cpp
+++ b/src/libgooseberryio/metrics.cpp
@@ -156,6 +156,16 @@
                     "counter",
                     "Messages about tasks and jobs, by type",
                     "type" };
+  family mTrafficStateChanges{ "traffic_state_changes_total",
+                               "counter",
+                               "Changes of whether the entry accepts callers",
+                               "",
+                               { { "", 0 } } };
+  family mRatesDropped{ "heartbeat_rates_dropped_total",
+                        "counter",
+                        "Implausible rates in heartbeats of entries",
+                        "",
+                        { { "", 0 } } };
   family mQueueLength{ "queue_length",
                        "gauge",
                        "Tasks that wait",
@@ -239,6 +249,18 @@
   mFamilies->Count(mFamilies->mMessages, aType, aCount);
 }
 
+void
+metrics::CountTrafficStateChanges(std::size_t aCount)
+{
+  mFamilies->Count(mFamilies->mTrafficStateChanges, "", aCount);
+}
+
+void
+metrics::CountRatesDropped(std::size_t aCount)
+{
+  mFamilies->Count(mFamilies->mRatesDropped, "", aCount);
+}
+
 void
 metrics::SetQueueLength(std::size_t aTasks)
 {
@@ -265,6 +287,8 @@
                                    &all.mRetries,
                                    &all.mWastedMessages,
                                    &all.mMessages,
+                                   &all.mTrafficStateChanges,
+                                   &all.mRatesDropped,
                                    &all.mQueueLength,
                                    &all.mGeneration }) {
     Write(text, *one, all.mProcess);
--- a/src/libgooseberryio/metrics.h
+++ b/src/libgooseberryio/metrics.h
@@ -31,6 +31,10 @@
   void CountWastedMessages(std::size_t aCount = 1);
   /** Messages about tasks and jobs, by type, one for each task or job. */
   void CountMessages(std::string_view aType, std::size_t aCount = 1);
+  /** Changes of whether the entry accepts callers. */
+  void CountTrafficStateChanges(std::size_t aCount);
+  /** Implausible rates in heartbeats of other entries. */
+  void CountRatesDropped(std::size_t aCount);
   void SetQueueLength(std::size_t aTasks);
   /** Generation of the configuration in force. */
   void SetGeneration(core::generation aGeneration);
--- a/tests/libgooseberryio/test_log.cpp
+++ b/tests/libgooseberryio/test_log.cpp
@@ -115,6 +115,8 @@
   metrics.CountRefusal("busy");
   metrics.CountJob("complete");
   metrics.CountStarts(5);
+  metrics.CountTrafficStateChanges(3);
+  metrics.CountRatesDropped(2);
   metrics.SetQueueLength(7);
   metrics.SetGeneration(12);
   const auto text = metrics.Text();
@@ -129,6 +131,8 @@
          "gooseberry_starts_total{process=\"entry-1\"} 5",
          "gooseberry_retries_total{process=\"entry-1\"} 0",
          "gooseberry_wasted_messages_total{process=\"entry-1\"} 0",
+         "gooseberry_traffic_state_changes_total{process=\"entry-1\"} 3",
+         "gooseberry_heartbeat_rates_dropped_total{process=\"entry-1\"} 2",
          "gooseberry_queue_length{process=\"entry-1\"} 7",
          "gooseberry_configuration_generation{process=\"entry-1\"} 12" }) {
     BOOST_TEST(text.find(line) != std::string::npos, line << "\n" << text);
