Test: sizes alone decide beside an earlier version

Guards the rule for mixed versions: small entries are on standby while one entry does not tell its rate, and in rotation 3 s after it does. small_entries_suite, unequal_entries_suite and caller_load_suite pass.

--- a/tests/libgooseberry/test_small_entries.cpp
+++ b/tests/libgooseberry/test_small_entries.cpp
@@ -81,6 +81,18 @@
   BOOST_TEST(all.Changes() == changes + 2 * kSmallEntries);
 }
 
+// Guards against a load that is judged too low while versions are mixed.
+BOOST_AUTO_TEST_CASE(sizes_alone_decide_beside_an_earlier_version)
+{
+  deployment all(kElevenEntries);
+  all.Entries()[0].mTellsRate = false;
+  all.Run(20s, kQuietRate);
+  BOOST_TEST(all.SmallInRotation() == 0);
+  all.Entries()[0].mTellsRate = true;
+  all.Run(3s, kQuietRate);
+  BOOST_TEST(all.SmallInRotation() == kSmallEntries);
+}
+
 // Guards against small entries that wait for larger ones which are gone.
 BOOST_AUTO_TEST_CASE(
   small_entries_take_callers_where_nothing_is_heard_of_others)
--- a/tests/libgooseberry/unequal_deployment.h
+++ b/tests/libgooseberry/unequal_deployment.h
@@ -43,6 +43,7 @@
   int mFailedChecks = 0;
   std::uint64_t mJobsAtTick = 0;
   bool mIsSilent = false; ///< Its heartbeats are lost.
+  bool mTellsRate = true; ///< False for an earlier version.
 
   bool IsSmall() const { return mControl.mOptions.mMillicores < 200; }
   bool InRotation() const { return mFailedChecks < kFailedChecksToRemove; }
@@ -192,7 +193,10 @@
       if (from.mIsSilent) {
         continue;
       }
-      const core::heartbeat beat = entry::MakeHeartbeat(from.mControl, mNow);
+      core::heartbeat beat = entry::MakeHeartbeat(from.mControl, mNow);
+      if (!from.mTellsRate) {
+        beat.mJobsPerSecond.reset();
+      }
       for (test_entry& to : mEntries) {
         entry::OnHeartbeat(to.mControl, beat, mNow, effects);
       }
