--- a/src/libgooseberry/lease/open_calls.cpp
+++ b/src/libgooseberry/lease/open_calls.cpp
@@ -53,10 +53,11 @@
 {
   constexpr std::uint32_t kMaxDoublings = 8;
   const lease_settings& settings = aTarget.mSettings;
-  const core::duration first =
-    LosesCalls(aTarget, aNow) ? settings.mShortOverdue : settings.mStartOverdue;
+  if (aRun.mResends == 0 && LosesCalls(aTarget, aNow)) {
+    return settings.mShortOverdue;
+  }
   const auto doublings = std::min(aRun.mResends, kMaxDoublings);
-  return std::min(first * (std::int64_t(1) << doublings),
+  return std::min(settings.mStartOverdue * (std::int64_t(1) << doublings),
                   settings.mMaxResendPause);
 }
 
