Bound the bodies in arrival over all connections

Cause: ulfius buffered up to max_body_bytes for each connection before the handler was called, and grew the buffer by each chunk; an unfinished request kept its bytes and its connection for up to 30 s.

Change: the server gives libmicrohttpd a handler of its own, as ulfius fixes its own one. It reserves bytes in a budget (`[limits] max_buffered_bytes`) that all addresses of a process share before it stores them. A body over max_body_bytes is answered 413 before it is read, or cut; without room, 503 with Retry-After, or cut. A request not whole `[limits] body_timeout_ms` after its first line is given up; where connections run short, the oldest unfinished one is closed. Handlers free a job's body once it is read. Agents get max_body_bytes; 16 MiB was fixed before. Drops are counted in requests_dropped_total and logged once a second at most.

--- a/src/agent/agent_daemon.cpp
+++ b/src/agent/agent_daemon.cpp
@@ -108,14 +108,6 @@
   return settings;
 }
 
-io::http_server_settings
-HttpSettings(const daemon_settings& aSettings)
-{
-  io::http_server_settings settings;
-  settings.mAddress = aSettings.mHttp;
-  return settings;
-}
-
 io::http_response
 TextResponse(unsigned aStatus, std::string aBody)
 {
@@ -152,7 +144,7 @@
             mLink.get(), mStore,   mEntries,
             mAgents,     mMetrics, [this] { mHasLeft = true; } }
   , mPeerServer(mSettings.mListen, MakeHandlers(mControl))
-  , mHttpServer(HttpSettings(mSettings))
+  , mHttpServer(mSettings.mHttp)
 {
 }
 
@@ -181,7 +173,7 @@
   io::log_event("agent_started")
     .Add("agent", mSettings.mControl.mAgent.mName)
     .Add("incarnation", mSettings.mControl.mAgent.mIncarnation)
-    .Add("http", mSettings.mHttp)
+    .Add("http", mSettings.mHttp.mAddress)
     .Add("peers", mSettings.mListen);
   return std::nullopt;
 }
@@ -233,6 +225,9 @@
   });
   mHttpServer.Route("GET", "/metrics", [this, state](const auto&) {
     mMetrics.SetQueueLength(QueueLength(state()));
+    if (mSettings.mHttp.mBudget) {
+      mMetrics.SetDrops(mSettings.mHttp.mBudget->Drops());
+    }
     return TextResponse(200, mMetrics.Text());
   });
 }
--- a/src/agent/daemon_settings.cpp
+++ b/src/agent/daemon_settings.cpp
@@ -36,7 +36,11 @@
 {
   daemon_settings daemon;
   daemon.mListen = aSettings.mPeerAddress;
-  daemon.mHttp = aSettings.mHttpAddress;
+  daemon.mHttp.mAddress = aSettings.mHttpAddress;
+  daemon.mHttp.mMaxBody = aSettings.mLimits.mMaxBodyBytes;
+  daemon.mHttp.mBodyTimeout = aSettings.mLimits.mBodyTimeout;
+  daemon.mHttp.mBudget = std::make_shared<io::body_budget>(
+    aSettings.mLimits.mMaxBufferedBytes, aSettings.mLimits.mMaxBodyBytes);
   daemon.mMakeStore = [platform = aSettings.mPlatform] {
     return std::make_unique<io::platform_client>(platform);
   };
--- a/src/agent/daemon_settings.h
+++ b/src/agent/daemon_settings.h
@@ -3,6 +3,7 @@
 #include "agent/target_link.h"
 #include "libgooseberry/agent/control_settings.h"
 #include "libgooseberryio/agent_settings.h"
+#include "libgooseberryio/http_server.h"
 #include "libgooseberryio/platform_client.h"
 
 #include <cstddef>
@@ -15,7 +16,8 @@
 {
   agent::control_settings mControl;
   std::string mListen; ///< `IP:PORT` of calls from entries and agents.
-  std::string mHttp;   ///< `IP:PORT` of targets, metrics and health.
+  /** For targets, metrics and health. */
+  io::http_server_settings mHttp;
   io::store_factory mMakeStore;
   /** For targets that run tasks under leases; may be empty. */
   link_factory mMakeLink;
--- a/src/entry/caller_api.cpp
+++ b/src/entry/caller_api.cpp
@@ -46,9 +46,10 @@
 Submit(control_loop& aLoop,
        caller_waiters& aCallers,
        const caller_limits& aLimits,
-       const io::http_request& aRequest)
+       io::http_request& aRequest)
 {
   auto parsed = ParseSubmission(aRequest.mBody, aLimits);
+  io::ReleaseBody(aRequest); // The wait for the answer may be long.
   if (const auto* error = std::get_if<core::error>(&parsed)) {
     return ErrorResponse(kStatusBadRequest, *error);
   }
@@ -192,7 +193,7 @@
 {
   aServer.Route("POST",
                 "/v1/jobs",
-                [&aLoop, &aCallers, aLimits](const io::http_request& aRequest) {
+                [&aLoop, &aCallers, aLimits](io::http_request& aRequest) {
                   return Submit(aLoop, aCallers, aLimits, aRequest);
                 });
   aServer.Route("GET", "/v1/jobs", [&aLoop](const io::http_request&) {
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -176,6 +176,9 @@
                          static_cast<void>(aEffects);
                          return TakeMeasurements(aControl);
                        }));
+    if (mOptions.mHttp.mBudget) {
+      mMetrics.SetDrops(mOptions.mHttp.mBudget->Drops());
+    }
     response.mBody = mMetrics.Text();
     return response;
   });
--- a/src/entry/process_options.cpp
+++ b/src/entry/process_options.cpp
@@ -43,6 +43,9 @@
   options.mCallers.mMaxDeadline = aSettings.mLimits.mMaxDeadline;
   options.mHttp.mAddress = aSettings.mHttpAddress;
   options.mHttp.mMaxBody = aSettings.mLimits.mMaxBodyBytes;
+  options.mHttp.mBodyTimeout = aSettings.mLimits.mBodyTimeout;
+  options.mHttp.mBudget = std::make_shared<io::body_budget>(
+    aSettings.mLimits.mMaxBufferedBytes, aSettings.mLimits.mMaxBodyBytes);
   options.mHttp.mMaxConnections = aSettings.mLimits.mMaxCallers;
   options.mHttp.mMaxRequests = aSettings.mLimits.mMaxCallers;
   options.mMakeStore = [platform = aSettings.mPlatform] {
--- a/src/libgooseberryio/agent_settings.cpp
+++ b/src/libgooseberryio/agent_settings.cpp
@@ -92,7 +92,7 @@
     } },
 } };
 
-constexpr std::array<rule, 5> kLimitRules{ {
+constexpr std::array<rule, 8> kLimitRules{ {
   { NumberSetting("limits",
                   "max_targets",
                   "targets",
@@ -129,6 +129,32 @@
     [](const setting_value& aValue, agent_settings& aSettings) {
       aSettings.mLimits.mMaxAnswerBytes = aValue.mNumber;
     } },
+  { NumberSetting("limits",
+                  "max_body_bytes",
+                  "bytes",
+                  "16777216",
+                  kBodyBytes,
+                  "Of one request"),
+    [](const setting_value& aValue, agent_settings& aSettings) {
+      aSettings.mLimits.mMaxBodyBytes = aValue.mNumber;
+    } },
+  { NumberSetting("limits",
+                  "max_buffered_bytes",
+                  "bytes",
+                  "16777216",
+                  kBodyBytes,
+                  "Of all requests in arrival, at all addresses"),
+    [](const setting_value& aValue, agent_settings& aSettings) {
+      aSettings.mLimits.mMaxBufferedBytes = aValue.mNumber;
+    } },
+  { MillisecondsSetting("limits",
+                        "body_timeout_ms",
+                        "10000",
+                        kBodyTimeoutMs,
+                        "A request not whole by then is given up"),
+    [](const setting_value& aValue, agent_settings& aSettings) {
+      aSettings.mLimits.mBodyTimeout = ToDuration(aValue);
+    } },
   { MillisecondsSetting("limits",
                         "target_lease_ms",
                         "3000",
@@ -139,8 +165,9 @@
     } },
 } };
 
-constexpr std::array<setting_order, 3> kOrders{ {
+constexpr std::array<setting_order, 4> kOrders{ {
   { "limits", "max_answer_bytes", "limits", "result_bytes" },
+  { "limits", "max_body_bytes", "limits", "max_buffered_bytes" },
   { "protocol", "announce_ms", "protocol", "freshness_bound_ms" },
   { "protocol", "freshness_bound_ms", "protocol", "deduplication_window_ms" },
 } };
--- a/src/libgooseberryio/agent_settings.h
+++ b/src/libgooseberryio/agent_settings.h
@@ -32,6 +32,9 @@
   std::uint32_t mMaxTargets = 0;
   std::uint32_t mQueuePerTarget = 0; ///< Tasks that wait beyond the slots.
   std::size_t mResultBytes = 0;      ///< Results that are kept, all together.
+  std::size_t mMaxBodyBytes = 0;     ///< Of one request.
+  std::size_t mMaxBufferedBytes = 0; ///< Of unfinished requests together.
+  core::duration mBodyTimeout{};     ///< For a request to arrive.
   std::size_t mMaxAnswerBytes = 0;   ///< One target's answer.
   core::duration mTargetLease{};     ///< A target not heard for longer is gone.
 };
--- a/src/libgooseberryio/common_settings.h
+++ b/src/libgooseberryio/common_settings.h
@@ -14,6 +14,11 @@
 /** Longest time that a job is remembered, in milliseconds. */
 inline constexpr number_range kWindowMs{ 1'000, 3'600'000 };
 
+/** Bounds of a request's body, and of all of them. */
+inline constexpr number_range kBodyBytes{ 1'024, 1'073'741'824 };
+/** Bounds of the time in which a request arrives, in milliseconds. */
+inline constexpr number_range kBodyTimeoutMs{ 100, 600'000 };
+
 /** A text of which `-` stands for nothing. */
 inline std::string
 OrNothing(const setting_value& aValue)
--- a/src/libgooseberryio/entry_settings.cpp
+++ b/src/libgooseberryio/entry_settings.cpp
@@ -8,7 +8,6 @@
 
 using rule = setting_rule<entry_settings>;
 
-constexpr number_range kBodyBytes{ 1'024, 1'073'741'824 };
 constexpr double kPercent = 100.0;
 
 constexpr std::array<rule, 5> kEntryRules{ {
@@ -39,7 +38,7 @@
     } },
 } };
 
-constexpr std::array<rule, 7> kLimitRules{ {
+constexpr std::array<rule, 9> kLimitRules{ {
   { NumberSetting("limits",
                   "max_tasks",
                   "tasks",
@@ -58,6 +57,23 @@
     [](const setting_value& aValue, entry_settings& aSettings) {
       aSettings.mLimits.mMaxBodyBytes = aValue.mNumber;
     } },
+  { NumberSetting("limits",
+                  "max_buffered_bytes",
+                  "bytes",
+                  "16777216",
+                  kBodyBytes,
+                  "Of all requests in arrival, at all addresses"),
+    [](const setting_value& aValue, entry_settings& aSettings) {
+      aSettings.mLimits.mMaxBufferedBytes = aValue.mNumber;
+    } },
+  { MillisecondsSetting("limits",
+                        "body_timeout_ms",
+                        "10000",
+                        kBodyTimeoutMs,
+                        "A request not whole by then is given up"),
+    [](const setting_value& aValue, entry_settings& aSettings) {
+      aSettings.mLimits.mBodyTimeout = ToDuration(aValue);
+    } },
   { NumberSetting("limits",
                   "max_payload_bytes",
                   "bytes",
@@ -224,8 +240,9 @@
     } },
 } };
 
-constexpr std::array<setting_order, 4> kOrders{ {
+constexpr std::array<setting_order, 5> kOrders{ {
   { "limits", "max_payload_bytes", "limits", "max_body_bytes" },
+  { "limits", "max_body_bytes", "limits", "max_buffered_bytes" },
   { "limits", "default_deadline_ms", "limits", "max_deadline_ms" },
   { "protocol", "heartbeat_ms", "protocol", "freshness_bound_ms" },
   { "protocol", "freshness_bound_ms", "protocol", "deduplication_window_ms" },
--- a/src/libgooseberryio/entry_settings.h
+++ b/src/libgooseberryio/entry_settings.h
@@ -20,6 +20,8 @@
 {
   std::uint32_t mMaxTasks = 0;       ///< Of one job.
   std::size_t mMaxBodyBytes = 0;     ///< Of one request.
+  std::size_t mMaxBufferedBytes = 0; ///< Of unfinished requests together.
+  core::duration mBodyTimeout{};     ///< For a request to arrive.
   std::size_t mMaxPayloadBytes = 0;  ///< Of one task.
   core::duration mMaxQueueWait{};    ///< Expected; above it a job is refused.
   std::uint32_t mMaxCallers = 0;     ///< Connections at once.
--- a/src/libgooseberryio/http_server.cpp
+++ b/src/libgooseberryio/http_server.cpp
@@ -2,24 +2,23 @@
 
 #include "libgooseberryio/address.h"
 #include "libgooseberryio/http_connections.h"
+#include "libgooseberryio/http_exchange.h"
 #include "libgooseberryio/http_route.h"
 #include "libgooseberryio/log.h"
 
 #include <arpa/inet.h>
-#include <sys/socket.h>
-#include <ulfius.h>
 
-#include <algorithm>
 #include <array>
 #include <atomic>
-#include <cctype>
-#include <cerrno>
 #include <utility>
 #include <vector>
 
 namespace gooseberry::io {
 namespace {
 
+/** Of a server that shares no budget. */
+constexpr std::size_t kOwnBudget = std::size_t{ 16 } << 20U; // bytes
+
 struct route
 {
   std::string mMethod;
@@ -37,191 +36,186 @@
            .mCutShort = false };
 }
 
-/** `IP:PORT` of a socket's other end. */
-std::string
-ClientName(const sockaddr* aAddress)
-{
-  std::array<char, INET6_ADDRSTRLEN> text{};
-  if (aAddress == nullptr) {
-    return {};
-  }
-  if (aAddress->sa_family == AF_INET) {
-    const auto* const v4 = reinterpret_cast<const sockaddr_in*>(aAddress);
-    inet_ntop(AF_INET, &v4->sin_addr, text.data(), text.size());
-    return ToString(ip_address{ text.data(), ntohs(v4->sin_port) });
-  }
-  const auto* const v6 = reinterpret_cast<const sockaddr_in6*>(aAddress);
-  inet_ntop(AF_INET6, &v6->sin6_addr, text.data(), text.size());
-  return ToString(ip_address{ text.data(), ntohs(v6->sin6_port) });
-}
-
-std::map<std::string, std::string>
-CopyHeaders(const _u_map* aMap)
-{
-  std::map<std::string, std::string> headers;
-  for (int i = 0; i < aMap->nb_values; ++i) {
-    std::string name = aMap->keys[i];
-    std::ranges::transform(name, name.begin(), [](unsigned char aCharacter) {
-      return static_cast<char>(std::tolower(aCharacter));
-    });
-    // The library's lengths count the terminating zero.
-    headers.insert_or_assign(std::move(name), std::string(aMap->values[i]));
-  }
-  return headers;
-}
-
-/** Ends a response in the middle: the library then closes the connection. */
-ssize_t
-FailStream(void* /* aData */,
-           std::uint64_t /* aOffset */,
-           char* /* aBuffer */,
-           std::size_t /* aSize */)
-{
-  return U_STREAM_ERROR;
-}
+} // namespace
 
 void
-WriteResponse(const http_response& aFrom, _u_response* aTo)
+ReleaseBody(http_request& aRequest)
 {
-  for (const auto& [name, value] : aFrom.mHeaders) {
-    u_map_put(aTo->map_header, name.c_str(), value.c_str());
-  }
-  u_map_put(aTo->map_header, "Content-Type", aFrom.mContentType.c_str());
-  if (aFrom.mCutShort) {
-    constexpr std::size_t kBlock = 64;
-    ulfius_set_stream_response(aTo,
-                               aFrom.mStatus,
-                               FailStream,
-                               nullptr,
-                               aFrom.mBody.size() + 1,
-                               kBlock,
-                               nullptr);
-    return;
+  aRequest.mBody = {};
+  if (aRequest.mArrival != nullptr) {
+    aRequest.mArrival->Release();
   }
-  // The library takes no empty body here, and would leave the status at 200.
-  if (aFrom.mBody.empty()) {
-    ulfius_set_empty_body_response(aTo, aFrom.mStatus);
-    return;
-  }
-  ulfius_set_binary_body_response(
-    aTo, aFrom.mStatus, aFrom.mBody.data(), aFrom.mBody.size());
 }
 
-} // namespace
-
 struct http_server::state
 {
   explicit state(const http_server_settings& aSettings)
     : mSettings(aSettings)
-    , mConnections(aSettings.mConnectionTimeout)
+    , mBudget(aSettings.mBudget
+                ? aSettings.mBudget
+                : std::make_shared<body_budget>(kOwnBudget, aSettings.mMaxBody))
+    , mConnections({ .mIdleTimeout = aSettings.mConnectionTimeout,
+                     .mBodyTimeout = aSettings.mBodyTimeout,
+                     .mMaxConnections = aSettings.mMaxConnections },
+                   mBudget)
   {
   }
 
-  http_response Answer(const _u_request& aRequest);
+  std::optional<drop_reason> OnHead(http_exchange& aExchange,
+                                    MHD_Connection* aConnection);
+  bool OnBody(http_exchange& aExchange, std::string_view aBytes);
+  http_response Answer(http_exchange& aExchange,
+                       MHD_Connection* aConnection,
+                       const char* aMethod);
   http_response Dispatch(http_request& aRequest, const std::string& aTarget);
-  http_response Handle(const http_handler& aHandler,
-                       const http_request& aRequest);
+  http_response Handle(const http_handler& aHandler, http_request& aRequest);
   bool StartDaemon(const ip_address& aAddress);
 
   const http_server_settings mSettings;
+  const std::shared_ptr<body_budget> mBudget;
   http_connections mConnections;
   std::vector<route> mRoutes;
   http_handler mOthers;
   std::atomic<unsigned> mRequests = 0; ///< In handlers.
   std::atomic<bool> mStopping = false;
-  bool mStarted = false;
   std::uint16_t mPort = 0;
-  sockaddr_in mBind{};
-  _u_instance mInstance{};
+  MHD_Daemon* mDaemon = nullptr;
 };
 
 namespace {
 
-extern "C" int
-OnRequest(const _u_request* aRequest, _u_response* aResponse, void* aState)
+http_response
+DropResponse(drop_reason aReason, std::size_t aMaxBody)
+{
+  auto response =
+    aReason == drop_reason::BodyTooLarge
+      ? ErrorResponse(413, "body above " + std::to_string(aMaxBody) + " bytes")
+      : ErrorResponse(503, "too many bodies in arrival");
+  if (aReason != drop_reason::BodyTooLarge) {
+    response.mHeaders["Retry-After"] = "1";
+  }
+  response.mHeaders["Connection"] = "close";
+  return response;
+}
+
+/** Called with the first line of a request. */
+extern "C" void*
+OnFirstLine(void* aState, const char* aTarget, MHD_Connection* aConnection)
 {
   auto* const state = static_cast<http_server::state*>(aState);
-  WriteResponse(state->Answer(*aRequest), aResponse);
-  return U_CALLBACK_COMPLETE;
+  state->mConnections.RequestArrives(SocketOf(aConnection));
+  return std::make_unique<http_exchange>(
+           aTarget, *state->mBudget, state->mSettings.mMaxBody)
+    .release();
 }
 
-std::string
-ClientName(MHD_Connection* aConnection)
+/** Called with the head of a request, with parts of its body, at its end. */
+extern "C" MHD_Result
+OnRequest(void* aState,
+          MHD_Connection* aConnection,
+          const char* /* aPath */,
+          const char* aMethod,
+          const char* /* aVersion */,
+          const char* aBytes,
+          std::size_t* aSize,
+          void** aExchange)
 {
-  const auto* const info =
-    MHD_get_connection_info(aConnection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
-  return info == nullptr ? std::string() : ClientName(info->client_addr);
+  auto* const state = static_cast<http_server::state*>(aState);
+  auto& exchange = *static_cast<http_exchange*>(*aExchange);
+  if (!std::exchange(exchange.mHeadIsRead, true)) {
+    const auto reason = state->OnHead(exchange, aConnection);
+    return reason
+             ? SendResponse(aConnection,
+                            DropResponse(*reason, state->mSettings.mMaxBody))
+             : MHD_YES;
+  }
+  if (*aSize > 0) {
+    const bool isTaken = state->OnBody(exchange, { aBytes, *aSize });
+    *aSize = 0;
+    return isTaken ? MHD_YES : MHD_NO;
+  }
+  if (!state->mConnections.RequestBegun(SocketOf(aConnection))) {
+    return MHD_NO;
+  }
+  return SendResponse(aConnection,
+                      state->Answer(exchange, aConnection, aMethod));
 }
 
 extern "C" void
-OnConnection(void* aConnections,
+OnConnection(void* aState,
              MHD_Connection* aConnection,
              void** /* aContext */,
              MHD_ConnectionNotificationCode aCode)
 {
-  auto* const connections = static_cast<http_connections*>(aConnections);
-  const auto client = ClientName(aConnection);
+  auto* const state = static_cast<http_server::state*>(aState);
+  const int socket = SocketOf(aConnection);
   if (aCode == MHD_CONNECTION_NOTIFY_CLOSED) {
-    connections->Closed(client);
-    return;
-  }
-  if (const auto* const info = MHD_get_connection_info(
-        aConnection, MHD_CONNECTION_INFO_CONNECTION_FD)) {
-    connections->Opened(client, info->connect_fd);
+    state->mConnections.Closed(socket);
+  } else {
+    state->mConnections.Opened(socket);
   }
 }
 
 extern "C" void
-OnRequestCompleted(void* aConnections,
+OnRequestCompleted(void* aState,
                    MHD_Connection* aConnection,
-                   void** aContext,
-                   MHD_RequestTerminationCode aCode)
+                   void** aExchange,
+                   MHD_RequestTerminationCode /* aCode */)
 {
-  mhd_request_completed(nullptr, aConnection, aContext, aCode);
-  static_cast<http_connections*>(aConnections)
-    ->RequestEnded(ClientName(aConnection));
+  auto* const state = static_cast<http_server::state*>(aState);
+  const std::unique_ptr<http_exchange> exchange(
+    static_cast<http_exchange*>(std::exchange(*aExchange, nullptr)));
+  state->mConnections.RequestEnded(SocketOf(aConnection));
 }
 
-std::uint16_t
-BoundPort(MHD_Daemon* aDaemon)
+} // namespace
+
+/** Why the body is not to be read, from the request's head. */
+std::optional<drop_reason>
+http_server::state::OnHead(http_exchange& aExchange,
+                           MHD_Connection* aConnection)
 {
-  const auto* const info =
-    MHD_get_daemon_info(aDaemon, MHD_DAEMON_INFO_LISTEN_FD);
-  sockaddr_in address{};
-  socklen_t length = sizeof(address);
-  if (info == nullptr || getsockname(info->listen_fd,
-                                     reinterpret_cast<sockaddr*>(&address),
-                                     &length) != 0) {
-    return 0;
+  const auto reason = aExchange.mBody.Announce(AnnouncedLength(aConnection));
+  if (reason) {
+    mBudget->CountDrop(*reason);
+  }
+  if (reason == drop_reason::BuffersFull) {
+    mConnections.CloseUnfinished(*reason);
   }
-  return ntohs(address.sin_port);
+  return reason;
 }
 
-} // namespace
+/** False where the connection is to be closed in the middle of the body. */
+bool
+http_server::state::OnBody(http_exchange& aExchange, std::string_view aBytes)
+{
+  const auto reason = aExchange.mBody.Append(aBytes);
+  if (reason) {
+    mBudget->CountDrop(*reason);
+    aExchange.mBody.Release();
+  }
+  return !reason;
+}
 
 http_response
-http_server::state::Answer(const _u_request& aRequest)
+http_server::state::Answer(http_exchange& aExchange,
+                           MHD_Connection* aConnection,
+                           const char* aMethod)
 {
-  const int socket =
-    mConnections.RequestBegun(ClientName(aRequest.client_address));
   if (mStopping) {
     auto response = ErrorResponse(503, "shutting down");
     response.mHeaders["Connection"] = "close";
     return response;
   }
-  if (aRequest.binary_body_length > mSettings.mMaxBody) {
-    return ErrorResponse(
-      413, "body above " + std::to_string(mSettings.mMaxBody) + " bytes");
-  }
   http_request request;
-  request.mMethod = aRequest.http_verb;
-  request.mSocket = socket;
-  request.mHeaders = CopyHeaders(aRequest.map_header);
-  if (aRequest.binary_body_length > 0) {
-    request.mBody.assign(static_cast<const char*>(aRequest.binary_body),
-                         aRequest.binary_body_length);
-  }
-  return Dispatch(request, aRequest.http_url);
+  request.mMethod = aMethod;
+  request.mSocket = SocketOf(aConnection);
+  request.mHeaders = CopyHeaders(aConnection);
+  request.mBody = aExchange.mBody.TakeText();
+  request.mArrival = &aExchange.mBody;
+  auto response = Dispatch(request, aExchange.mTarget);
+  ReleaseBody(request);
+  return response;
 }
 
 http_response
@@ -257,8 +251,7 @@
 }
 
 http_response
-http_server::state::Handle(const http_handler& aHandler,
-                           const http_request& aRequest)
+http_server::state::Handle(const http_handler& aHandler, http_request& aRequest)
 {
   if (mRequests.fetch_add(1) >= mSettings.mMaxRequests) {
     --mRequests;
@@ -282,43 +275,41 @@
 bool
 http_server::state::StartDaemon(const ip_address& aAddress)
 {
-  mBind.sin_family = AF_INET;
-  mBind.sin_port = htons(aAddress.mPort);
-  if (inet_pton(AF_INET, aAddress.mIp.c_str(), &mBind.sin_addr) != 1) {
-    return false;
-  }
-  // The library wants a port above 0; the socket address below is what counts.
-  const unsigned port = aAddress.mPort == 0 ? 1 : aAddress.mPort;
-  if (ulfius_init_instance(&mInstance, port, &mBind, nullptr) != U_OK) {
+  sockaddr_in bind{};
+  bind.sin_family = AF_INET;
+  bind.sin_port = htons(aAddress.mPort);
+  if (inet_pton(AF_INET, aAddress.mIp.c_str(), &bind.sin_addr) != 1) {
     return false;
   }
-  mInstance.check_utf8 = 0;
-  mInstance.allowed_post_processor = U_POST_PROCESS_NONE;
-  mInstance.max_post_body_size = mSettings.mMaxBody + 1;
-  ulfius_set_default_endpoint(&mInstance, OnRequest, this);
   const auto timeout =
     std::chrono::ceil<std::chrono::seconds>(mSettings.mConnectionTimeout);
   std::array options{
-    MHD_OptionItem{ MHD_OPTION_SOCK_ADDR, 0, &mBind },
+    MHD_OptionItem{ MHD_OPTION_SOCK_ADDR, 0, &bind },
     MHD_OptionItem{
       MHD_OPTION_CONNECTION_LIMIT, mSettings.mMaxConnections, nullptr },
     MHD_OptionItem{ MHD_OPTION_CONNECTION_TIMEOUT, timeout.count(), nullptr },
     MHD_OptionItem{ MHD_OPTION_NOTIFY_CONNECTION,
                     reinterpret_cast<std::intptr_t>(OnConnection),
-                    &mConnections },
+                    this },
     MHD_OptionItem{ MHD_OPTION_NOTIFY_COMPLETED,
                     reinterpret_cast<std::intptr_t>(OnRequestCompleted),
-                    &mConnections },
+                    this },
     MHD_OptionItem{ MHD_OPTION_URI_LOG_CALLBACK,
-                    reinterpret_cast<std::intptr_t>(ulfius_uri_logger),
-                    nullptr },
+                    reinterpret_cast<std::intptr_t>(OnFirstLine),
+                    this },
     MHD_OptionItem{ MHD_OPTION_END, 0, nullptr },
   };
-  return ulfius_start_framework_with_mhd_options(
-           &mInstance,
-           MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
-             MHD_USE_POLL,
-           options.data()) == U_OK;
+  mDaemon = MHD_start_daemon(MHD_USE_THREAD_PER_CONNECTION |
+                               MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_POLL,
+                             aAddress.mPort,
+                             nullptr,
+                             nullptr,
+                             OnRequest,
+                             this,
+                             MHD_OPTION_ARRAY,
+                             options.data(),
+                             MHD_OPTION_END);
+  return mDaemon != nullptr;
 }
 
 http_server::http_server(const http_server_settings& aSettings)
@@ -355,27 +346,24 @@
     return *bad;
   }
   if (!mState->StartDaemon(std::get<ip_address>(parsed))) {
-    ulfius_clean_instance(&mState->mInstance);
     return core::error{ .mStep = "listen",
                         .mPeer = mState->mSettings.mAddress,
                         .mReason = "cannot serve HTTP there" };
   }
-  mState->mStarted = true;
-  mState->mPort = BoundPort(mState->mInstance.mhd_daemon);
+  mState->mPort = BoundPort(mState->mDaemon);
   return std::nullopt;
 }
 
 void
 http_server::Stop()
 {
-  if (!std::exchange(mState->mStarted, false)) {
+  if (mState->mDaemon == nullptr) {
     return;
   }
   // The library cuts what is in progress: that is waited for first.
   mState->mStopping = true;
   mState->mConnections.WaitIdle();
-  ulfius_stop_framework(&mState->mInstance);
-  ulfius_clean_instance(&mState->mInstance);
+  MHD_stop_daemon(std::exchange(mState->mDaemon, nullptr));
 }
 
 std::uint16_t
--- a/src/libgooseberryio/http_server.h
+++ b/src/libgooseberryio/http_server.h
@@ -2,6 +2,7 @@
 
 #include "libgooseberry/core/error.h"
 #include "libgooseberry/core/time.h"
+#include "libgooseberryio/body_budget.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -23,8 +24,13 @@
   std::map<std::string, std::string> mHeaders; ///< Names in lower case.
   std::string mBody;                           ///< Any bytes.
   int mSocket = -1; ///< Of the connection; not to be read from or closed.
+  arriving_body* mArrival = nullptr; ///< Reserves the bytes of `mBody`.
 };
 
+/** Frees the body; for handlers that have read it and wait long. */
+void
+ReleaseBody(http_request& aRequest);
+
 struct http_response
 {
   unsigned mStatus = 200;
@@ -36,7 +42,7 @@
 };
 
 /** Called on the connection's thread; may block; an exception gives a 500. */
-using http_handler = std::function<http_response(const http_request&)>;
+using http_handler = std::function<http_response(http_request&)>;
 
 /** Bounds that keep callers from harming each other. */
 struct http_server_settings
@@ -48,6 +54,10 @@
   unsigned mMaxRequests = 1024;
   /** An idle connection, or a request in arrival that stalls, ends. */
   core::duration mConnectionTimeout = std::chrono::seconds(30);
+  /** A request that is not whole so long after its first line is given up. */
+  core::duration mBodyTimeout = std::chrono::seconds(10);
+  /** May be shared by servers; none: the server has its own, of 16 MiB. */
+  std::shared_ptr<body_budget> mBudget{};
 };
 
 /** HTTP server with one thread for each connection. */
--- a/src/libgooseberryio/metrics.cpp
+++ b/src/libgooseberryio/metrics.cpp
@@ -156,6 +156,10 @@
                     "counter",
                     "Messages about tasks and jobs, by type",
                     "type" };
+  family mDrops{ "requests_dropped_total",
+                 "counter",
+                 "Requests dropped before they were whole, by reason",
+                 "reason" };
   family mQueueLength{ "queue_length",
                        "gauge",
                        "Tasks that wait",
@@ -245,6 +249,17 @@
   mFamilies->Set(mFamilies->mQueueLength, static_cast<double>(aTasks));
 }
 
+void
+metrics::SetDrops(const drop_counts& aCounts)
+{
+  const std::lock_guard lock(mFamilies->mMutex);
+  for (std::size_t i = 0; i < aCounts.size(); ++i) {
+    const auto reason = kDropReasonNames.NameOf(static_cast<drop_reason>(i));
+    mFamilies->mDrops.mValues[std::string(reason)] =
+      static_cast<double>(aCounts.at(i));
+  }
+}
+
 void
 metrics::SetGeneration(core::generation aGeneration)
 {
@@ -265,6 +280,7 @@
                                    &all.mRetries,
                                    &all.mWastedMessages,
                                    &all.mMessages,
+                                   &all.mDrops,
                                    &all.mQueueLength,
                                    &all.mGeneration }) {
     Write(text, *one, all.mProcess);
--- a/src/libgooseberryio/metrics.h
+++ b/src/libgooseberryio/metrics.h
@@ -2,6 +2,7 @@
 
 #include "libgooseberry/core/identity.h"
 #include "libgooseberry/core/time.h"
+#include "libgooseberryio/body_budget.h"
 
 #include <cstddef>
 #include <memory>
@@ -32,6 +33,8 @@
   /** Messages about tasks and jobs, by type, one for each task or job. */
   void CountMessages(std::string_view aType, std::size_t aCount = 1);
   void SetQueueLength(std::size_t aTasks);
+  /** Requests dropped before they were whole, all so far. */
+  void SetDrops(const drop_counts& aCounts);
   /** Generation of the configuration in force. */
   void SetGeneration(core::generation aGeneration);
 
--- a/tests/agent/test_agent_daemon.cpp
+++ b/tests/agent/test_agent_daemon.cpp
@@ -137,7 +137,7 @@
   settings.mControl.mFailureDomain = "north";
   settings.mControl.mLoadReportInterval = 50ms;
   settings.mListen = kAgentPeers;
-  settings.mHttp = kAgentHttp;
+  settings.mHttp.mAddress = kAgentHttp;
   settings.mMakeStore = [] {
     return std::make_unique<io::platform_client>(Platform());
   };
--- a/tests/libgooseberryio/test_http.cpp
+++ b/tests/libgooseberryio/test_http.cpp
@@ -216,6 +216,43 @@
   BOOST_TEST(good.ReceiveAll().starts_with("HTTP/1.1 405"));
 }
 
+// Guards against unfinished bodies that are stored without bound, and against
+// room that stays taken once their connections are gone.
+BOOST_AUTO_TEST_CASE(unfinished_bodies_take_bounded_room)
+{
+  const auto budget = std::make_shared<io::body_budget>(2 * kMaxBody, kMaxBody);
+  test_server server(
+    { .mMaxBody = kMaxBody, .mBodyTimeout = 500ms, .mBudget = budget });
+  const std::string head =
+    "POST /echo/a HTTP/1.1\r\nHost: x\r\nContent-Length: ";
+  const test::raw_socket first(server.mServer.Port());
+  const test::raw_socket second(server.mServer.Port());
+  const std::string body(kMaxBody - 1, 'x');
+  BOOST_TEST(first.Send(head + "1000\r\n\r\n" + body));
+  BOOST_TEST(second.Send(head + "1000\r\n\r\n" + body));
+  while (budget->Used() < 2 * kMaxBody) {
+    std::this_thread::sleep_for(1ms);
+  }
+  const test::raw_socket third(server.mServer.Port());
+  BOOST_TEST(third.Send(head + "1000\r\n\r\n"));
+  const std::string refusal = third.ReceiveAll();
+  BOOST_TEST(refusal.starts_with("HTTP/1.1 503"));
+  BOOST_TEST(refusal.find("Retry-After: 1\r\n") != std::string::npos);
+  const test::raw_socket large(server.mServer.Port());
+  BOOST_TEST(large.Send(head + "1001\r\n\r\n"));
+  BOOST_TEST(large.ReceiveAll().starts_with("HTTP/1.1 413"));
+  BOOST_TEST(first.ReceiveAll().empty()); // Ends: the server has closed.
+  BOOST_TEST(second.ReceiveAll().empty());
+  while (budget->Used() > 0) {
+    std::this_thread::sleep_for(1ms);
+  }
+  io::http_client client;
+  auto call = server.Call("POST", "/echo/a");
+  call.mBody.assign(kMaxBody, 'x');
+  BOOST_TEST(StatusOf(client.Send(call)) == 201U);
+  BOOST_TEST(budget->Used() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_cut_short_may_have_been_delivered)
 {
   const test_server server;
--- a/tests/libgooseberryio/test_settings_errors.cpp
+++ b/tests/libgooseberryio/test_settings_errors.cpp
@@ -65,6 +65,9 @@
     { "[limits]\nmax_payload_bytes = 16777217\n",
       "f:9: [limits] max_payload_bytes: expected at most [limits] "
       "max_body_bytes, which is 16777216" },
+    { "[limits]\nmax_buffered_bytes = 16777215\n",
+      "f:9: [limits] max_buffered_bytes: expected at least [limits] max_b" },
+    { "[limits]\nbody_timeout_ms = 99\n", "f:9: [limits] body_timeout_ms" },
     { "[limits]\nmax_callers = 0\n", "f:9: [limits] max_callers: expected" },
     { "[limits]\nmax_queue_wait_ms = x\n", "f:9: [limits] max_queue_wait_ms" },
     { "[limits]\ndefault_deadline_ms = 60001\n",
--- a/tools/platform/service.cpp
+++ b/tools/platform/service.cpp
@@ -135,19 +135,19 @@
                effect aEffect,
                http_response (service::*aHandler)(const http_request&))
 {
-  const auto handler = [this, aHandler](const http_request& aRequest) {
+  const auto handler = [this, aHandler](http_request& aRequest) {
     const std::lock_guard lock(mMutex);
     return (this->*aHandler)(aRequest);
   };
   mServer.Route(
-    aMethod, aPattern, [this, aEffect, handler](const http_request& aRequest) {
+    aMethod, aPattern, [this, aEffect, handler](http_request& aRequest) {
       return WithFaults(aEffect, aRequest, handler);
     });
 }
 
 http_response
 service::WithFaults(effect aEffect,
-                    const http_request& aRequest,
+                    http_request& aRequest,
                     const io::http_handler& aHandler)
 {
   std::uint32_t delayMs = 0;
--- a/tools/platform/service.h
+++ b/tools/platform/service.h
@@ -50,7 +50,7 @@
              effect aEffect,
              io::http_response (service::*aHandler)(const io::http_request&));
   io::http_response WithFaults(effect aEffect,
-                               const io::http_request& aRequest,
+                               io::http_request& aRequest,
                                const io::http_handler& aHandler);
   /** True with the given probability. */
   bool Happens(double aProbability);
