Decode the texts of callers and targets in turns

Cause: a decoded text takes many times its own memory, and bodies that complete at the same moment were all decoded at once.

Change: one text above 16 KiB is decoded at a time, and one smaller text; small ones do not wait for large ones.

--- a/src/agent/target_api.cpp
+++ b/src/agent/target_api.cpp
@@ -235,6 +235,7 @@
   if (!IsName(aName)) {
     return Expected("name", "1 to 64 characters of [A-Za-z0-9._-]");
   }
+  const io::decode_turn turn(aBody.size());
   const auto parsed = io::ParseJson(aBody);
   if (const auto* error = std::get_if<io::json_error>(&parsed)) {
     return core::error{ "read target",
--- a/src/entry/operator_api.cpp
+++ b/src/entry/operator_api.cpp
@@ -104,6 +104,7 @@
 core::result<change_request>
 ParseChange(const std::string& aBody)
 {
+  const io::decode_turn turn(aBody.size());
   const auto parsed = io::ParseJson(aBody);
   if (const auto* error = std::get_if<io::json_error>(&parsed)) {
     return core::error{ "read change", "", error->mReason };
--- a/src/entry/submission_json.cpp
+++ b/src/entry/submission_json.cpp
@@ -185,6 +185,7 @@
 ParseSubmission(const std::string& aBody, const caller_limits& aLimits)
 {
   constexpr const char* kStep = "read submission";
+  const io::decode_turn turn(aBody.size());
   const auto parsed = io::ParseJson(aBody);
   if (const auto* error = std::get_if<io::json_error>(&parsed)) {
     return core::error{ kStep,
--- a/src/libgooseberryio/json.cpp
+++ b/src/libgooseberryio/json.cpp
@@ -60,6 +60,14 @@
 
 } // namespace
 
+decode_turn::decode_turn(std::size_t aBytes)
+{
+  constexpr std::size_t kSmallText = 16'384;
+  static std::mutex sSmall;
+  static std::mutex sLarge;
+  mLock = std::unique_lock(aBytes <= kSmallText ? sSmall : sLarge);
+}
+
 std::variant<nlohmann::json, json_error>
 ParseJson(std::string_view aText, std::size_t aMaxDepth)
 {
--- a/src/libgooseberryio/json.h
+++ b/src/libgooseberryio/json.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,6 +28,20 @@
 std::variant<nlohmann::json, json_error>
 ParseJson(std::string_view aText, std::size_t aMaxDepth = kMaxJsonDepth);
 
+/**
+ * Held while a caller's text is decoded: what is decoded may take many times
+ * the memory of the text, so texts that arrive at the same moment take turns.
+ * Small texts do not wait for large ones.
+ */
+class decode_turn
+{
+public:
+  explicit decode_turn(std::size_t aBytes);
+
+private:
+  std::unique_lock<std::mutex> mLock;
+};
+
 /** Bytes of a value of others that go into a log line. */
 inline constexpr std::size_t kMaxLoggedBytes = 200;
 
