--- a/src/libgooseberryio/metrics.h
+++ b/src/libgooseberryio/metrics.h
@@ -2,6 +2,7 @@
 
 #include "libgooseberry/core/identity.h"
 #include "libgooseberry/core/time.h"
+#include "libgooseberryio/body_budget.h"
 
 #include <cstddef>
 #include <memory>
@@ -36,6 +37,8 @@
   /** Implausible rates in heartbeats of other entries. */
   void CountRatesDropped(std::size_t aCount);
   void SetQueueLength(std::size_t aTasks);
+  /** Requests dropped before they were whole, all so far. */
+  void SetDrops(const drop_counts& aCounts);
   /** Generation of the configuration in force. */
   void SetGeneration(core::generation aGeneration);
 
