Tests: runs of test_target_client as the lease keeps them now

Cause: lease::run has no mCalledIncarnation any more, so test_platform did not build, and four cases built runs that cannot arise: refused although they were running, or in doubt without an open call and with no stop. Change: AddStart adds a run whose call is under way; the run in doubt is being stopped, as only such a run ends by a report that does not list it. What the cases check is as before.

--- a/tests/platform/test_target_client.cpp
+++ b/tests/platform/test_target_client.cpp
@@ -174,9 +174,9 @@
       lease::run run;
       run.mTask = { kJob, aIndex };
       run.mState = lease::run_state::Running;
-      run.mCalledIncarnation = kLife;
       run.mCallSentBy = aNow - 1s;
       run.mConfirmedAt = aNow + 1h;
+      run.mNextResend = aNow + 1h;
       run.mSentAt = aNow - 1s;
       run.mAnsweredAt = aNow - 1s;
       auto& target = *aState.mTargets.at(kName).mLeased;
@@ -185,6 +185,17 @@
       return true;
     });
   }
+
+  /** A run whose start call is under way. */
+  void AddStart(std::uint32_t aIndex)
+  {
+    AddRun(aIndex);
+    Ask<bool>([&](auto& aState, auto, auto&) {
+      auto& target = *aState.mTargets.at(kName).mLeased;
+      target.mRuns.at({ kJob, aIndex }).mState = lease::run_state::Starting;
+      return true;
+    });
+  }
 };
 
 std::string
@@ -275,6 +286,7 @@
   Ask<bool>([](auto& aState, auto, auto&) {
     auto& run = aState.mTargets.at(kName).mLeased->mRuns.at({ kJob, 1 });
     run.mState = lease::run_state::InDoubt;
+    run.mStopRequested = true;
     run.mNextStop = io::Now() + 1h;
     return true;
   });
@@ -357,12 +369,7 @@
                                   "" }) {
     BOOST_TEST_CONTEXT(body)
     {
-      AddRun(1);
-      Ask<bool>([](auto& aState, auto, auto&) {
-        auto& run = aState.mTargets.at(kName).mLeased->mRuns.at({ kJob, 1 });
-        run.mState = lease::run_state::Starting;
-        return true;
-      });
+      AddStart(1);
       mTarget.Answer(409, body);
       mClient->Post(lease::start_call{
         Header(), 0, { kJob, 1 }, 1, "cut", 9'000ms, io::Now() + 1s });
@@ -378,7 +385,7 @@
 // A start that was dropped without an answer occupied its target for good.
 BOOST_AUTO_TEST_CASE(a_start_that_is_not_sent_is_answered_so)
 {
-  AddRun(1);
+  AddStart(1);
   mClient->Stop();
   mClient->Post(lease::start_call{
     Header(), 0, { kJob, 1 }, 1, "cut", 9'000ms, io::Now() + 1s });
@@ -391,7 +398,7 @@
 // process of its target.
 BOOST_AUTO_TEST_CASE(a_start_that_has_waited_too_long_is_not_sent)
 {
-  AddRun(1);
+  AddStart(1);
   mTarget.Answer(200, R"({"clockMs":1000})");
   mClient->Post(lease::start_call{
     Header(), 0, { kJob, 1 }, 1, "cut", 9'000ms, io::Now() });
