Leased world: late calls wait for the target's next process

Change: such a call is carried out as soon as there is a next process, before an agent has called it. A case lets starts hang and crashes their targets and agents again and again.

--- a/tests/libgooseberry/leased_world.h
+++ b/tests/libgooseberry/leased_world.h
@@ -237,6 +237,12 @@
     std::uint64_t mTargetIncarnation = 0;
     std::function<void(const action& aReply)> mReply;
   };
+  /** Carries out a call that has arrived; without an answer, it waits for the
+   * target's next process while there is none. */
+  template<typename Wire>
+  void CarryOut(const received_call& aCall,
+                const Wire& aWire,
+                bool aIsAnswered);
   /** Returns whether the target has not restarted since the call was sent. */
   bool IsSameProcess(const received_call& aCall) const;
   void Serve(const received_call& aReceived, const lease::start_call& aCall);
--- a/tests/libgooseberry/leased_world_target_calls.cpp
+++ b/tests/libgooseberry/leased_world_target_calls.cpp
@@ -98,6 +98,22 @@
   }
 }
 
+template<typename Wire>
+void
+world::CarryOut(const received_call& aCall, const Wire& aWire, bool aIsAnswered)
+{
+  if (!aIsAnswered && !mTargets[aCall.mTarget].mAlive) {
+    // A call that waits unanswered is carried out by the next process,
+    // before an agent has called that one.
+    At(mNow + 500us, [=, this] { CarryOut(aCall, aWire, aIsAnswered); });
+    return;
+  }
+  if (!aIsAnswered || IsSameProcess(aCall)) {
+    Serve(aCall, aWire);
+    ScheduleChange(aCall.mTarget);
+  }
+}
+
 template<typename Wire>
 void
 world::CallTarget(agent_process& aAgent, const Wire& aCall)
@@ -133,15 +149,8 @@
   const received_call call{
     index, sentAt, mTargets[index].mIncarnation, reply
   };
-  At(*outcome.mArrivesAt, [this, call, aCall, outcome] {
-    // A call that waits unanswered may be carried out by the next process.
-    const bool isCarriedOut =
-      outcome.mIsAnswered ? IsSameProcess(call) : mTargets[call.mTarget].mAlive;
-    if (isCarriedOut) {
-      Serve(call, aCall);
-      ScheduleChange(call.mTarget);
-    }
-  });
+  At(*outcome.mArrivesAt,
+     [=, this] { CarryOut(call, aCall, outcome.mIsAnswered); });
 }
 
 bool
--- a/tests/libgooseberry/test_leased_world.cpp
+++ b/tests/libgooseberry/test_leased_world.cpp
@@ -353,6 +353,30 @@
   });
 }
 
+// Guards against two concurrent runs of a task: a start without an answer falls
+// due while its target is down, and the next process carries it out before an
+// agent has called that one; the task had been placed elsewhere meanwhile.
+BOOST_AUTO_TEST_CASE(a_late_start_waits_for_the_next_process_of_its_target)
+{
+  ForSeeds([](world& aWorld) {
+    constexpr std::size_t kStart = 0; // Index in `lease::call`.
+    constexpr std::size_t kCrashing = 2;
+    for (std::size_t target = 0; target < kCrashing; ++target) {
+      aWorld.HangTarget(target, { aWorld.Now() + 30ms, 0.7, kStart, false });
+    }
+    aWorld.Submit(0, std::vector(8, 14s + 0us), 20s);
+    aWorld.RunFor(700ms);
+    for (int i = 0; i < 8; ++i) {
+      for (std::size_t target = 0; target < kCrashing; ++target) {
+        aWorld.CrashTarget(target, 1'200ms);
+        aWorld.KillAgent(target, aWorld.Milliseconds(20, 1'300));
+      }
+      aWorld.RunFor(1'500ms);
+    }
+    aWorld.RunFor(5s);
+  });
+}
+
 // Guards against two concurrent runs of a task: an agent stands still with
 // starts that wait to be sent, and sends them to the next process of its
 // target.
