Shedding: refuse waiting jobs only where they certainly fail

Change: the wait is counted at all of the entry's slots. The case of an absurd load above went with that input.

--- a/src/libgooseberry/entry/shed.cpp
+++ b/src/libgooseberry/entry/shed.cpp
@@ -9,13 +9,11 @@
 
 namespace {
 
-/** Offered load is an average over a second; more checks would see the same. */
+/** Short against the time for which a caller waits. */
 constexpr core::duration kShedInterval = std::chrono::milliseconds(50);
 
 quota::waiting_job
-ToWaitingJob(const entry_control& aControl,
-             const job::job& aJob,
-             core::instant aNow)
+ToWaitingJob(const job::job& aJob, core::instant aNow)
 {
   const core::duration longest = LongestWaiting(aJob);
   quota::waiting_job waiting;
@@ -23,8 +21,6 @@
   waiting.mLastTask = longest;
   waiting.mLongestUsefulWait =
     aJob.mArrived + job::LongestUsefulWait(aJob.mSubmission, longest) - aNow;
-  waiting.mHigherPriorityLoad = quota::HigherPriorityLoad(
-    aControl.mOfferedLoad, aJob.mSubmission.mPriority, aNow);
   waiting.mHasStarted =
     job::MayHaveStarted(aJob) || aJob.mObjective <= core::duration::zero();
   return waiting;
@@ -56,7 +52,7 @@
   for (const job::ready_key& key : aControl.mReady.mServices.at(aService)) {
     const job::job& waiting = *job::Find(aControl.mLedger, key.mJob);
     names.push_back(key.mJob);
-    jobs.push_back(ToWaitingJob(aControl, waiting, aNow));
+    jobs.push_back(ToWaitingJob(waiting, aNow));
     work += jobs.back().mWork;
   }
   const std::uint32_t slots = SlotShare(aControl, aService, aNow);
@@ -70,8 +66,6 @@
         { "work_ms", core::FormatMilliseconds(jobs[position].mWork) },
         { "waiting_ms", core::FormatMilliseconds(work) },
         { "slots", std::to_string(slots) },
-        { "load_above",
-          core::FormatDecimal(jobs[position].mHigherPriorityLoad) },
         { "waited_ms", core::FormatMilliseconds(aNow - hopeless.mArrived) } });
     ++aControl.mCounters.mShed;
     RefuseJob(aControl,
--- a/src/libgooseberry/quota/shedding.cpp
+++ b/src/libgooseberry/quota/shedding.cpp
@@ -4,13 +4,6 @@
 
 namespace gooseberry::quota {
 
-namespace {
-
-/** Smallest share of the slots that jobs of low urgency can count on. */
-constexpr double kMinSlotShare = 0.1;
-
-} // namespace
-
 std::vector<std::size_t>
 HopelessJobs(const std::vector<waiting_job>& aJobs, std::uint32_t aSlots)
 {
@@ -19,10 +12,8 @@
   core::duration ahead{};
   for (std::size_t i = 0; i < aJobs.size(); ++i) {
     const waiting_job& job = aJobs[i];
-    const double available =
-      std::max(slots - job.mHigherPriorityLoad, slots * kMinSlotShare);
     const core::duration before = ahead + job.mWork - job.mLastTask;
-    const double wait = static_cast<double>(before.count()) / available;
+    const double wait = static_cast<double>(before.count()) / slots;
     if (!job.mHasStarted &&
         wait > static_cast<double>(job.mLongestUsefulWait.count())) {
       hopeless.push_back(i);
--- a/src/libgooseberry/quota/shedding.h
+++ b/src/libgooseberry/quota/shedding.h
@@ -20,15 +20,13 @@
   core::duration mLastTask{}; ///< Of these, the longest.
   /** From now; a later end is of no use to the caller. */
   core::duration mLongestUsefulWait{};
-  /** Slots that more urgent arrivals will keep busy. */
-  double mHigherPriorityLoad = 0;
   bool mHasStarted = false; ///< Refused never: work was done for it.
 };
 
 /**
- * Returns the positions of the jobs that cannot end in useful time: the work
- * that goes before them, at the slots that more urgent arrivals leave, takes
- * longer. Work of a job that is refused does not delay those behind it. So of
+ * Returns the positions of the jobs that certainly cannot end in useful time:
+ * the work that goes before them takes longer, even if nothing more urgent
+ * arrives. Work of a job that is refused does not delay those behind it. So of
  * jobs of the same urgency, those that need more work are refused first.
  *
  * @param aSlots Slots that this entry can count on.
