Headroom: only long tasks leave a slot free

Cause: with headroom for every less urgent task, tasks of middle length and urgency waited for slots that they would have returned soon. Change: headroom is kept by tasks that take over twice the mean run time of their service.

--- a/src/libgooseberry/entry/admit.cpp
+++ b/src/libgooseberry/entry/admit.cpp
@@ -200,10 +200,13 @@
   if (aControl.mOptions.mOrder.mPolicy != job::order_policy::Objective) {
     return 0;
   }
+  const std::string& service = aJob.mSubmission.mService;
   return quota::HeadroomSlots(
     { quota::HigherPriorityLoad(
         aControl.mOfferedLoad, aJob.mSubmission.mPriority, aNow),
-      SlotShare(aControl, aJob.mSubmission.mService, aNow) });
+      SlotShare(aControl, service, aNow),
+      LongestWaiting(aJob),
+      target::ExpectedRunTime(aControl.mTargets, service, {}, {}) });
 }
 
 std::optional<core::job_answer>
--- a/src/libgooseberry/quota/headroom.cpp
+++ b/src/libgooseberry/quota/headroom.cpp
@@ -9,13 +9,18 @@
  * running tasks end.
  */
 constexpr double kMinLoadShare = 0.05;
+/** A task is long if it takes more than this many times the mean. */
+constexpr std::int64_t kLongFactor = 2;
 
 } // namespace
 
 std::uint32_t
 HeadroomSlots(const headroom_request& aRequest)
 {
-  return aRequest.mHigherPriorityLoad > kMinLoadShare * aRequest.mSlots ? 1 : 0;
+  const bool isLong = aRequest.mRunTime > kLongFactor * aRequest.mMeanRunTime;
+  const bool hasUrgentLoad =
+    aRequest.mHigherPriorityLoad > kMinLoadShare * aRequest.mSlots;
+  return isLong && hasUrgentLoad ? 1 : 0;
 }
 
 } // namespace gooseberry::quota
--- a/tests/libgooseberry/test_headroom.cpp
+++ b/tests/libgooseberry/test_headroom.cpp
@@ -20,6 +20,8 @@
 constexpr core::duration kBurst = 6s;
 constexpr core::duration kUrgentTime = 60ms;
 constexpr core::duration kLongTime = 900ms;
+/** Of 400 short tasks a second and 80 long ones. */
+constexpr core::duration kMeanTime = 200ms;
 /** Longest wait of an urgent task: its job is due after 1.6 run times and 60
  * ms, and half of the time to spare is left for tasks that run longer. */
 constexpr core::duration kLongestWait = 48ms;
@@ -37,7 +39,8 @@
 {
   explicit replay(bool aKeepsHeadroom)
     : mHeadroom(aKeepsHeadroom
-                  ? quota::HeadroomSlots({ 24, kTargets * kSlotsEach })
+                  ? quota::HeadroomSlots(
+                      { 24, kTargets * kSlotsEach, kLongTime, kMeanTime })
                   : 0)
     , mTable(MakeTable(mCluster))
   {
@@ -139,15 +142,22 @@
 // A service without urgent callers must not lose slots.
 BOOST_AUTO_TEST_CASE(no_slot_is_kept_where_nothing_more_urgent_arrives)
 {
-  BOOST_TEST(quota::HeadroomSlots({ 0, 80 }) == 0U);
-  BOOST_TEST(quota::HeadroomSlots({ 1, 80 }) == 0U);
-  BOOST_TEST(quota::HeadroomSlots({ 24, 80 }) > 0U);
+  BOOST_TEST(quota::HeadroomSlots({ 0, 80, 900ms, 200ms }) == 0U);
+  BOOST_TEST(quota::HeadroomSlots({ 1, 80, 900ms, 200ms }) == 0U);
+  BOOST_TEST(quota::HeadroomSlots({ 24, 80, 900ms, 200ms }) > 0U);
+}
+
+// Tasks of middle length and urgency waited for slots that they would have
+// returned soon.
+BOOST_AUTO_TEST_CASE(short_tasks_leave_no_slot_free)
+{
+  BOOST_TEST(quota::HeadroomSlots({ 24, 80, 200ms, 160ms }) == 0U);
 }
 
 // Fault: an entry that has lost its targets and its peers divides by nothing.
 BOOST_AUTO_TEST_CASE(an_entry_without_slots_has_a_defined_headroom)
 {
-  BOOST_TEST(quota::HeadroomSlots({ 0, 0 }) == 0U);
+  BOOST_TEST(quota::HeadroomSlots({ 0, 0, 900ms, 0ms }) == 0U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
