Log why a run under a lease ended without a result

Cause: task_ended end=lost did not tell a lapsed lease from a restart of the target or a report without the run, which the hypotheses of the incident differ in. Change: task_ended names the reason, which the lease decisions already had.

--- a/src/agent/event_line.cpp
+++ b/src/agent/event_line.cpp
@@ -35,6 +35,9 @@
   AddTask(aLine, aEvent);
   aLine.Add("end", core::kTaskEndNames.NameOf(aEvent.mEnd))
     .Add("run_ms", core::ToMilliseconds(aEvent.mRunTime));
+  if (!aEvent.mDetail.empty()) {
+    aLine.Add("why", aEvent.mDetail);
+  }
 }
 
 io::log_level
--- a/src/libgooseberry/agent/target_inputs.cpp
+++ b/src/libgooseberry/agent/target_inputs.cpp
@@ -43,8 +43,12 @@
   QueueReturned(aControl.mDelivery, std::move(returned));
 }
 
+/** Logs the end of a run; `aReason` says why it ended without a result. */
 void
-LogEnd(const task_report& aReport, const std::string& aTarget, effects& aOut)
+LogEnd(const task_report& aReport,
+       const std::string& aTarget,
+       const std::string& aReason,
+       effects& aOut)
 {
   log_event event;
   event.mEvent = agent_event::TaskEnded;
@@ -53,6 +57,7 @@
   event.mEnd = aReport.mEnd;
   event.mRunTime = aReport.mRunTime;
   event.mTarget = aTarget;
+  event.mDetail = aReason;
   aOut.emplace_back(std::move(event));
 }
 
@@ -147,7 +152,9 @@
   const std::string name = record.mStarted.mResult.mTarget;
   auto& target = aControl.mTargets.at(name);
   ReleaseSlot(target, aReport.mEnd, record.mNeeds);
-  LogEnd(aReport, name, aOut);
+  const bool hasReason =
+    target.mLeased && aReport.mEnd != core::task_end::Succeeded;
+  LogEnd(aReport, name, hasReason ? aReport.mPayload : std::string(), aOut);
   if (aReport.mEnd == core::task_end::Returned) {
     target.mSuspect |= aReport.mReturnReason == core::start_verdict::NoTarget;
     ReturnUnstarted(aControl, record, aReport.mReturnReason, aNow);
