Lease: an acceptance at another clock is of another process

Cause: an acceptance counted as one of the known process unless its clock was below the age of the last report. That tells the next process only where clocks start at zero; in the users' record they start minutes ahead. The run then ended with the last process and was started elsewhere while the next one ran it. Change: the clock must agree with the reading in the known process's last report, within its drift. A rejected renewal's clock is not recorded, as the answer names no process. Clocks of the soak's and the leased world's targets start anywhere; test_harness.py sends deadlines beyond those, its checks are as before.

--- a/src/libgooseberry/lease/internal.h
+++ b/src/libgooseberry/lease/internal.h
@@ -93,15 +93,6 @@
 bool
 IsCurrentIncarnation(const leased_target& aTarget, const call_header& aHeader);
 
-/**
- * Returns whether the process whose clock was read ran already when the latest
- * report was requested, which proves that it sent that report.
- */
-bool
-IsOfKnownProcess(const leased_target& aTarget,
-                 target_time aClock,
-                 core::instant aNow);
-
 /** Applies a confirmed registration of another incarnation. */
 void
 AdoptRegistration(leased_target& aTarget,
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -76,17 +76,22 @@
     renew_call{ HeaderFor(aTarget, wait), until, aTarget.mLastEnd, wait }));
 }
 
-/** Records that a process with this clock, if known, runs the task. */
+/** Returns when the call was made. */
+core::instant
+MadeAt(const leased_target& aTarget, const start_call& aCall)
+{
+  return aCall.mSendBefore - aTarget.mSettings.mStartValidity;
+}
+
+/** Records that the target runs the task; `aIsOfKnownProcess` says that the
+ * process that sent the reports does. */
 void
-MarkAccepted(const leased_target& aTarget,
-             run& aRun,
-             std::optional<target_time> aClock,
-             core::instant aNow)
+MarkAccepted(run& aRun, bool aIsOfKnownProcess, core::instant aNow)
 {
   aRun.mState = run_state::Running;
   aRun.mHasStarted = true;
   aRun.mAnsweredAt = aNow;
-  if (aClock && IsOfKnownProcess(aTarget, *aClock, aNow)) {
+  if (aIsOfKnownProcess) {
     aRun.mIsConfirmed = true;
   } else {
     aRun.mMayBeAtNextProcess = true;
@@ -290,7 +295,10 @@
   }
   if (aAnswer == start_answer::Accepted) {
     found->mCallSentBy = found->mCallSentBy.value_or(aNow);
-    MarkAccepted(aTarget, *found, isCurrent ? aClock : std::nullopt, aNow);
+    const bool isOfKnownProcess =
+      isCurrent && aClock &&
+      MayHaveShown(aTarget, *aClock, MadeAt(aTarget, aCall), aNow);
+    MarkAccepted(*found, isOfKnownProcess, aNow);
   } else if (found->mCall == aCall.mId && found->mState != run_state::Running) {
     found->mCallSentBy = found->mCallSentBy.value_or(aNow);
     ApplyRefusal(aTarget, *found, aAnswer, isCurrent, aNow, aOut);
@@ -339,7 +347,7 @@
       "target_silent", std::string(kRenewalFailureNames.NameOf(aFailure)) });
   }
   if (aFailure == renewal_failure::Fenced && aClock) {
-    ReadClock(aTarget, *aClock, aAskedAt, aNow);
+    // The clock is not recorded: the answer does not name its process.
     OutrankToken(aTarget, *aClock, aNow);
     aTarget.mNextRenewal = aNow;
   } else if (aFailure == renewal_failure::Refused) {
--- a/src/libgooseberry/lease/run_end.cpp
+++ b/src/libgooseberry/lease/run_end.cpp
@@ -110,14 +110,6 @@
          aHeader.mTargetIncarnation == aTarget.mTargetIncarnation;
 }
 
-bool
-IsOfKnownProcess(const leased_target& aTarget,
-                 target_time aClock,
-                 core::instant aNow)
-{
-  return aTarget.mReportAskedAt && aNow - *aTarget.mReportAskedAt < aClock;
-}
-
 namespace {
 
 /**
--- a/src/libgooseberry/lease/target_clock.cpp
+++ b/src/libgooseberry/lease/target_clock.cpp
@@ -49,6 +49,25 @@
   }
 }
 
+bool
+MayHaveShown(const leased_target& aTarget,
+             target_time aClock,
+             core::instant aSince,
+             core::instant aNow)
+{
+  constexpr target_time kResolution{ 1 };
+  if (!aTarget.mClock) {
+    return false;
+  }
+  const auto& [clock, askedAt, arrivedAt] = *aTarget.mClock;
+  const core::duration shortest = aSince - arrivedAt;
+  const core::duration longest = aNow - askedAt;
+  const auto slowest = std::min(
+    shortest, duration_cast<core::duration>(shortest / (1 + kMaxClockDrift)));
+  return aClock >= clock + duration_cast<target_time>(slowest) - kResolution &&
+         aClock <= clock + duration_cast<target_time>(longest) + kResolution;
+}
+
 core::duration
 LongestLease(const leased_target& aTarget, core::instant aNow)
 {
--- a/src/libgooseberry/lease/target_clock.h
+++ b/src/libgooseberry/lease/target_clock.h
@@ -20,6 +20,17 @@
           core::instant aAskedAt,
           core::instant aNow);
 
+/**
+ * Returns whether the process whose clock was read may have shown `aClock`
+ * between `aSince` and `aNow`. The clock of each process starts anew, at any
+ * value, so that of another one agrees only by chance.
+ */
+bool
+MayHaveShown(const leased_target& aTarget,
+             target_time aClock,
+             core::instant aSince,
+             core::instant aNow);
+
 /** Returns the longest lease that may be requested now. It ends no later than
  * the hold of any run. */
 core::duration
--- a/tests/libgooseberry/leased_world_runs.cpp
+++ b/tests/libgooseberry/leased_world_runs.cpp
@@ -24,7 +24,9 @@
   constexpr double kSteps = 100;
   const double rate =
     1 - kMaxSlowdown * static_cast<double>(Draw(0, 100)) / kSteps;
-  StartProcess(mTargets[aIndex], rate, Milliseconds(0, 20), mNow);
+  constexpr std::uint64_t kMaxFirstClock = 900'000; // Milliseconds.
+  const lease::target_time firstClock(Draw(0, kMaxFirstClock));
+  StartProcess(mTargets[aIndex], firstClock, rate, Milliseconds(0, 20), mNow);
   Register(aIndex, mTargets[aIndex].mIncarnation);
 }
 
--- a/tests/libgooseberry/leased_world_target.cpp
+++ b/tests/libgooseberry/leased_world_target.cpp
@@ -19,7 +19,8 @@
 {
   using micros = std::chrono::duration<double, std::micro>;
   return aTarget.mStartedAt +
-         duration_cast<duration>(micros(aTime) / aTarget.mRate);
+         duration_cast<duration>(micros(aTime - aTarget.mFirstClock) /
+                                 aTarget.mRate);
 }
 
 void
@@ -76,7 +77,11 @@
 } // namespace
 
 void
-StartProcess(fake_target& aTarget, double aRate, duration aDelay, instant aNow)
+StartProcess(fake_target& aTarget,
+             target_time aFirstClock,
+             double aRate,
+             duration aDelay,
+             instant aNow)
 {
   fake_target fresh;
   fresh.mName = aTarget.mName;
@@ -84,6 +89,7 @@
   fresh.mIncarnation = static_cast<std::uint64_t>(
     duration_cast<target_time>(aNow.time_since_epoch()).count());
   fresh.mStartedAt = aNow;
+  fresh.mFirstClock = aFirstClock;
   fresh.mRate = aRate;
   fresh.mTimerDelay = aDelay;
   aTarget = std::move(fresh);
@@ -102,8 +108,8 @@
 target_time
 ClockOf(const fake_target& aTarget, instant aNow)
 {
-  return duration_cast<target_time>((aNow - aTarget.mStartedAt) *
-                                    aTarget.mRate);
+  return aTarget.mFirstClock + duration_cast<target_time>(
+                                 (aNow - aTarget.mStartedAt) * aTarget.mRate);
 }
 
 void
--- a/tests/libgooseberry/leased_world_target.h
+++ b/tests/libgooseberry/leased_world_target.h
@@ -41,6 +41,7 @@
   bool mAlive = false;
   std::uint64_t mIncarnation = 0;
   instant mStartedAt{};
+  lease::target_time mFirstClock{}; ///< Shown by its clock at the start.
   double mRate = 1;       ///< Of its clock; below 1, the clock is slow.
   duration mTimerDelay{}; ///< By which its timers fire late.
   std::uint64_t mToken = 0;
@@ -53,9 +54,13 @@
   std::uint64_t mSequence = 0; ///< Of its last registration.
 };
 
-/** Starts the process: it has no runs, and its clock is zero. */
+/** Starts the process: it has no runs, and its clock starts at any value. */
 void
-StartProcess(fake_target& aTarget, double aRate, duration aDelay, instant aNow);
+StartProcess(fake_target& aTarget,
+             lease::target_time aFirstClock,
+             double aRate,
+             duration aDelay,
+             instant aNow);
 
 /** Ends the process and all its runs. */
 void
--- a/tests/libgooseberry/test_lease_lives.cpp
+++ b/tests/libgooseberry/test_lease_lives.cpp
@@ -307,6 +307,82 @@
   BOOST_TEST(Ends().empty());
 }
 
+// Double run: the next incarnation, whose clock had started anywhere, accepted
+// a start before the agent knew of it. The run was ended with the last one and
+// started elsewhere.
+BOOST_AUTO_TEST_CASE(an_acceptance_at_another_clock_proves_no_incarnation)
+{
+  for (const auto offset : { -4'900ms, -500ms, 500ms, 300'000ms }) {
+    lease_fixture target;
+    const auto start = target.Start();
+    target.Pass(30ms);
+    const auto clock = target.Clock() + offset;
+    lease::OnStartAnswer(target.mTarget,
+                         start,
+                         lease::start_answer::Accepted,
+                         clock,
+                         target.mNow,
+                         target.mEffects);
+    target.Pass(1ms);
+    target.ReportRestart(clock + 1ms, { { kTask, 1 } });
+    BOOST_TEST(target.Ends().empty());
+    target.Pass(1ms);
+    target.ReportRestart(clock + 2ms, { { kTask, 1 } });
+    BOOST_TEST(target.Ends().empty());
+    BOOST_TEST(target.Count<lease::stop_call>() == 0U);
+  }
+}
+
+// The same, where the lease of the last incarnation lapses first.
+BOOST_AUTO_TEST_CASE(a_lapse_does_not_end_a_run_accepted_at_another_clock)
+{
+  for (const auto offset : { -4'000ms, 300'000ms }) {
+    lease_fixture target;
+    const auto start = target.Start();
+    target.Pass(30ms);
+    lease::OnStartAnswer(target.mTarget,
+                         start,
+                         lease::start_answer::Accepted,
+                         target.Clock() + offset,
+                         target.mNow,
+                         target.mEffects);
+    target.Pass(target.mTarget.mSettings.mLease + 60ms);
+    BOOST_TEST(target.Ends().empty());
+  }
+}
+
+// The same, where a rejected renewal showed the clock of the next incarnation,
+// which it does not name.
+BOOST_AUTO_TEST_CASE(a_rejected_renewal_names_no_incarnation)
+{
+  const auto start = Start();
+  Pass(1ms);
+  const auto clock = Clock() + 300'000ms;
+  lease::OnRenewalFailed(
+    mTarget, lease::renewal_failure::Fenced, clock, mNow, mNow, mEffects);
+  lease::OnStartAnswer(
+    mTarget, start, lease::start_answer::Accepted, clock, mNow, mEffects);
+  Pass(1ms);
+  ReportRestart(clock + 1ms, { { kTask, 1 } });
+  BOOST_TEST(Ends().empty());
+}
+
+// Lost capacity: a run that its target's process had accepted was held for 31 s
+// after that process had fallen silent, as its clock is slow.
+BOOST_AUTO_TEST_CASE(an_acceptance_at_a_slow_clock_is_of_the_known_process)
+{
+  Pass(700ms);
+  const auto start = Start();
+  Pass(3ms);
+  lease::OnStartAnswer(mTarget,
+                       start,
+                       lease::start_answer::Accepted,
+                       Clock() - 14ms,
+                       mNow,
+                       mEffects);
+  BOOST_TEST(lease::IsKnownToBeThere(mTarget.mRuns.at(kTask)));
+}
+
 // Double run: a target that was cut off ran on while connections were refused,
 // and its runs were started elsewhere at once.
 BOOST_AUTO_TEST_CASE(a_refused_connection_ends_no_run_before_its_lease)
--- a/tests/platform/soak/harness/target.py
+++ b/tests/platform/soak/harness/target.py
@@ -16,6 +16,9 @@
 #: Of calls that are late all the time, at any target.
 LATE_ALWAYS_SECONDS = (1.0, 4.0)
 MAX_LISTED_ENDS = 500
+#: Reading of a target's clock at the start of a process. It starts anew with
+#: each, but not at zero, and may be ahead of the last one's or behind it.
+FIRST_CLOCK_MS = (60_000, 900_000)
 FAILED_SHARE = 0.005
 
 
@@ -51,6 +54,7 @@
         self._service = service
         self._checks = checks
         self._random = random.Random(seed)
+        self._clock_random = random.Random(f"clocks of {seed}")
         self._server = None
         self._is_alive = False
         self._reachable = asyncio.Event()
@@ -70,6 +74,7 @@
         self._born = int(time.time() * 1000)
         self._started_at = time.monotonic()
         self._rate = 1 - 0.02 * self._random.random()
+        self._first_clock_ms = self._clock_random.randint(*FIRST_CLOCK_MS)
         self._token = 0
         self._lease_ms = 0
         self._runs = {}
@@ -83,7 +88,7 @@
         return self._is_alive
 
     async def start(self):
-        """Starts a new life: nothing runs, and the clock is zero."""
+        """Starts a process: nothing runs, and the clock starts anew."""
         self._clear()
         self._state = "ready"
         self._is_alive = True
@@ -148,10 +153,12 @@
     # Clock and runs.
 
     def _clock_ms(self, now):
-        return int((now - self._started_at) * self._rate * 1000)
+        return self._first_clock_ms + \
+            int((now - self._started_at) * self._rate * 1000)
 
     def _lease_end(self):
-        return self._started_at + self._lease_ms / self._rate / 1000
+        granted_ms = self._lease_ms - self._first_clock_ms
+        return self._started_at + granted_ms / self._rate / 1000
 
     def _end_of(self, run):
         """When a run ends if no call comes before, and how."""
--- a/tests/platform/soak/test_harness.py
+++ b/tests/platform/soak/test_harness.py
@@ -24,7 +24,7 @@
                   4000, checks, 1)
 
 
-def start(target, now, run=1, token=1, deadline_ms=60_000):
+def start(target, now, run=1, token=1, deadline_ms=2_000_000):
     body = (f'{{"task":"{TASK}","run":{run},"spec":"work","fencingToken":'
             f'{token},"deadlineMs":{deadline_ms}}}')
     request = Request("POST", "/run-start", {}, {}, body.encode())
@@ -54,6 +54,14 @@
         start(make_target("b", self.checks), self.now)
         self.assertEqual(self.rules(), [])
 
+    def test_the_clock_of_each_process_starts_anew_and_not_at_zero(self):
+        target = make_target("a", self.checks)
+        first = target._clock_ms(time.monotonic())
+        target._clear()
+        second = target._clock_ms(time.monotonic())
+        self.assertGreater(min(first, second), MAX_LEASE_MS)
+        self.assertGreater(abs(first - second), MAX_LEASE_MS)
+
     def test_a_start_of_a_refused_job_is_found(self):
         self.job.attempts = 1
         self.checks.on_answer(self.job, 503, "")
@@ -106,7 +114,7 @@
         await target.start()
         target.go_dark()
         body = (f'{{"task":"{TASK}","run":1,"spec":"work",'
-                f'"fencingToken":9,"deadlineMs":60000}}')
+                f'"fencingToken":9,"deadlineMs":2000000}}')
         held = asyncio.create_task(target._serve(
             Request("POST", "/run-start", {}, {}, body.encode())))
         await asyncio.sleep(0.02)
@@ -123,7 +131,7 @@
         target = make_target("a", self.checks)
         await target.start()
         body = (f'{{"task":"{TASK}","run":1,"spec":"work",'
-                f'"fencingToken":9,"deadlineMs":60000}}')
+                f'"fencingToken":9,"deadlineMs":2000000}}')
         target.crash()
         target._defer(Request("POST", "/run-start", {}, {}, body.encode()),
                       (0.0, 0.0))
