Lease: a replaced renewal leads to no other one

Callers saw: tasks of over 400 ms get no answer in time once a target was silent for a while, also in calm; each run ends as lapsed. Cause: each answer led to a new renewal, also one to a renewal that had been replaced as overdue. Their number never fell; queued for seconds, they asked for leases in the past. Change: only the latest renewal leads to the next; a lease is extended if a report has arrived since the last extension; a renewal is not sent once it counts as lost.

--- a/src/libgooseberry/lease/call.h
+++ b/src/libgooseberry/lease/call.h
@@ -58,6 +58,8 @@
   target_time mLeaseUntil{};  ///< Zero: the lease is not extended.
   std::uint64_t mLastEnd = 0; ///< Acknowledges ends up to this number.
   core::duration mWait{};     ///< Longest wait for an end to report.
+  /** Not sent later than that: the next renewal takes its place. */
+  core::instant mSendBefore = core::instant::max();
 };
 
 /** Withdraws a start call that was not sent yet. It is then answered with
--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -56,6 +56,14 @@
                                    : settings.mRenewOverdue;
 }
 
+/** Returns when the latest renewal counts as lost. */
+core::instant
+OverdueAt(const leased_target& aTarget, core::instant aNow)
+{
+  return aTarget.mRenewalSentAt + aTarget.mRenewalWait +
+         RenewOverdue(aTarget, aNow);
+}
+
 void
 Renew(leased_target& aTarget, core::instant aNow, effects& aOut)
 {
@@ -63,17 +71,21 @@
     !aTarget.mReportAskedAt || aTarget.mFailures > 0 || aTarget.mRenewing;
   const auto wait = isFirst ? core::duration::zero() : RenewWait(aTarget, aNow);
   target_time until{};
-  // A renewal that follows a lost or failed one does not extend the lease: if
-  // the target answers none, the lease expires and the runs can be started
-  // elsewhere.
-  if (aTarget.mClock && !aTarget.mRenewing && aTarget.mFailures == 0) {
+  // Without a report, the lease is extended once only: if the target answers
+  // nothing, the lease expires and the runs can be started elsewhere.
+  if (aTarget.mClock && aTarget.mIsExtensionAnswered &&
+      aTarget.mFailures == 0) {
     until = ExtendLease(aTarget, aTarget.mSettings.mLease, aNow);
+    aTarget.mIsExtensionAnswered = false;
   }
   aTarget.mRenewing = true;
   aTarget.mRenewalSentAt = aNow;
   aTarget.mRenewalWait = wait;
-  aOut.emplace_back(call(
-    renew_call{ HeaderFor(aTarget, wait), until, aTarget.mLastEnd, wait }));
+  aOut.emplace_back(call(renew_call{ HeaderFor(aTarget, wait),
+                                     until,
+                                     aTarget.mLastEnd,
+                                     wait,
+                                     OverdueAt(aTarget, aNow) }));
 }
 
 /** Returns when the call was made. */
@@ -119,9 +131,7 @@
 bool
 IsRenewalOverdue(const leased_target& aTarget, core::instant aNow)
 {
-  return aTarget.mRenewing &&
-         aNow - aTarget.mRenewalSentAt >
-           aTarget.mRenewalWait + RenewOverdue(aTarget, aNow);
+  return aTarget.mRenewing && aNow > OverdueAt(aTarget, aNow);
 }
 
 /**
@@ -336,8 +346,7 @@
   if (aAskedAt < aTarget.mIncarnationSince) {
     return; // Not about the current incarnation.
   }
-  if (aFailure == renewal_failure::NoAnswer &&
-      aAskedAt < aTarget.mRenewalSentAt) {
+  if (aAskedAt < aTarget.mRenewalSentAt) {
     return; // Counted as lost before; a later one is in flight.
   }
   aTarget.mRenewing = false;
--- a/src/libgooseberry/lease/leased_target.h
+++ b/src/libgooseberry/lease/leased_target.h
@@ -152,6 +152,8 @@
   std::optional<core::instant> mReportAskedAt; ///< Of the latest report.
   std::uint32_t mFailures = 0;   ///< Consecutive renewals without a report.
   core::duration mRenewalWait{}; ///< Of the latest renewal.
+  /** A report has arrived since a renewal last extended the lease. */
+  bool mIsExtensionAnswered = true;
   /** It has left a call unanswered; until then, it is taken to do so again. */
   core::instant mLosesCallsUntil{};
   bool mIsRefusing = false; ///< A connection was refused since the last report.
--- a/src/libgooseberry/lease/report.cpp
+++ b/src/libgooseberry/lease/report.cpp
@@ -227,8 +227,13 @@
   if (aAskedAt < aTarget.mIncarnationSince) {
     return; // Late answer of an earlier incarnation.
   }
-  aTarget.mRenewing = false;
-  aTarget.mNextRenewal = aNow;
+  aTarget.mIsExtensionAnswered = true;
+  // A renewal that another one has replaced leads to no further one: their
+  // number in flight would never fall again.
+  if (aAskedAt >= aTarget.mRenewalSentAt) {
+    aTarget.mRenewing = false;
+    aTarget.mNextRenewal = aNow;
+  }
   ApplyIncarnation(aTarget, aReport.mTargetIncarnation, aAskedAt, aNow, aOut);
   aTarget.mIsRefusing = false;
   if (std::exchange(aTarget.mFailures, 0U) > 0) {
--- a/tests/libgooseberry/test_lease.cpp
+++ b/tests/libgooseberry/test_lease.cpp
@@ -251,6 +251,46 @@
   BOOST_TEST((Last<lease::renew_call>().mWait == settings.mRenewWait));
 }
 
+// Leases lapsed for good after a target had been silent: each answer to a
+// replaced renewal led to one more, so their number in flight never fell.
+BOOST_AUTO_TEST_CASE(an_answer_to_a_replaced_renewal_leads_to_no_other)
+{
+  constexpr int kSilentTicks = 50;
+  std::vector<core::instant> sent;
+  for (int i = 0; i < kSilentTicks; ++i) {
+    const auto count = Count<lease::renew_call>();
+    Pass(20ms);
+    if (Count<lease::renew_call>() > count) {
+      sent.push_back(mNow);
+    }
+  }
+  BOOST_REQUIRE(sent.size() > 5);
+  mEffects.clear();
+  for (const core::instant askedAt : sent) {
+    lease::OnReport(mTarget, { Clock(), 7, {}, {} }, askedAt, mNow, mEffects);
+    lease::Tick(mTarget, mNow, mEffects);
+  }
+  BOOST_TEST(Count<lease::renew_call>() == 1U);
+}
+
+// Leases lapsed while each renewal was answered, but only after it had been
+// replaced.
+BOOST_AUTO_TEST_CASE(slow_answers_extend_leases)
+{
+  Answer(Start(), lease::start_answer::Accepted);
+  const auto& settings = mTarget.mSettings;
+  Pass(0ms);
+  for (int i = 0; i < 100; ++i) {
+    const core::instant askedAt = mTarget.mRenewalSentAt;
+    Pass(settings.mRenewWait + settings.mRenewOverdue + 5ms);
+    lease::ConfirmRun(mTarget.mRuns.at(kTask), mNow);
+    lease::OnReport(
+      mTarget, { Clock(), 7, { { kTask, 1 } }, {} }, askedAt, mNow, mEffects);
+  }
+  BOOST_TEST(Ends().empty());
+  BOOST_TEST((mTarget.mLeaseUntil > Clock()));
+}
+
 // Load pattern: a target leaves a few starts unanswered, some of which it
 // carries out late. A job with one of them waited for the call's deadline.
 BOOST_AUTO_TEST_CASE(a_start_is_sent_again_before_its_deadline)
--- a/tests/platform/test_target_client.cpp
+++ b/tests/platform/test_target_client.cpp
@@ -407,4 +407,15 @@
   }));
 }
 
+// Leases lapsed for good: renewals that had waited for seconds behind those to
+// a silent target were sent, and asked for leases that were over.
+BOOST_AUTO_TEST_CASE(a_renewal_that_has_waited_too_long_is_not_sent)
+{
+  mTarget.Answer(200, kWhole);
+  const auto before = State().mClock;
+  mClient->Post(lease::renew_call{ Header(), 1'000ms, 0, 0ms, io::Now() });
+  mClient->Stop(); // Serves what waits.
+  BOOST_TEST((State().mClock->mAskedAt == before->mAskedAt));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
