Platform: a caller's job has max_tasks tasks at most

Cause: the adapter had a limit of its own, 4,096 tasks, and reads each job into some 300 KB before it is admitted; the setting max_tasks (870, the size that the users design for) was not asked. Change: the setting holds there too. A job above it is refused as malformed; it has not run. Result: a_job_has_a_largest_number_of_tasks.

--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -56,6 +56,7 @@
   /** Whether callers are to go elsewhere, though they are still served: as the
    * balancer was told. */
   bool SendsElsewhere() const { return !mReady || mSendsElsewhere; }
+  const caller_limits& CallerLimits() const { return mOptions.mCallers; }
   control_loop& Loop() { return mLoop; }
   caller_waiters& Callers() { return mCallers; }
   /** Tells of callers that leave before their answer. */
--- a/tests/platform/test_job_body.cpp
+++ b/tests/platform/test_job_body.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr const char* kName = "5c0e7a21d94b36f8";
+constexpr std::size_t kMaxTasks = 870;
 
 const job::submission&
 Taken(const std::variant<platform::job_request, platform::job_refusal>& aParsed)
@@ -18,7 +19,7 @@
 bool
 IsMalformed(const std::string& aBody)
 {
-  const auto parsed = platform::ParseJob(kName, aBody);
+  const auto parsed = platform::ParseJob(kName, aBody, kMaxTasks);
   BOOST_REQUIRE(std::holds_alternative<platform::job_refusal>(parsed));
   return std::get<platform::job_refusal>(parsed).mIsMalformed;
 }
@@ -32,7 +33,8 @@
   const auto parsed = platform::ParseJob(
     kName,
     R"({"spec":"cut","bestEffort":true,"steps":[)"
-    R"({"count":3,"cpu":1600,"memMb":64,"estimateMs":900}]})");
+    R"({"count":3,"cpu":1600,"memMb":64,"estimateMs":900}]})",
+    kMaxTasks);
   const auto& submission = Taken(parsed);
   BOOST_TEST(submission.mKey == kName);
   BOOST_REQUIRE_EQUAL(submission.mTasks.size(), 3U);
@@ -110,12 +112,26 @@
   }
 }
 
+// Memory: each task of a job takes room before the job is admitted, however
+// small its body is.
+BOOST_AUTO_TEST_CASE(a_job_has_a_largest_number_of_tasks)
+{
+  const auto body = [](std::size_t aCount) {
+    return R"({"spec":"","bestEffort":true,"steps":[{"count":)" +
+           std::to_string(aCount) + "}]}";
+  };
+  BOOST_TEST(IsMalformed(body(kMaxTasks + 1)));
+  const auto parsed = platform::ParseJob(kName, body(kMaxTasks), kMaxTasks);
+  BOOST_TEST(Taken(parsed).mTasks.size() == kMaxTasks);
+}
+
 BOOST_AUTO_TEST_CASE(a_rough_estimate_need_not_be_whole)
 {
   const auto parsed =
     platform::ParseJob(kName,
                        R"({"spec":"","bestEffort":true,"steps":[)"
-                       R"({"count":1,"cpu":500.0,"estimateMs":903.7}]})");
+                       R"({"count":1,"cpu":500.0,"estimateMs":903.7}]})",
+                       kMaxTasks);
   const auto& task = Taken(parsed).mTasks.front();
   BOOST_TEST((task.mDeclared == std::chrono::milliseconds(903)));
   BOOST_TEST(task.mNeeds.mCpu == 500U);
