HTTP server: close idle connections where they run short

Callers saw: after a crowd has used all connections for answered requests and keeps them open, no other caller gets in for the 30 s of the idle timeout. Cause: only unfinished requests were closed for others, and only when a connection was opened; at the limit none is. Change: else the connection that has been idle longest is closed, after 500 ms, and connections that are short are looked for once a second as well.

--- a/src/libgooseberryio/body_budget.cpp
+++ b/src/libgooseberryio/body_budget.cpp
@@ -195,4 +195,19 @@
   return socket;
 }
 
+std::optional<int>
+ChooseIdle(const open_connections& aOpen, core::instant aNow)
+{
+  std::optional<int> socket;
+  core::instant oldest = aNow - kUnfinishedGrace;
+  for (const auto& [candidate, connection] : aOpen) {
+    if (connection.mPhase == connection_phase::Kept && !connection.mIsClosing &&
+        connection.mSince <= oldest) {
+      oldest = connection.mSince;
+      socket = candidate;
+    }
+  }
+  return socket;
+}
+
 } // namespace gooseberry::io
--- a/src/libgooseberryio/body_budget.h
+++ b/src/libgooseberryio/body_budget.h
@@ -146,6 +146,11 @@
 std::optional<int>
 ChooseUnfinished(const open_connections& aOpen, core::instant aNow);
 
+/** The kept connection that has waited longest for its next request, at least
+ * for `kUnfinishedGrace`. */
+std::optional<int>
+ChooseIdle(const open_connections& aOpen, core::instant aNow);
+
 /** A request within today's limits arrives within it also at a busy entry. */
 inline constexpr core::duration kUnfinishedGrace =
   std::chrono::milliseconds(500);
--- a/src/libgooseberryio/http_connections.cpp
+++ b/src/libgooseberryio/http_connections.cpp
@@ -39,12 +39,21 @@
   const auto now = Now();
   const std::lock_guard lock(mMutex);
   mConnections[aSocket] = { .mPhase = connection_phase::New, .mSince = now };
+  CloseOneIfShort(now);
+}
+
+/** Lets the next caller in where connections are short. */
+void
+http_connections::CloseOneIfShort(core::instant aNow)
+{
   if (!IsShort(mConnections, mLimits)) {
     return;
   }
-  if (const auto chosen = ChooseUnfinished(mConnections, now)) {
-    Shutdown(*chosen, mConnections.at(*chosen));
+  if (const auto unfinished = ChooseUnfinished(mConnections, aNow)) {
+    Shutdown(*unfinished, mConnections.at(*unfinished));
     mBudget->CountDrop(drop_reason::ConnectionsFull);
+  } else if (const auto idle = ChooseIdle(mConnections, aNow)) {
+    Shutdown(*idle, mConnections.at(*idle));
   }
 }
 
@@ -161,6 +170,8 @@
       Shutdown(socket, connection);
     }
   }
+  // At the limit, nothing more is opened that would make room for others.
+  CloseOneIfShort(now);
 }
 
 /** One line for each check at most, however many requests are dropped. */
--- a/src/libgooseberryio/http_connections.h
+++ b/src/libgooseberryio/http_connections.h
@@ -45,6 +45,7 @@
 private:
   void CloseLate();
   void CloseLateOnce();
+  void CloseOneIfShort(core::instant aNow);
   void LogDrops();
   void Shutdown(int aSocket, open_connection& aConnection);
   void SetPhase(int aSocket, connection_phase aPhase);
--- a/tests/libgooseberryio/test_body_budget.cpp
+++ b/tests/libgooseberryio/test_body_budget.cpp
@@ -96,6 +96,25 @@
   BOOST_TEST(!io::ChooseUnfinished(open, kStart).has_value());
 }
 
+// Guards against answered connections that are kept open and leave no room for
+// others until they time out.
+BOOST_AUTO_TEST_CASE(the_connection_that_was_idle_longest_is_closed)
+{
+  using enum io::connection_phase;
+  io::open_connections open{ { 1, Connection(Handled, 9s) },
+                             { 2, Connection(Kept, 3s) },
+                             { 3, Connection(Kept, 8s) },
+                             { 4, Connection(Kept, 10ms) },
+                             { 5, Connection(Arriving, 9s) } };
+  for (const int expected : { 3, 2 }) {
+    const auto chosen = io::ChooseIdle(open, kStart);
+    BOOST_REQUIRE(chosen.has_value());
+    BOOST_TEST(*chosen == expected);
+    open.at(*chosen).mIsClosing = true;
+  }
+  BOOST_TEST(!io::ChooseIdle(open, kStart).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(requests_in_arrival_are_late_before_idle_connections)
 {
   using enum io::connection_phase;
