--- a/src/libgooseberry/lease/internal.h
+++ b/src/libgooseberry/lease/internal.h
@@ -118,10 +118,10 @@
 /**
  * Raises the fencing token, at least to the target's start time plus its clock
  * or a lower bound of it. It never falls, also if time is set back. The sum
- * rises throughout an incarnation and from each one to the next, so the token
- * outranks those of all earlier agents, also in starts that reach a later
- * incarnation, without stored state. Runs of other agents are known only from a
- * report that was requested with the new token.
+ * rises throughout an incarnation, so the token outranks those of all earlier
+ * agents without stored state. From one incarnation to the next, it rises where
+ * the later clock does not start below the earlier one. Runs of other agents
+ * are known only from a report that was requested with the new token.
  */
 void
 RaiseToken(leased_target& aTarget, target_time aClock, core::instant aNow);
