Lease: the start time outweighs the clock in a fencing token

Cause: a token was the target's start time plus its clock, which was taken to start at zero. Where the clock of a process starts below that of the last one, an agent that starts between the two has the lower token, and the next process may carry out a start of the agent's predecessor. Change: 1,024 for each millisecond of the start time, one for 16 ms of the clock. Still exact in JSON, up to the year 2200. Result: a_start_made_at_a_later_clock_is_fenced failed before.

--- a/src/libgooseberry/lease/internal.h
+++ b/src/libgooseberry/lease/internal.h
@@ -116,19 +116,20 @@
                  effects& aOut);
 
 /**
- * Raises the fencing token, at least to the target's start time plus its clock
- * or a lower bound of it. It never falls, also if time is set back. The sum
- * rises throughout an incarnation, so the token outranks those of all earlier
- * agents without stored state. From one incarnation to the next, it rises where
- * the later clock does not start below the earlier one. Runs of other agents
- * are known only from a report that was requested with the new token.
+ * Raises the fencing token, at least to one that the target's start time and
+ * its clock, or a lower bound of it, give. It never falls, also if time is set
+ * back. It rises throughout an incarnation and from each one to the next, so it
+ * outranks those of all earlier agents, also in starts that reach a later
+ * incarnation, without stored state. Runs of other agents are known only from a
+ * report that was requested with the new token.
  */
 void
 RaiseToken(leased_target& aTarget, target_time aClock, core::instant aNow);
 
 /** Highest token that this agent raises its own to, unless it is fenced even
  * there; every JSON number holds it. */
-inline constexpr std::uint64_t kMaxFencingToken = std::uint64_t{ 1 } << 52;
+inline constexpr std::uint64_t kMaxFencingToken =
+  (std::uint64_t{ 1 } << 53U) - (std::uint64_t{ 1 } << 32U);
 
 /**
  * Raises the token after the target has seen a higher one, as when its host's
--- a/src/libgooseberry/lease/run_end.cpp
+++ b/src/libgooseberry/lease/run_end.cpp
@@ -180,12 +180,18 @@
 
 namespace {
 
-/** Returns the lowest token for a call that is made at this clock. */
+/**
+ * Returns the lowest token for a call that is made at this clock. The clock of
+ * each process starts at any value, so the start time has the greater weight:
+ * one that is a second later outweighs a clock that is 4.5 hours behind.
+ */
 std::uint64_t
 TokenAt(const leased_target& aTarget, target_time aClock)
 {
-  return aTarget.mTargetIncarnation +
-         static_cast<std::uint64_t>(aClock.count());
+  constexpr std::uint64_t kPerStartMs = 1'024; // Tokens for each millisecond.
+  constexpr std::uint64_t kClockMsPerToken = 16;
+  return aTarget.mTargetIncarnation * kPerStartMs +
+         static_cast<std::uint64_t>(aClock.count()) / kClockMsPerToken;
 }
 
 void
@@ -208,7 +214,7 @@
 void
 OutrankToken(leased_target& aTarget, target_time aClock, core::instant aNow)
 {
-  constexpr std::uint64_t kFirstLead = 1'000; // Of milliseconds.
+  constexpr std::uint64_t kFirstLead = 1'000;
   const std::uint64_t least = TokenAt(aTarget, aClock);
   const std::uint64_t lead = std::max(aTarget.mFencingToken, least) - least;
   SetToken(aTarget,
--- a/tests/libgooseberry/test_lease_lives.cpp
+++ b/tests/libgooseberry/test_lease_lives.cpp
@@ -158,6 +158,28 @@
   BOOST_TEST(next.mFencingToken > start.mHeader.mFencingToken);
 }
 
+// Double run: the same, where the clock of the first incarnation was ahead of
+// that of the next, as each starts anywhere.
+BOOST_AUTO_TEST_CASE(a_start_made_at_a_later_clock_is_fenced)
+{
+  constexpr std::uint64_t kFirst = 1'796'614'000'000;
+  const auto tokenOf = [this](std::uint64_t aIncarnation,
+                              lease::target_time aClock) {
+    lease::leased_target target;
+    lease::effects effects;
+    lease::OnRegistration(
+      target, { "t-1", "127.0.0.1:1", aIncarnation, 1 }, mNow, effects);
+    lease::OnReport(
+      target, { aClock, aIncarnation, {}, {} }, mNow, mNow, effects);
+    return target.mFencingToken;
+  };
+  // The first one lived for 200 ms.
+  BOOST_TEST(tokenOf(kFirst + 200, 1ms) > tokenOf(kFirst, 900'200ms));
+  BOOST_TEST(tokenOf(kFirst, 900'250ms) > tokenOf(kFirst, 900'200ms));
+  constexpr std::uint64_t kLastBorn = 7'258'118'400'000; // The year 2200.
+  BOOST_TEST(tokenOf(kLastBorn, 24h) < std::uint64_t{ 1 } << 53U); // JSON.
+}
+
 // Double run: a start for one incarnation was carried out by the next after its
 // first call, which had a lower token.
 BOOST_AUTO_TEST_CASE(the_first_call_to_an_incarnation_fences_earlier_starts)
