Lease: the end of a call counts while its run is listed

Callers saw: tasks at one target are refused as late, and leases lapse there, for up to 31 s after faults. Cause: the end of a start's latest call was recorded only if its run was not listed as running at that moment. Stopped later, after a restart of the target, the run was never settled, and no lease outlasts the hold of any run. Change: it is recorded whatever the run's state.

--- a/src/libgooseberry/lease/leased_target.cpp
+++ b/src/libgooseberry/lease/leased_target.cpp
@@ -303,14 +303,15 @@
   if (aAnswer != start_answer::NoAnswer) {
     RemoveOpenCall(*found, aCall.mId);
   }
-  if (aAnswer == start_answer::Accepted) {
+  if (aAnswer == start_answer::Accepted || found->mCall == aCall.mId) {
     found->mCallSentBy = found->mCallSentBy.value_or(aNow);
+  }
+  if (aAnswer == start_answer::Accepted) {
     const bool isOfKnownProcess =
       isCurrent && aClock &&
       MayHaveShown(aTarget, *aClock, MadeAt(aTarget, aCall), aNow);
     MarkAccepted(*found, isOfKnownProcess, aNow);
   } else if (found->mCall == aCall.mId && found->mState != run_state::Running) {
-    found->mCallSentBy = found->mCallSentBy.value_or(aNow);
     ApplyRefusal(aTarget, *found, aAnswer, isCurrent, aNow, aOut);
   }
 }
--- a/tests/libgooseberry/test_lease_lives.cpp
+++ b/tests/libgooseberry/test_lease_lives.cpp
@@ -272,6 +272,28 @@
   BOOST_TEST(Last<lease::start_call>().mHeader.mTargetIncarnation == 8U);
 }
 
+// Starts were refused as late and leases lapsed at a target for 31 s: a stopped
+// run whose latest call had ended while the run was listed was never settled,
+// and no lease may outlast its hold.
+BOOST_AUTO_TEST_CASE(a_call_that_ends_while_its_run_is_listed_has_ended)
+{
+  Start();
+  Pass(mTarget.mSettings.mStartOverdue);
+  const auto second = Last<lease::start_call>();
+  Report({ { kTask, 1 } });
+  Pass(mTarget.mSettings.mCallDeadline);
+  Answer(second, lease::start_answer::NoAnswer);
+  ReportRestart(10ms);
+  ReportRestart(10ms);
+  lease::StopRun(mTarget, kTask, mNow, mEffects);
+  lease::OnStopAnswer(mTarget, Last<lease::stop_call>(), mNow);
+  mNow += 1ms;
+  ReportRestart(11ms);
+  BOOST_REQUIRE_EQUAL(Ends().size(), 1U);
+  BOOST_TEST((Ends().front().mEnd == core::task_end::Unknown));
+  BOOST_TEST((lease::MayStart(mTarget, mNow, mNow)));
+}
+
 // A run accepted by a process not known then was held after that process had
 // listed it and fallen silent for good: its lease ended nothing.
 BOOST_AUTO_TEST_CASE(a_run_listed_by_its_process_ends_with_its_lease)
