--- a/src/entry/entry_metrics.cpp
+++ b/src/entry/entry_metrics.cpp
@@ -6,12 +6,13 @@
 namespace gooseberry::entry_program {
 
 measurements
-TakeMeasurements(entry::entry_control& aControl)
+TakeMeasurements(entry::entry_control& aControl, core::instant aNow)
 {
   measurements taken;
   taken.mCounters = aControl.mCounters;
   taken.mSamples = std::exchange(aControl.mSamples, {});
   taken.mGeneration = aControl.mRow.mConfiguration.mGeneration;
+  taken.mConfigurationAge = entry::ConfigurationAge(aControl, aNow);
   for (const auto& [team, use] : aControl.mTeams) {
     taken.mWaitingTasks += use.mWaiting;
   }
@@ -77,6 +78,7 @@
   aMetrics.CountRatesDropped(now.mRatesDropped - before.mRatesDropped);
   aMetrics.SetQueueLength(aTaken.mWaitingTasks);
   aMetrics.SetGeneration(aTaken.mGeneration);
+  aMetrics.SetConfigurationAge(aTaken.mConfigurationAge);
   PublishSamples(aMetrics, aTaken.mSamples);
 }
 
--- a/src/entry/entry_metrics.h
+++ b/src/entry/entry_metrics.h
@@ -15,11 +15,12 @@
   std::vector<entry::ended_sample> mSamples; ///< Since the last time.
   std::size_t mWaitingTasks = 0;
   core::generation mGeneration = 0;
+  core::duration mConfigurationAge{};
 };
 
 /** Takes the samples out of the control state. */
 measurements
-TakeMeasurements(entry::entry_control& aControl);
+TakeMeasurements(entry::entry_control& aControl, core::instant aNow);
 
 /** Turns counters since the start into increments of the metrics. */
 class metrics_publisher
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -172,9 +172,8 @@
     response.mContentType = "text/plain; version=0.0.4";
     mPublisher.Publish(mMetrics,
                        mLoop.Ask([](auto& aControl, auto aNow, auto& aEffects) {
-                         static_cast<void>(aNow);
                          static_cast<void>(aEffects);
-                         return TakeMeasurements(aControl);
+                         return TakeMeasurements(aControl, aNow);
                        }));
     if (mOptions.mHttp.mBudget) {
       mMetrics.SetDrops(mOptions.mHttp.mBudget->Drops());
--- a/src/entry/platform_effects.cpp
+++ b/src/entry/platform_effects.cpp
@@ -19,6 +19,19 @@
   return parsed;
 }
 
+/** The stored configuration; an empty one where there is none yet. */
+core::result<entry::configuration_row>
+ReadConfiguration(io::table_store& aClient)
+{
+  const auto read =
+    aClient.ReadRow(io::kConfigurationTable, io::kConfigurationKey);
+  if (const auto* error = std::get_if<core::error>(&read)) {
+    return *error;
+  }
+  const auto* row = std::get_if<io::table_row>(&read);
+  return row == nullptr ? entry::configuration_row{} : ToConfiguration(*row);
+}
+
 entry::write_result
 ToWriteResult(const io::write_result& aResult, entry::configuration_row aRow)
 {
@@ -114,27 +127,27 @@
 runner::Do(const entry::read_configuration& aEffect)
 {
   static_cast<void>(aEffect);
-  static_cast<void>(mPlatform.Post([this](io::table_store& aClient) {
-    const core::instant sentAt = io::Now();
-    const auto result =
-      aClient.ReadRow(io::kConfigurationTable, io::kConfigurationKey);
-    if (std::holds_alternative<core::error>(result)) {
-      return;
-    }
-    entry::configuration_row row;
-    if (const auto* stored = std::get_if<io::table_row>(&result)) {
-      auto parsed = ToConfiguration(*stored);
-      if (const auto* error = std::get_if<core::error>(&parsed)) {
-        io::log_event("configuration_unreadable", io::log_level::Error)
-          .Add(*error);
-        return;
+  const auto failed = [](const core::error& aError, core::instant aSentAt) {
+    return [aError, aSentAt](auto& aControl, auto aNow, auto& aEffects) {
+      entry::OnConfigurationReadFailed(
+        aControl, aError, aSentAt, aNow, aEffects);
+    };
+  };
+  PostPlatform(
+    [this, failed](io::table_store& aClient) {
+      const core::instant sentAt = io::Now();
+      const auto read = ReadConfiguration(aClient);
+      if (const auto* error = std::get_if<core::error>(&read)) {
+        return Feed(failed(*error, sentAt));
       }
-      row = std::get<entry::configuration_row>(std::move(parsed));
-    }
-    Feed([row, sentAt](auto& aControl, auto aNow, auto& aEffects) {
-      entry::OnConfigurationRead(aControl, row, sentAt, aNow, aEffects);
-    });
-  }));
+      Feed([row = std::get<entry::configuration_row>(read),
+            sentAt](auto& aControl, auto aNow, auto& aEffects) {
+        entry::OnConfigurationRead(aControl, row, sentAt, aNow, aEffects);
+      });
+    },
+    failed(
+      { "read configuration", "table service", "too many calls are waiting" },
+      io::Now()));
 }
 
 void
--- a/src/libgooseberry/entry/adopt.cpp
+++ b/src/libgooseberry/entry/adopt.cpp
@@ -1,3 +1,5 @@
+#include "libgooseberry/core/decimal.h"
+#include "libgooseberry/core/enum_names.h"
 #include "libgooseberry/entry/entry_control.h"
 #include "libgooseberry/entry/internal.h"
 
@@ -8,6 +10,14 @@
 
 namespace {
 
+/** Where this entry has got a configuration from. */
+enum class origin : std::uint8_t
+{
+  Store, ///< A read of its own.
+  Entry, ///< Another entry.
+};
+constexpr core::enum_names<origin, 2> kOriginNames{ { "store", "entry" } };
+
 /** Tells all other processes of the current configuration. */
 void
 BroadcastConfiguration(entry_control& aControl,
@@ -35,6 +45,7 @@
 bool
 BringIntoForce(entry_control& aControl,
                const core::versioned_configuration& aNewer,
+               origin aOrigin,
                core::instant aNow,
                effects& aEffects)
 {
@@ -43,6 +54,7 @@
     Log(aEffects,
         "configuration_unreadable",
         { { "generation", std::to_string(aNewer.mGeneration) },
+          { "from", std::string(kOriginNames.NameOf(aOrigin)) },
           { "reason", ToString(*error) } });
     return false;
   }
@@ -55,7 +67,13 @@
   target::SetConfiguration(aControl.mTargets, aControl.mDesired, aNow);
   Log(aEffects,
       "configuration_in_force",
-      { { "generation", std::to_string(aNewer.mGeneration) } });
+      { { "generation", std::to_string(aNewer.mGeneration) },
+        { "digest", std::to_string(aControl.mDigest) },
+        { "from", std::string(kOriginNames.NameOf(aOrigin)) },
+        { "read_age_ms",
+          core::FormatMilliseconds(ConfigurationAge(aControl, aNow)) },
+        { "queues", std::to_string(aControl.mDesired.mQueues.size()) },
+        { "bytes", std::to_string(aNewer.mText.size()) } });
   BroadcastConfiguration(aControl, aNow, aEffects);
   Dispatch(aControl, aNow, aEffects);
   return true;
@@ -90,8 +108,9 @@
   if (relation == configuration::relation::Outdated) {
     return false;
   }
-  const bool isInForce = relation == configuration::relation::Same ||
-                         BringIntoForce(aControl, aRead, aNow, aEffects);
+  const bool isInForce =
+    relation == configuration::relation::Same ||
+    BringIntoForce(aControl, aRead, origin::Store, aNow, aEffects);
   if (isInForce) {
     aControl.mConfirmedGeneration = aRead.mGeneration;
   }
@@ -149,7 +168,7 @@
                                      configuration::VersionOf(aNewer))) {
     case configuration::relation::Newer:
     case configuration::relation::Renumbered: // Operators wait for the number.
-      return BringIntoForce(aControl, aNewer, aNow, aEffects);
+      return BringIntoForce(aControl, aNewer, origin::Entry, aNow, aEffects);
     case configuration::relation::Outdated:
       RenewGeneration(aControl, aNow, aEffects);
       return false;
@@ -216,6 +235,29 @@
   }
 }
 
+void
+OnConfigurationReadFailed(entry_control& aControl,
+                          const core::error& aError,
+                          core::instant aSentAt,
+                          core::instant aNow,
+                          effects& aEffects)
+{
+  Log(aEffects,
+      "configuration_read_failed",
+      { { "ms", core::FormatMilliseconds(aNow - aSentAt) },
+        { "read_age_ms",
+          core::FormatMilliseconds(ConfigurationAge(aControl, aNow)) },
+        { "step", aError.mStep },
+        { "peer", aError.mPeer },
+        { "reason", aError.mReason } });
+}
+
+core::duration
+ConfigurationAge(const entry_control& aControl, core::instant aNow)
+{
+  return aNow - aControl.mLastContact.value_or(aControl.mStartedAt);
+}
+
 void
 TickGeneration(entry_control& aControl, core::instant aNow, effects& aEffects)
 {
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -358,6 +358,20 @@
                     core::instant aNow,
                     effects& aEffects);
 
+/** Handles a read of the configuration row, sent at `aSentAt`, that returned
+ * none. */
+void
+OnConfigurationReadFailed(entry_control& aControl,
+                          const core::error& aError,
+                          core::instant aSentAt,
+                          core::instant aNow,
+                          effects& aEffects);
+
+/** Time since the last answered call that confirms the configuration was sent;
+ * since the start where there was none. */
+core::duration
+ConfigurationAge(const entry_control& aControl, core::instant aNow);
+
 /** Result of writing the configuration row. */
 struct write_result
 {
--- a/src/libgooseberryio/metrics.cpp
+++ b/src/libgooseberryio/metrics.cpp
@@ -180,6 +180,11 @@
                       "Generation of the configuration in force",
                       "",
                       { { "", 0 } } };
+  family mConfigurationAge{ "configuration_age_seconds",
+                            "gauge",
+                            "Time since the configuration was last confirmed",
+                            "",
+                            { { "", 0 } } };
 
   void Count(family& aFamily, std::string_view aLabel, std::size_t aCount)
   {
@@ -288,6 +293,13 @@
   mFamilies->Set(mFamilies->mGeneration, static_cast<double>(aGeneration));
 }
 
+void
+metrics::SetConfigurationAge(core::duration aAge)
+{
+  mFamilies->Set(mFamilies->mConfigurationAge,
+                 std::chrono::duration<double>(aAge).count());
+}
+
 std::string
 metrics::Text() const
 {
@@ -306,7 +318,8 @@
                                    &all.mRatesDropped,
                                    &all.mDrops,
                                    &all.mQueueLength,
-                                   &all.mGeneration }) {
+                                   &all.mGeneration,
+                                   &all.mConfigurationAge }) {
     Write(text, *one, all.mProcess);
   }
   return text.str();
--- a/src/libgooseberryio/metrics.h
+++ b/src/libgooseberryio/metrics.h
@@ -41,6 +41,8 @@
   void SetDrops(const drop_counts& aCounts);
   /** Generation of the configuration in force. */
   void SetGeneration(core::generation aGeneration);
+  /** Time since the configuration was last confirmed. */
+  void SetConfigurationAge(core::duration aAge);
 
   /** All families in the text format of Prometheus. */
   std::string Text() const;
