Configuration: pass on when, and at which version, it was last confirmed

What was seen: a slow read of an earlier version came into force although other entries had read that it was replaced. Text A in force since version 8, changed to B at 9 and back at 10: an entry that had missed 9 kept A under 8, was told A under 8 by an entry that had read it at 10, and then adopted B from its own read of 9, until the next heartbeat. Agents likewise (a domain taken out and back).

Cause: processes told each other the generation and digest of what is in force, not the version at which it was last read to be the newest. Class: knowledge of a read that stays with the process that read.

Now heartbeats and replies to agents carry that version, and who has the same digest takes it over (configuration::TakeConfirmation); what was read before it is outdated. Replies to heartbeats carry the age of that read too, so that an entry without a path to the store knows how old its configuration is. Ages are those of a read, however often they are passed on. Thrift fields 8, 14 and 15 are skipped by versions before.

--- a/src/libgooseberry/agent/agent_inputs.cpp
+++ b/src/libgooseberry/agent/agent_inputs.cpp
@@ -82,8 +82,12 @@
                      const core::entry_reply& aReply,
                      core::instant aNow)
 {
-  switch (configuration::CompareSent(InForce(aControl),
-                                     { aReply.mGeneration, aReply.mDigest })) {
+  configuration::in_force known = InForce(aControl);
+  configuration::TakeConfirmation(
+    known, aReply.mDigest, aReply.mConfirmedGeneration);
+  aControl.mConfirmedGeneration = known.mConfirmed;
+  switch (
+    configuration::CompareSent(known, { aReply.mGeneration, aReply.mDigest })) {
     case configuration::relation::Newer:
       aControl.mSource.mIsBehind = true;
       AskForConfiguration(aControl, aAddress, aNow);
--- a/src/libgooseberry/configuration/adoption.cpp
+++ b/src/libgooseberry/configuration/adoption.cpp
@@ -23,6 +23,16 @@
   return { aConfiguration.mGeneration, Digest(aConfiguration.mText) };
 }
 
+void
+TakeConfirmation(in_force& aInForce,
+                 std::uint64_t aDigest,
+                 core::generation aConfirmed)
+{
+  if (aDigest != 0 && aDigest == aInForce.mCurrent.mDigest) {
+    aInForce.mConfirmed = std::max(aInForce.mConfirmed, aConfirmed);
+  }
+}
+
 relation
 CompareSent(const in_force& aInForce, const version& aSent)
 {
--- a/src/libgooseberry/configuration/adoption.h
+++ b/src/libgooseberry/configuration/adoption.h
@@ -64,6 +64,17 @@
   Outdated,   ///< Was replaced before the one in force was confirmed.
 };
 
+/**
+ * Takes over that the configuration in force was read to be the newest one at a
+ * later version, by another process that has the same. What was read before
+ * that version is `Outdated` from then on, although the text is as old as it
+ * was: it may have been changed and changed back in between.
+ */
+void
+TakeConfirmation(in_force& aInForce,
+                 std::uint64_t aDigest,
+                 core::generation aConfirmed);
+
 /** Relation of a configuration that another process has. */
 relation
 CompareSent(const in_force& aInForce, const version& aSent);
--- a/src/libgooseberry/core/message.h
+++ b/src/libgooseberry/core/message.h
@@ -201,6 +201,9 @@
   std::map<std::string, std::string> mEntries;
   /** Jobs that the entry abandoned and the agent has not confirmed yet. */
   std::vector<std::string> mCancelled;
+  /** Version of the table service at which its configuration was last read to
+   * be the newest one, by whichever process; 0: unknown. */
+  generation mConfirmedGeneration = 0;
 };
 
 /**
@@ -341,6 +344,15 @@
   /** Submissions to the sender, as a moving average. None: from a version that
    * does not tell it. */
   std::optional<double> mJobsPerSecond;
+  /**
+   * Time since the call was sent that last confirmed the sender's configuration
+   * to be the newest one. None: no call has, or from a version that does not
+   * tell it.
+   */
+  std::optional<duration> mEvidenceAge;
+  /** Version of the table service at which the sender's configuration was last
+   * read to be the newest one, by whichever process; 0: unknown. */
+  generation mConfirmedGeneration = 0;
   /**
    * Agents that the sender was in contact with within the freshness bound, with
    * the generation that each reported. Empty under leases.
--- a/src/libgooseberry/entry/adopt.cpp
+++ b/src/libgooseberry/entry/adopt.cpp
@@ -117,14 +117,6 @@
   return isInForce;
 }
 
-/** The configuration in force was read by a call sent at `aSentAt`. */
-void
-RecordStoreContact(entry_control& aControl, core::instant aSentAt)
-{
-  aControl.mLastContact =
-    std::max(aControl.mLastContact.value_or(aSentAt), aSentAt);
-}
-
 /**
  * Asks the entry at this address for its configuration, one entry at a time,
  * where the regular reads of the table service do not bring it.
@@ -137,9 +129,9 @@
 {
   constexpr core::duration kStoreContact = std::chrono::seconds(1);
   constexpr core::duration kAskGap = std::chrono::milliseconds(500);
-  const auto& contact = aControl.mLastContact;
+  const auto& read = aControl.mLastRead;
   auto& askedAt = aControl.mConfigurationAskedAt;
-  if ((contact && aNow - *contact <= kStoreContact) ||
+  if ((read && aNow - *read <= kStoreContact) ||
       (askedAt && aNow - *askedAt < kAskGap)) {
     return;
   }
@@ -184,6 +176,10 @@
                      core::instant aNow,
                      effects& aEffects)
 {
+  configuration::in_force known = InForce(aControl);
+  configuration::TakeConfirmation(
+    known, aBeat.mDigest, aBeat.mConfirmedGeneration);
+  aControl.mConfirmedGeneration = known.mConfirmed;
   const configuration::version heard{ aBeat.mGeneration, aBeat.mDigest };
   switch (configuration::CompareSent(InForce(aControl), heard)) {
     case configuration::relation::Newer:
@@ -228,10 +224,10 @@
 {
   aControl.mStoreRead = true;
   if (aRow.mNumbering == configuration::numbering::Stored) {
-    RecordStoreContact(aControl, aSentAt);
+    RecordOwnRead(aControl, aSentAt);
     AdoptRow(aControl, aRow, aNow, aEffects);
   } else if (AdoptRead(aControl, aRow.mConfiguration, aNow, aEffects)) {
-    RecordStoreContact(aControl, aSentAt);
+    RecordOwnRead(aControl, aSentAt);
   }
 }
 
@@ -252,12 +248,6 @@
         { "reason", aError.mReason } });
 }
 
-core::duration
-ConfigurationAge(const entry_control& aControl, core::instant aNow)
-{
-  return aNow - aControl.mLastContact.value_or(aControl.mStartedAt);
-}
-
 void
 TickGeneration(entry_control& aControl, core::instant aNow, effects& aEffects)
 {
--- a/src/libgooseberry/entry/entry_control.h
+++ b/src/libgooseberry/entry/entry_control.h
@@ -104,8 +104,11 @@
   joining mJoining;
   core::instant mStartedAt{};
   /** Send time of the last answered call that confirms the configuration: to
-   * the store or, without leases, to a majority of the entries. */
+   * the store, of this entry or of another one that has the same configuration,
+   * or, without leases, to a majority of the entries. */
   std::optional<core::instant> mLastContact;
+  /** Send time of this entry's last read that confirms the configuration. */
+  std::optional<core::instant> mLastRead;
   bool mLeaving = false;
 
   configuration_row mRow;
@@ -372,6 +375,15 @@
 core::duration
 ConfigurationAge(const entry_control& aControl, core::instant aNow);
 
+/**
+ * Returns whether the configuration was confirmed within the freshness bound,
+ * so that it may be used to deny a queue. Work goes on with an older one, as
+ * the table service may be down; but what it lacks may have been added since,
+ * and what it has may have been removed.
+ */
+bool
+IsConfigurationRecent(const entry_control& aControl, core::instant aNow);
+
 /** Result of writing the configuration row. */
 struct write_result
 {
--- a/src/libgooseberry/entry/heartbeat.cpp
+++ b/src/libgooseberry/entry/heartbeat.cpp
@@ -73,6 +73,10 @@
   beat.mGeneration = aControl.mRow.mConfiguration.mGeneration;
   beat.mDigest = aControl.mDigest;
   beat.mReadsConfiguration = aControl.mOptions.mLeasedRuns;
+  if (aControl.mOptions.mLeasedRuns && aControl.mLastContact) {
+    beat.mEvidenceAge = aNow - *aControl.mLastContact;
+  }
+  beat.mConfirmedGeneration = aControl.mConfirmedGeneration;
   for (const auto& [name, use] : aControl.mTeams) {
     if (use.mRunning > 0 || use.mWaiting > 0) {
       beat.mTeams.emplace(name, use);
@@ -178,9 +182,11 @@
   }
   if (aReply.mConfiguration) {
     AdoptConfiguration(aControl, *aReply.mConfiguration, aNow, aEffects);
-  } else if (aControl.mOptions.mLeasedRuns) {
+  }
+  if (aControl.mOptions.mLeasedRuns) {
     LearnOfConfiguration(aControl, aReply, aNow, aEffects);
   }
+  RecordPassedEvidence(aControl, aReply, aSentAt);
 }
 
 namespace {
@@ -236,6 +242,7 @@
     reply.mLastContactAge = aNow - *aControl.mLastContact;
   }
   reply.mDigest = aControl.mDigest;
+  reply.mConfirmedGeneration = aControl.mConfirmedGeneration;
   if (IsSentTo(aControl, aState.mReadsConfiguration)) {
     reply.mConfiguration = NewerThan(aControl, aState.mGeneration);
   }
--- a/src/libgooseberry/entry/internal.h
+++ b/src/libgooseberry/entry/internal.h
@@ -262,6 +262,20 @@
                core::instant aNow,
                effects& aEffects);
 
+/** The configuration in force was read by a call sent at `aSentAt`. */
+void
+RecordOwnRead(entry_control& aControl, core::instant aSentAt);
+
+/**
+ * Takes over what the reply to a heartbeat sent at `aSentAt` says of the read
+ * that last confirmed the other entry's configuration, where it is this one's.
+ * The age is that of a read, however many entries pass it on.
+ */
+void
+RecordPassedEvidence(entry_control& aControl,
+                     const core::heartbeat& aReply,
+                     core::instant aSentAt);
+
 /** Adopts a configuration if it is newer and valid; returns whether it was. */
 bool
 AdoptConfiguration(entry_control& aControl,
--- a/src/libgooseberryio/protocol/from_wire.cpp
+++ b/src/libgooseberryio/protocol/from_wire.cpp
@@ -206,6 +206,7 @@
   reply.mEntries = aReply.entries;
   reply.mCancelled = aReply.cancelled;
   reply.mDigest = static_cast<std::uint64_t>(aReply.configurationDigest);
+  reply.mConfirmedGeneration = GenerationFromWire(aReply.confirmedGeneration);
   return reply;
 }
 
@@ -314,6 +315,10 @@
   if (aBeat.__isset.jobsPerSecond) {
     beat.mJobsPerSecond = aBeat.jobsPerSecond;
   }
+  if (aBeat.__isset.evidenceAge) {
+    beat.mEvidenceAge = Duration(aBeat.evidenceAge, "evidence age");
+  }
+  beat.mConfirmedGeneration = GenerationFromWire(aBeat.confirmedGeneration);
   for (const auto& [name, generation] : aBeat.agents) {
     beat.mAgents[name] = GenerationFromWire(generation);
   }
--- a/src/libgooseberryio/protocol/gooseberry.thrift
+++ b/src/libgooseberryio/protocol/gooseberry.thrift
@@ -48,7 +48,7 @@
   1: PeerRef entry; 2: i64 generation; 3: optional i64 evidenceAge;
   4: optional VersionedConfiguration configuration;
   5: map<string, string> entries; 6: list<string> cancelled;
-  7: i64 configurationDigest
+  7: i64 configurationDigest; 8: i64 confirmedGeneration
 }
 
 struct CancelBatch {
@@ -81,7 +81,8 @@
   5: optional VersionedConfiguration configuration; 6: bool leaving;
   7: map<string, i64> agents; 8: bool busy; 9: string failureDomain;
   10: i32 millicores; 11: bool readsConfiguration; 12: i64 configurationDigest
-  13: optional double jobsPerSecond
+  13: optional double jobsPerSecond; 14: optional i64 evidenceAge;
+  15: i64 confirmedGeneration
 }
 struct JobAnswer {
   1: string job; 2: i8 outcome; 3: list<binary> results; 4: string reason;
--- a/src/libgooseberryio/protocol/to_wire.cpp
+++ b/src/libgooseberryio/protocol/to_wire.cpp
@@ -198,6 +198,7 @@
   reply.entries = aReply.mEntries;
   reply.cancelled = aReply.mCancelled;
   reply.configurationDigest = Bits(aReply.mDigest);
+  reply.confirmedGeneration = Bits(aReply.mConfirmedGeneration);
   return reply;
 }
 
@@ -313,6 +314,10 @@
   if (aBeat.mJobsPerSecond) {
     beat.__set_jobsPerSecond(*aBeat.mJobsPerSecond);
   }
+  if (aBeat.mEvidenceAge) {
+    beat.__set_evidenceAge(aBeat.mEvidenceAge->count());
+  }
+  beat.confirmedGeneration = Bits(aBeat.mConfirmedGeneration);
   for (const auto& [name, generation] : aBeat.mAgents) {
     beat.agents[name] = Bits(generation);
   }
--- a/tests/libgooseberry/test_agent_configuration.cpp
+++ b/tests/libgooseberry/test_agent_configuration.cpp
@@ -148,4 +148,21 @@
   BOOST_TEST((StartOne() == core::start_verdict::DomainOut));
 }
 
+// The domain was back, taken out and back again; the read is from before that.
+BOOST_AUTO_TEST_CASE(a_read_from_before_an_entrys_is_outdated)
+{
+  Read(8, configuration::domain_state::In);
+  core::entry_reply reply;
+  reply.mEntry = { "a", 1 };
+  reply.mGeneration = 8;
+  reply.mDigest = mControl.mDigest;
+  reply.mConfirmedGeneration = 10;
+  agent::OnLoadReportAnswered(
+    mControl, kFirstEntry, reply, mNow, mNow, mEffects);
+  Read(9, configuration::domain_state::Out);
+  BOOST_TEST((StartOne() == core::start_verdict::Accepted));
+  Read(11, configuration::domain_state::Out);
+  BOOST_TEST((StartOne() == core::start_verdict::DomainOut));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/libgooseberryio/test_convert.cpp
+++ b/tests/libgooseberryio/test_convert.cpp
@@ -121,7 +121,8 @@
                                     core::duration(0),
                                     core::versioned_configuration{ 8, "[x]" },
                                     { { "entry-2", "127.0.0.1:3" } },
-                                    { "team/job" } });
+                                    { "team/job" },
+                                    11 });
   CheckRoundTrip(core::locate_request{
     { "entry-1", 1 }, "127.0.0.1:2", "team/job", ~0ULL, { 2, 1 } });
   CheckRoundTrip(core::locate_reply{ { "entry-1", 1 },
@@ -140,6 +141,9 @@
   CheckRoundTrip(beat);
   beat.mJobsPerSecond = 51.5;
   CheckRoundTrip(beat);
+  beat.mEvidenceAge = core::duration(40);
+  beat.mConfirmedGeneration = 9;
+  CheckRoundTrip(beat);
   core::job_answer answer;
   answer.mJob = "team/job";
   answer.mOutcome = core::job_outcome::NotRun;
